Serve short requests and gang jobs end to end as separate processes

Cause: the repository was empty. The thin path comes first, so that everything else hangs on it. Ruled out: a caller's own idempotency key with a home chosen by a hash over a shared view (two entries with different views would run a key twice); a key now names its home and that home's life, so no view is needed.

--- /dev/null
+++ b/crates/core/src/plan.rs
@@ -0,0 +1,101 @@
+//! The guarantee plan: guaranteed shapes bound to concrete workers.
+
+use std::collections::BTreeMap;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::account::Account;
+use crate::id::{AccountId, WorkerId};
+use crate::place::find;
+use crate::shape::{Amount, Shape};
+use crate::table::Placement;
+use crate::topology::Worker;
+use crate::view::View;
+
+/// One guaranteed shape and the workers that back it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Binding {
+    /// Guaranteed shape.
+    pub shape: Shape,
+    /// Tasks of the shape on each worker.
+    pub placement: Placement,
+}
+
+/// Backing of every account's guarantee.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Plan {
+    /// Bound shapes of each account.
+    pub bindings: BTreeMap<AccountId, Vec<Binding>>,
+    /// Shapes that no free capacity could back.
+    pub shortfall: BTreeMap<AccountId, Vec<Shape>>,
+}
+
+impl Plan {
+    /// Returns the amounts that back each account on `worker`.
+    pub fn backing_on(&self, worker: &WorkerId) -> BTreeMap<AccountId, Amount> {
+        let mut backing: BTreeMap<AccountId, Amount> = BTreeMap::new();
+        for (account, bindings) in &self.bindings {
+            for binding in bindings {
+                if let Some(&tasks) = binding.placement.get(worker) {
+                    *backing.entry(account.clone()).or_default() += binding.shape.each().times(tasks);
+                }
+            }
+        }
+        backing
+    }
+
+    /// Returns the amounts that back each account on each worker.
+    pub fn backing(&self) -> BTreeMap<WorkerId, BTreeMap<AccountId, Amount>> {
+        let mut all: BTreeMap<WorkerId, BTreeMap<AccountId, Amount>> = BTreeMap::new();
+        for (account, bindings) in &self.bindings {
+            for binding in bindings {
+                for (worker, &tasks) in &binding.placement {
+                    let on_worker = all.entry(worker.clone()).or_default();
+                    *on_worker.entry(account.clone()).or_default() += binding.shape.each().times(tasks);
+                }
+            }
+        }
+        all
+    }
+}
+
+/// Binds every guarantee to workers, keeping each binding of `previous` that still stands.
+///
+/// The result depends only on the arguments, so every proposer with the same view proposes the same plan.
+/// Larger shapes are bound first, because they have the fewest places to go.
+pub fn propose(
+    accounts: &BTreeMap<AccountId, Account>,
+    workers: &BTreeMap<WorkerId, Worker>,
+    previous: &Plan,
+) -> Plan {
+    let mut view = View::of_capacity(workers);
+    let mut plan = Plan::default();
+    let mut unbound: Vec<(AccountId, Shape)> = Vec::new();
+    for (account, config) in accounts {
+        let mut kept = previous.bindings.get(account).cloned().unwrap_or_default();
+        for shape in &config.guarantee {
+            let standing = kept.iter().position(|b| b.shape == *shape && view.holds(&b.shape, &b.placement));
+            match standing {
+                Some(at) => bind(&mut plan, &mut view, account, kept.swap_remove(at)),
+                None => unbound.push((account.clone(), *shape)),
+            }
+        }
+    }
+    unbound.sort_by_key(|(account, shape)| {
+        let total = shape.total();
+        (std::cmp::Reverse((total.accelerators, total.slots)), shape.span, account.clone())
+    });
+    for (account, shape) in unbound {
+        match find(&view, &shape, &view.free()) {
+            Some(placement) => bind(&mut plan, &mut view, &account, Binding { shape, placement }),
+            None => plan.shortfall.entry(account).or_default().push(shape),
+        }
+    }
+    plan
+}
+
+fn bind(plan: &mut Plan, view: &mut View, account: &AccountId, binding: Binding) {
+    view.take(&binding.shape, &binding.placement);
+    plan.bindings.entry(account.clone()).or_default().push(binding);
+}
--- /dev/null
+++ b/crates/core/src/reclaim.rs
@@ -0,0 +1,132 @@
+//! Which work stands on whose backing, and what yields when a guarantee is reclaimed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::id::{AccountId, JobId, WorkerId};
+use crate::policy::Millis;
+use crate::shape::Amount;
+use crate::table::Class;
+
+/// One gang's share of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Job that holds the share.
+    pub job: JobId,
+    /// Account of the job.
+    pub account: AccountId,
+    /// Resources held.
+    pub held: Amount,
+    /// Urgency of the job.
+    pub class: Class,
+    /// When the attempt started.
+    pub started_ms: Millis,
+    /// Whether the job may be checkpointed or stopped and run again.
+    pub preemptible: bool,
+}
+
+/// The shares of one worker split by whose backing they stand on.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// Backing of each account on the worker.
+    pub backing: BTreeMap<AccountId, Amount>,
+    /// Amount of its own backing that each account uses.
+    pub own_used: BTreeMap<AccountId, Amount>,
+    /// Jobs that stand on their own account's backing.
+    pub own: BTreeSet<JobId>,
+    /// Amount that work outside its own backing holds and that cannot be preempted.
+    pub pinned: Amount,
+}
+
+impl Ledger {
+    /// Splits `shares` by backing, the oldest first.
+    pub fn new(backing: BTreeMap<AccountId, Amount>, shares: &[Share]) -> Self {
+        let mut ledger = Self { backing, ..Self::default() };
+        let mut order: Vec<&Share> = shares.iter().collect();
+        // Work that cannot be preempted takes the account's own backing first: nothing else may hold it.
+        order.sort_by_key(|s| (s.preemptible, s.started_ms, s.job.clone()));
+        for share in order {
+            if ledger.unused(&share.account).holds(share.held) {
+                *ledger.own_used.entry(share.account.clone()).or_default() += share.held;
+                ledger.own.insert(share.job.clone());
+            } else if !share.preemptible {
+                ledger.pinned += share.held;
+            }
+        }
+        ledger
+    }
+
+    /// Returns the backing of `account` that it does not use itself.
+    pub fn unused(&self, account: &AccountId) -> Amount {
+        let backing = self.backing.get(account).copied().unwrap_or_default();
+        backing.less(self.own_used.get(account).copied().unwrap_or_default())
+    }
+
+    /// Returns the capacity that backs nobody and that no pinned work holds.
+    pub fn spare(&self, capacity: Amount) -> Amount {
+        let mut planned = self.pinned;
+        for amount in self.backing.values() {
+            planned += *amount;
+        }
+        capacity.less(planned)
+    }
+
+    /// Returns what `account` may take so that every guarantee stays reclaimable.
+    pub fn allowed(&self, account: &AccountId, preemptible: bool, capacity: Amount, free: Amount) -> Amount {
+        if preemptible {
+            return free;
+        }
+        let own = self.unused(account);
+        let spare = self.spare(capacity);
+        // A share stands on one side only: it is either within the account's own backing or on spare capacity.
+        let larger = if own.accelerators >= spare.accelerators { own } else { spare };
+        larger.min(free)
+    }
+}
+
+/// Chooses the shares that yield until `need` is free, hurting the least work first.
+///
+/// The lowest class yields first, then the youngest. Returns `None` when not even all of them suffice.
+pub fn victims(shares: &[Share], ledger: &Ledger, free: Amount, need: Amount) -> Option<Vec<JobId>> {
+    let mut order: Vec<&Share> =
+        shares.iter().filter(|s| s.preemptible && !ledger.own.contains(&s.job)).collect();
+    order.sort_by_key(|s| (s.class, std::cmp::Reverse(s.started_ms), s.job.clone()));
+    let mut freed = free;
+    let mut chosen = Vec::new();
+    for share in order {
+        if freed.holds(need) {
+            break;
+        }
+        if helps(freed, need, share.held) {
+            freed += share.held;
+            chosen.push(share.job.clone());
+        }
+    }
+    freed.holds(need).then_some(chosen)
+}
+
+fn helps(freed: Amount, need: Amount, held: Amount) -> bool {
+    let short = need.less(freed);
+    (short.accelerators > 0 && held.accelerators > 0) || (short.slots > 0 && held.slots > 0)
+}
+
+/// A guarantee that could not be reclaimed on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Worker whose backing is held by work that cannot yield.
+    pub worker: WorkerId,
+    /// Backing in all.
+    pub planned: Amount,
+    /// Amount that work outside its own backing pins.
+    pub pinned: Amount,
+}
+
+/// Returns the breach on `worker`, if its pinned work stands on somebody's backing.
+pub fn breach(worker: &WorkerId, capacity: Amount, ledger: &Ledger) -> Option<Breach> {
+    let mut planned = Amount::default();
+    for amount in ledger.backing.values() {
+        planned += *amount;
+    }
+    let mut held = planned;
+    held += ledger.pinned;
+    (!capacity.holds(held)).then(|| Breach { worker: worker.clone(), planned, pinned: ledger.pinned })
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,121 @@
+//! Routing of short requests to agents, with limits, retries and admission by deadline.
+
+use rand::{Rng, RngExt};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::policy::Millis;
+
+/// What an entry knows about one agent when it routes a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Requests that this entry has in flight at the agent.
+    pub in_flight: u32,
+    /// Requests that the agent reported in flight for all entries.
+    pub reported: u32,
+    /// Slots of the upstream.
+    pub slots: u32,
+    /// Mean service time of the upstream's requests, in milliseconds.
+    pub service_ms: f64,
+    /// Whether the agent is in the entry's own failure domain.
+    pub near: bool,
+}
+
+/// One way between failure domains, in milliseconds.
+pub const DOMAIN_HOP_MS: f64 = 1.5;
+
+impl Candidate {
+    /// Returns the expected time until an answer, in milliseconds.
+    pub fn delay_ms(&self) -> f64 {
+        let queued = f64::from(self.in_flight.max(self.reported));
+        let slots = f64::from(self.slots.max(1));
+        let waves = (queued + 1.0) / slots;
+        let hops = if self.near { 0.0 } else { 2.0 * DOMAIN_HOP_MS };
+        hops + self.service_ms.max(0.1) * waves.max(1.0)
+    }
+}
+
+/// Picks the better of two sampled candidates by expected delay.
+pub fn pick(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+    match candidates.len() {
+        0 => None,
+        1 => Some(0),
+        len => {
+            let first = rng.random_range(0..len);
+            let second = (first + 1 + rng.random_range(0..len - 1)) % len;
+            let better = candidates[second].delay_ms() < candidates[first].delay_ms();
+            Some(if better { second } else { first })
+        }
+    }
+}
+
+/// Tokens that one successful first attempt adds to the retry budget.
+const RETRY_DEPOSIT: f64 = 0.1;
+
+/// Tokens that the retry budget holds at most.
+const RETRY_TOKENS: f64 = 20.0;
+
+/// A budget that keeps retries to a tenth of first attempts, whatever fails.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Creates a full budget.
+    pub fn new() -> Self {
+        Self { tokens: RETRY_TOKENS }
+    }
+
+    /// Records a first attempt.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + RETRY_DEPOSIT).min(RETRY_TOKENS);
+    }
+
+    /// Takes a token for a retry; returns whether there was one.
+    pub fn withdraw(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Why a request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum NotRun {
+    /// No agent is ready.
+    NoUpstream,
+    /// The deadline cannot be met.
+    Deadline,
+    /// The account has too many requests in flight.
+    AccountLimit,
+    /// All upstreams are full.
+    Busy,
+    /// The process is stopping.
+    Draining,
+    /// The account is paused.
+    Paused,
+    /// The key's home is gone and the request was never handed over.
+    HomeGone,
+}
+
+/// Admits a request if its expected delay meets its deadline.
+///
+/// # Errors
+///
+/// Returns after how many milliseconds the caller should come back.
+pub fn admit(best_delay_ms: f64, left_ms: Millis) -> std::result::Result<(), Millis> {
+    if best_delay_ms <= left_ms as f64 {
+        return Ok(());
+    }
+    Err((best_delay_ms - left_ms as f64).ceil().clamp(1.0, 60_000.0) as Millis)
+}
--- /dev/null
+++ b/crates/core/src/table.rs
@@ -0,0 +1,135 @@
+//! The tables that the systems run over.
+
+use std::collections::BTreeMap;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::account::Account;
+use crate::estimate::Estimator;
+use crate::id::{AccountId, JobId, WorkerId};
+use crate::plan::Plan;
+use crate::policy::Millis;
+use crate::shape::{Amount, Shape};
+use crate::topology::Worker;
+
+/// Tasks of a gang on each of its workers.
+pub type Placement = BTreeMap<WorkerId, u32>;
+
+/// The urgency of a job; a lower class yields first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Work that may wait for hours.
+    Batch,
+    /// Ordinary work.
+    #[default]
+    Normal,
+    /// Work that starts within the urgent bound or is refused.
+    Urgent,
+}
+
+/// What a client account asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Demand {
+    /// Account on whose behalf the job runs.
+    pub account: AccountId,
+    /// Resources that the gang needs at the same time.
+    pub shape: Shape,
+    /// Urgency.
+    #[serde(default)]
+    pub class: Class,
+    /// Declared run time in milliseconds; only a hint.
+    pub declared_ms: Millis,
+    /// Whether the job may be checkpointed or stopped and run again.
+    #[serde(default = "default_preemptible")]
+    pub preemptible: bool,
+}
+
+fn default_preemptible() -> bool {
+    true
+}
+
+/// A job that waits for its gang.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// What was asked for.
+    pub demand: Demand,
+    /// When the job began to wait; kept over a preemption.
+    pub since_ms: Millis,
+    /// Run time that earlier attempts completed, in milliseconds.
+    pub done_ms: Millis,
+}
+
+/// A gang that holds its workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// What was asked for.
+    pub demand: Demand,
+    /// Tasks on each worker.
+    pub placement: Placement,
+    /// When the job began to wait.
+    pub since_ms: Millis,
+    /// When this attempt started.
+    pub started_ms: Millis,
+    /// Run time that earlier attempts completed, in milliseconds.
+    pub done_ms: Millis,
+    /// Whether all of the gang stands on its own account's backing.
+    pub own: bool,
+}
+
+impl Running {
+    /// Returns what the gang holds on `worker`.
+    pub fn held(&self, worker: &WorkerId) -> Amount {
+        let tasks = self.placement.get(worker).copied().unwrap_or_default();
+        self.demand.shape.each().times(tasks)
+    }
+}
+
+/// All entities of the decision core.
+#[derive(Clone, Debug, Default)]
+pub struct Tables {
+    /// Workers by name.
+    pub workers: BTreeMap<WorkerId, Worker>,
+    /// Client accounts by name.
+    pub accounts: BTreeMap<AccountId, Account>,
+    /// Backing of the guarantees.
+    pub plan: Plan,
+    /// Jobs that wait.
+    pub waiting: BTreeMap<JobId, Waiting>,
+    /// Jobs that run.
+    pub running: BTreeMap<JobId, Running>,
+    /// Run-time history of each account.
+    pub history: BTreeMap<AccountId, Estimator>,
+}
+
+impl Tables {
+    /// Creates tables without entities.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the estimated run time that is left of a waiting job, in milliseconds.
+    pub fn remaining_ms(&self, waiting: &Waiting) -> Millis {
+        self.estimate_ms(&waiting.demand).saturating_sub(waiting.done_ms).max(1)
+    }
+
+    /// Returns the estimated whole run time of a demand, in milliseconds.
+    pub fn estimate_ms(&self, demand: &Demand) -> Millis {
+        match self.history.get(&demand.account) {
+            Some(estimator) => estimator.estimate_ms(demand.declared_ms),
+            None => demand.declared_ms,
+        }
+    }
+
+    /// Returns the resources that each account holds.
+    pub fn usage(&self) -> BTreeMap<AccountId, Amount> {
+        let mut usage: BTreeMap<AccountId, Amount> = BTreeMap::new();
+        for running in self.running.values() {
+            *usage.entry(running.demand.account.clone()).or_default() += running.demand.shape.total();
+        }
+        usage
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,6 @@
+//! The command-line tool for callers and operators.
+
+pub mod args;
+pub mod call;
+pub mod run;
+pub mod show;
--- /dev/null
+++ b/crates/ctl/src/show.rs
@@ -0,0 +1,77 @@
+//! Answers as people read them.
+
+use serde_json::Value;
+
+/// Characters of one cell at most.
+const CELL_LIMIT: usize = 48;
+
+/// Returns an answer as text: a table where it has rows, otherwise one line a field.
+pub fn text(body: &Value) -> String {
+    match (&body["columns"], &body["rows"]) {
+        (Value::Array(columns), Value::Array(rows)) => table(columns, rows, body),
+        _ => fields(body, 0),
+    }
+}
+
+fn table(columns: &[Value], rows: &[Value], body: &Value) -> String {
+    let names: Vec<&str> = columns.iter().filter_map(Value::as_str).collect();
+    let mut lines: Vec<Vec<String>> = vec![names.iter().map(ToString::to_string).collect()];
+    lines.extend(rows.iter().map(|row| names.iter().map(|name| cell(&row[name])).collect()));
+    let widths: Vec<usize> = (0..names.len())
+        .map(|at| lines.iter().map(|line| line[at].chars().count()).max().unwrap_or_default())
+        .collect();
+    let mut text = String::new();
+    for line in &lines {
+        let cells: Vec<String> =
+            line.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+        text.push_str(cells.join("  ").trim_end());
+        text.push('\n');
+    }
+    text.push_str(&format!("{} rows", rows.len()));
+    if let Some(missing) = body["missing"].as_array().filter(|missing| !missing.is_empty()) {
+        let names: Vec<&str> = missing.iter().filter_map(Value::as_str).collect();
+        text.push_str(&format!("; the part of {} is missing", names.join(", ")));
+    }
+    match body["config_age_ms"].as_u64() {
+        Some(age_ms) if age_ms > 3_000 => {
+            text.push_str(&format!("; the log has not answered for {} s", age_ms / 1_000));
+        }
+        Some(_) => {}
+        None => text.push_str("; the log has not confirmed this configuration"),
+    }
+    text.push('\n');
+    text
+}
+
+fn cell(value: &Value) -> String {
+    let text = match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    if text.chars().count() <= CELL_LIMIT {
+        return text;
+    }
+    let head: String = text.chars().take(CELL_LIMIT - 1).collect();
+    format!("{head}…")
+}
+
+fn fields(value: &Value, depth: usize) -> String {
+    let indent = "  ".repeat(depth);
+    match value {
+        Value::Object(map) => {
+            let line = |(name, value): (&String, &Value)| match value {
+                Value::Object(_) => format!("{indent}{name}:\n{}", fields(value, depth + 1)),
+                Value::Array(items) if items.iter().any(Value::is_object) => {
+                    let items: String = items.iter().map(|item| fields(item, depth + 1)).collect();
+                    format!("{indent}{name}:\n{items}")
+                }
+                Value::String(text) => format!("{indent}{name}: {text}\n"),
+                other => format!("{indent}{name}: {other}\n"),
+            };
+            map.iter().map(line).collect()
+        }
+        Value::String(text) => format!("{indent}{text}\n"),
+        other => format!("{indent}{other}\n"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/service.rs
@@ -0,0 +1,77 @@
+//! The agent's remote calls.
+
+use std::sync::Arc;
+
+use sorrelland_core::id::JobId;
+use sorrelland_lease::{Epoch, GangState, Verdict};
+use sorrelland_wire::agent::{
+    AgentConfig, AgentRpc, Exec, ExecReply, GangStatus, Outcome, Renew, Reserve, ReserveReply,
+};
+use sorrelland_wire::connect;
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+
+use crate::agent::Agent;
+use crate::sync::lock;
+
+#[derive(Clone)]
+struct Service(Arc<Agent>);
+
+impl Agent {
+    pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let key = self.settings.daemon.process_key.as_str().into();
+        let service = Service(self);
+        connect::serve(listener, key, move |call| {
+            tokio::spawn(call.execute(service.clone().serve()));
+        })
+        .await;
+    }
+}
+
+impl AgentRpc for Service {
+    async fn execute(self, _: Context, exec: Exec) -> ExecReply {
+        let request = exec.request.clone();
+        let agent = self.0;
+        // On a task of its own: a caller that goes away must not cut the work.
+        let run = tokio::spawn(async move { agent.execute(exec).await });
+        let outcome = run.await.unwrap_or_else(|e| Outcome::Unknown { reason: e.to_string() });
+        ExecReply { request, outcome }
+    }
+
+    async fn reserve(self, _: Context, reserve: Reserve) -> ReserveReply {
+        self.0.reserve(reserve)
+    }
+
+    async fn commit(self, _: Context, job: JobId, epoch: Epoch) -> Option<GangState> {
+        let now_ms = self.0.now_ms();
+        let state = lock(&self.0.authority).commit.ask(&job, epoch, now_ms);
+        self.0.wake.notify_one();
+        state
+    }
+
+    async fn renew(self, _: Context, renew: Renew) -> Verdict {
+        let now_ms = self.0.now_ms();
+        lock(&self.0.authority).renew(&renew, now_ms)
+    }
+
+    async fn stop(self, _: Context, job: JobId, epoch: Epoch) -> GangStatus {
+        let agent = self.0;
+        let stopping = agent.clone();
+        let name = job.clone();
+        let run = tokio::spawn(async move { stopping.fence(&name, epoch).await });
+        if let Err(e) = run.await {
+            log::error!(job = job.as_str(); "stop did not end: {e}");
+        }
+        let now_ms = agent.now_ms();
+        lock(&agent.authority).status(&job, now_ms)
+    }
+
+    async fn status(self, _: Context, job: JobId) -> GangStatus {
+        let now_ms = self.0.now_ms();
+        lock(&self.0.authority).status(&job, now_ms)
+    }
+
+    async fn configure(self, _: Context, config: AgentConfig) -> u64 {
+        self.0.configure(config)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/auth.rs
@@ -0,0 +1,62 @@
+//! Keys of client accounts and operators, compared in constant time.
+
+use std::collections::BTreeMap;
+
+use dropshot::{RequestContext, ServerContext};
+use sorrelland_core::id::AccountId;
+use sorrelland_web::ApiError;
+use subtle::ConstantTimeEq;
+
+/// Result of a check.
+pub type Result<T> = std::result::Result<T, ApiError>;
+
+/// The keys that an entry accepts.
+pub struct Keys {
+    accounts: BTreeMap<String, String>,
+    operators: BTreeMap<String, String>,
+}
+
+impl Keys {
+    /// Creates the table from the settings.
+    pub fn new(accounts: &BTreeMap<String, String>, operators: &BTreeMap<String, String>) -> Self {
+        Self { accounts: accounts.clone(), operators: operators.clone() }
+    }
+
+    /// Returns the account whose key the request carries.
+    ///
+    /// # Errors
+    ///
+    /// Returns 401 when there is no such key.
+    pub fn account<C: ServerContext>(&self, cx: &RequestContext<C>) -> Result<AccountId> {
+        let name = owner(&self.accounts, cx);
+        name.map(AccountId::new)
+            .ok_or_else(|| ApiError::new(401, "bad_account_key", "no client account has this key"))
+    }
+
+    /// Returns the operator whose key the request carries.
+    ///
+    /// # Errors
+    ///
+    /// Returns 401 when there is no such key.
+    pub fn operator<C: ServerContext>(&self, cx: &RequestContext<C>) -> Result<String> {
+        let name = owner(&self.operators, cx);
+        name.map(str::to_owned)
+            .ok_or_else(|| ApiError::new(401, "bad_operator_key", "no operator has this key"))
+    }
+}
+
+fn owner<'a, C: ServerContext>(
+    keys: &'a BTreeMap<String, String>,
+    cx: &RequestContext<C>,
+) -> Option<&'a str> {
+    let header = cx.request.headers().get(http::header::AUTHORIZATION)?;
+    let given = header.to_str().ok()?.strip_prefix("Bearer ")?.as_bytes();
+    // Every key is compared, so that the time does not tell which one came close.
+    let mut found = None;
+    for (name, key) in keys {
+        if bool::from(key.as_bytes().ct_eq(given)) {
+            found = Some(name.as_str());
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,230 @@
+//! The entry: takes callers and operators, and decides placement over state that it can lose.
+
+mod answer;
+mod api;
+mod attempt;
+mod auth;
+mod burn;
+mod fleet;
+mod follow;
+mod operator;
+mod peers;
+mod plan;
+mod query;
+mod rows;
+mod schedule;
+mod service;
+mod short;
+mod write;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use dropshot::HttpServer;
+use sorrelland_conf::Settings;
+use sorrelland_conf::settings::Goal;
+use sorrelland_core::id::{AccountId, JobId};
+use sorrelland_core::policy::{Millis, Policy};
+use sorrelland_core::route::RetryBudget;
+use sorrelland_core::tick::Scheduler;
+use sorrelland_ledger::{Fold, Record};
+use sorrelland_wire::connect::Pool;
+use sorrelland_wire::{AgentRpcClient, EntryRpcClient};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+
+use crate::Result;
+use crate::entry::attempt::{Attached, Epochs};
+use crate::entry::auth::Keys;
+use crate::entry::burn::Burn;
+use crate::entry::fleet::Fleet;
+use crate::entry::peers::Peers;
+use crate::entry::write::Writer;
+use crate::log_client::LogClient;
+use crate::metrics::Metrics;
+use crate::stop::Stop;
+use crate::sync::lock;
+
+/// What an entry knows of the log.
+struct Ledger {
+    fold: Fold,
+    /// Whether any fold was ever read.
+    known: bool,
+    /// When the log last confirmed that the fold is complete.
+    confirmed: Option<Instant>,
+}
+
+/// An entry process.
+pub struct Entry {
+    settings: Settings,
+    /// Name and life, as claims carry it.
+    claimant: String,
+    address: String,
+    keys: Keys,
+    ledger: Mutex<Ledger>,
+    advanced: watch::Sender<u64>,
+    fleet: Mutex<Fleet>,
+    peers: Mutex<Peers>,
+    scheduler: Mutex<Scheduler>,
+    drivers: Mutex<BTreeMap<JobId, schedule::Driver>>,
+    epochs: Mutex<Epochs>,
+    attached: Mutex<BTreeMap<JobId, Attached>>,
+    accounts_in_flight: Mutex<BTreeMap<AccountId, u32>>,
+    retries: Mutex<RetryBudget>,
+    burn: Mutex<Burn>,
+    open_requests: AtomicU32,
+    agents: Pool<AgentRpcClient>,
+    entries: Pool<EntryRpcClient>,
+    log: LogClient,
+    writer: Writer,
+    wake: Notify,
+    stop: Stop,
+    metrics: Metrics,
+    listener: Mutex<Option<TcpListener>>,
+    http: Mutex<Option<HttpServer<Arc<Self>>>>,
+    http_address: Mutex<String>,
+}
+
+impl Entry {
+    /// Binds the addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns why an address could not be bound.
+    pub async fn start(settings: Settings, stop: Stop) -> Result<Arc<Self>> {
+        let listener = TcpListener::bind(settings.daemon.rpc).await?;
+        let address = listener.local_addr()?.to_string();
+        let incarnation: u32 = rand::random();
+        let log = LogClient::new(&settings.log);
+        let entry = Arc::new(Self {
+            claimant: format!("{}#{incarnation:08x}", settings.daemon.name),
+            keys: Keys::new(&settings.account_keys, &settings.operator_keys),
+            ledger: Mutex::new(Ledger { fold: Fold::new(), known: false, confirmed: None }),
+            advanced: watch::Sender::new(0),
+            fleet: Mutex::new(Fleet::new(&settings.daemon.domain)),
+            peers: Mutex::new(Peers::new(&settings.entry.peers)),
+            scheduler: Mutex::new(Scheduler::new(policy(settings.entry.goal))),
+            drivers: Mutex::default(),
+            epochs: Mutex::default(),
+            attached: Mutex::default(),
+            accounts_in_flight: Mutex::default(),
+            retries: Mutex::new(RetryBudget::new()),
+            burn: Mutex::new(Burn::new()),
+            open_requests: AtomicU32::new(0),
+            agents: Pool::new(&settings.daemon.process_key),
+            entries: Pool::new(&settings.daemon.process_key),
+            writer: Writer::new(),
+            log,
+            wake: Notify::new(),
+            stop,
+            metrics: Metrics::new(&settings.daemon.name),
+            listener: Mutex::new(Some(listener)),
+            http: Mutex::new(None),
+            http_address: Mutex::default(),
+            address,
+            settings,
+        });
+        let server = api::start(entry.clone())?;
+        let http_address = server.local_addr().to_string();
+        log::info!("entry {} listens on {http_address} and {}", entry.claimant, entry.address);
+        *lock(&entry.http_address) = http_address;
+        *lock(&entry.http) = Some(server);
+        Ok(entry)
+    }
+
+    /// Returns the address for callers and operators.
+    pub fn http_address(&self) -> String {
+        lock(&self.http_address).clone()
+    }
+
+    /// Returns the address for the other processes.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Runs until asked to stop, then finishes what is in flight.
+    pub async fn run(self: Arc<Self>) {
+        let mut tasks = JoinSet::new();
+        if let Some(listener) = lock(&self.listener).take() {
+            tasks.spawn(self.clone().serve(listener));
+        }
+        tasks.spawn(self.clone().follow_loop());
+        tasks.spawn(self.clone().write_loop());
+        tasks.spawn(self.clone().announce_loop());
+        tasks.spawn(self.clone().peer_loop());
+        tasks.spawn(self.clone().schedule_loop());
+        tasks.spawn(self.clone().plan_loop());
+        tasks.spawn(self.clone().push_loop());
+        self.stop.raised().await;
+        self.leave().await;
+        log::info!("entry {} has stopped", self.claimant);
+    }
+
+    /// Refuses new work, tells the others, and waits for what is in flight.
+    async fn leave(&self) {
+        log::info!("entry {} leaves: it takes nothing new", self.claimant);
+        let deadline = Instant::now() + self.settings.daemon.drain;
+        while Instant::now() < deadline && self.open_requests.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.tell_leaving().await;
+        let server = lock(&self.http).take();
+        if let Some(server) = server {
+            let left = deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(500));
+            match tokio::time::timeout(left, server.close()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) => log::warn!("HTTP server did not close: {e}"),
+                Err(_) => log::warn!("HTTP connections were still open at the end of the drain"),
+            }
+        }
+    }
+
+    /// Tells this entry's address on the log once, and again after it changed hands.
+    async fn announce_loop(self: Arc<Self>) {
+        let name = self.settings.daemon.name.clone();
+        loop {
+            let announced = {
+                let ledger = lock(&self.ledger);
+                ledger.known && ledger.fold.entries.get(&name) == Some(&self.address)
+            };
+            if !announced {
+                let record = Record::Entry { name: name.clone(), address: self.address.clone() };
+                if let Err(e) = self.write(vec![record]).await {
+                    log::debug!("address is not announced yet: {e}");
+                }
+            }
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+    }
+
+    /// Runs `read` on the fold, if one is known.
+    fn with_fold<T>(&self, read: impl FnOnce(&Fold) -> T) -> Option<T> {
+        let ledger = lock(&self.ledger);
+        ledger.known.then(|| read(&ledger.fold))
+    }
+
+    /// Returns how long ago the log confirmed that the fold is complete, in milliseconds.
+    fn config_age_ms(&self) -> Option<Millis> {
+        lock(&self.ledger).confirmed.map(|at| at.elapsed().as_millis() as Millis)
+    }
+
+    /// Returns the names of jobs that a driver of this process looks after.
+    fn driven(&self) -> BTreeSet<JobId> {
+        lock(&self.drivers).keys().cloned().collect()
+    }
+}
+
+fn policy(goal: Goal) -> Policy {
+    match goal {
+        Goal::Completion => Policy::new(),
+        Goal::Fragmentation => Policy::new().with_fragmentation_first(),
+    }
+}
+
+/// Returns milliseconds since 1970 by the wall clock; only ages and logs depend on it.
+fn wall_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as Millis)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/rows.rs
@@ -0,0 +1,274 @@
+//! Rows of the tables that operators can show.
+
+use serde_json::{Value, json};
+use sorrelland_core::id::{JobId, WorkerId};
+use sorrelland_core::reclaim::{Ledger, Share};
+use sorrelland_core::shape::{Amount, Shape};
+use sorrelland_core::table::{Running, Tables};
+use sorrelland_lang::select::Row;
+use sorrelland_ledger::{Final, Fold, Job, Stage, Verdict};
+
+use crate::entry::burn::Burn;
+use crate::entry::fleet::Fleet;
+use crate::entry::query::row;
+
+/// Fields of a job.
+pub const JOB_COLUMNS: &[&str] = &[
+    "job",
+    "account",
+    "state",
+    "class",
+    "tasks",
+    "accelerators",
+    "span",
+    "age_ms",
+    "declared_ms",
+    "workers",
+    "entry",
+    "reason",
+];
+
+/// Fields of a worker.
+pub const WORKER_COLUMNS: &[&str] = &[
+    "worker",
+    "standing",
+    "region",
+    "domain",
+    "rack",
+    "slots",
+    "accelerators",
+    "held",
+    "in_flight",
+    "version",
+    "jobs",
+    "seen_ms",
+];
+
+/// Fields of an account.
+pub const ACCOUNT_COLUMNS: &[&str] = &[
+    "account",
+    "guarantee",
+    "shortfall",
+    "weight",
+    "queue_limit",
+    "request_limit",
+    "paused",
+    "running",
+    "accelerators",
+    "waiting",
+    "version",
+];
+
+/// Fields of a guarantee's backing on one worker.
+pub const GUARANTEE_COLUMNS: &[&str] = &["account", "worker", "accelerators", "own", "borrowed", "borrowers"];
+
+/// Fields of a dry run.
+pub const RECLAIM_COLUMNS: &[&str] = GUARANTEE_COLUMNS;
+
+/// Fields of a command in the history.
+pub const HISTORY_COLUMNS: &[&str] = &["offset", "id", "operator", "subject", "verdict", "version"];
+
+/// Fields of the burn report.
+pub const BURN_COLUMNS: &[&str] = &[
+    "account",
+    "objective",
+    "window",
+    "total",
+    "good",
+    "refused",
+    "late",
+    "unknown",
+    "failed",
+    "target",
+    "burn",
+];
+
+/// Returns the jobs that the log knows.
+pub fn jobs(fold: &Fold, now_ms: u64) -> Vec<Row> {
+    fold.jobs.iter().map(|(name, job)| job_row(name, job, now_ms)).collect()
+}
+
+fn job_row(name: &JobId, job: &Job, now_ms: u64) -> Row {
+    let (state, workers, reason) = match &job.stage {
+        Stage::Waiting => ("waiting", String::new(), ""),
+        Stage::Placed(placed) => ("running", names(placed.placement.keys()), ""),
+        Stage::Ended(Final::Done) => ("done", String::new(), ""),
+        Stage::Ended(Final::Cancelled) => ("cancelled", String::new(), ""),
+        Stage::Ended(Final::NotRun { reason }) => ("not_run", String::new(), reason.as_str()),
+        Stage::Ended(Final::Unknown { reason }) => ("unknown", String::new(), reason.as_str()),
+        Stage::Ended(Final::Failed { reason }) => ("failed", String::new(), reason.as_str()),
+    };
+    let demand = &job.spec.demand;
+    row([
+        ("job", json!(name)),
+        ("account", json!(demand.account)),
+        ("state", json!(state)),
+        ("class", json!(demand.class)),
+        ("tasks", json!(demand.shape.tasks)),
+        ("accelerators", json!(demand.shape.total().accelerators)),
+        ("span", json!(demand.shape.span)),
+        ("age_ms", json!(now_ms.saturating_sub(job.at_ms))),
+        ("declared_ms", json!(demand.declared_ms)),
+        ("workers", json!(workers)),
+        ("entry", json!(job.claimant)),
+        ("reason", json!(reason)),
+    ])
+}
+
+/// Returns the row of a gang that is not on the log.
+pub fn attached(name: &JobId, gang: &Running, now_ms: u64) -> Row {
+    row([
+        ("job", json!(name)),
+        ("account", json!(gang.demand.account)),
+        ("state", json!("running")),
+        ("class", json!(gang.demand.class)),
+        ("tasks", json!(gang.demand.shape.tasks)),
+        ("accelerators", json!(gang.demand.shape.total().accelerators)),
+        ("span", Value::Null),
+        ("age_ms", json!(now_ms.saturating_sub(gang.started_ms))),
+        ("declared_ms", Value::Null),
+        ("workers", json!(names(gang.placement.keys()))),
+        ("entry", Value::Null),
+        ("reason", json!("attached")),
+    ])
+}
+
+/// Returns the workers that an entry knows.
+pub fn workers(fleet: &Fleet) -> Vec<Row> {
+    let worker = |(id, known): (&WorkerId, &crate::entry::fleet::Row)| {
+        let report = &known.report;
+        let mut held = Amount::default();
+        for share in &report.shares {
+            held += share.each.times(share.tasks);
+        }
+        row([
+            ("worker", json!(id)),
+            ("standing", json!(fleet.standing(id, known))),
+            ("region", json!(report.place.region)),
+            ("domain", json!(report.place.domain)),
+            ("rack", json!(report.place.rack)),
+            ("slots", json!(report.capacity.slots)),
+            ("accelerators", json!(report.capacity.accelerators)),
+            ("held", json!(held.accelerators)),
+            ("in_flight", json!(known.reported)),
+            ("version", json!(known.offset.saturating_sub(1))),
+            ("jobs", json!(names(report.shares.iter().map(|share| &share.job)))),
+            ("seen_ms", json!(known.seen.elapsed().as_millis() as u64)),
+        ])
+    };
+    fleet.rows().iter().map(worker).collect()
+}
+
+/// Returns the accounts with what they hold.
+pub fn accounts(fold: &Fold, tables: &Tables) -> Vec<Row> {
+    let usage = tables.usage();
+    let account = |(id, config): (&sorrelland_core::id::AccountId, &sorrelland_core::account::Account)| {
+        let of_account = |job: &&Job| job.spec.demand.account == *id;
+        let waiting = fold.jobs.values().filter(of_account).filter(|job| job.stage == Stage::Waiting).count();
+        let running = tables.running.values().filter(|gang| gang.demand.account == *id).count();
+        let short = fold.plan.shortfall.get(id).map(|shapes| shape_list(shapes)).unwrap_or_default();
+        row([
+            ("account", json!(id)),
+            ("guarantee", json!(shape_list(&config.guarantee))),
+            ("shortfall", json!(short)),
+            ("weight", json!(config.weight)),
+            ("queue_limit", json!(config.queue_limit)),
+            ("request_limit", json!(config.request_limit)),
+            ("paused", json!(config.paused)),
+            ("running", json!(running)),
+            ("accelerators", json!(usage.get(id).copied().unwrap_or_default().accelerators)),
+            ("waiting", json!(waiting)),
+            ("version", json!(fold.version_of(&sorrelland_ledger::Subject::Account(id.clone())))),
+        ])
+    };
+    fold.accounts.iter().map(account).collect()
+}
+
+/// Returns what backs each account on each worker, and who borrows on that worker.
+pub fn guarantees(tables: &Tables) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (worker, backing) in tables.plan.backing() {
+        let shares = shares_on(tables, &worker);
+        let ledger = Ledger::new(backing.clone(), &shares);
+        let capacity = tables.workers.get(&worker).map(|w| w.capacity).unwrap_or_default();
+        let mut free = capacity;
+        shares.iter().for_each(|share| free -= share.held);
+        let borrowers: Vec<&JobId> =
+            shares.iter().filter(|share| !ledger.own.contains(&share.job)).map(|share| &share.job).collect();
+        for (account, amount) in &backing {
+            let own = ledger.own_used.get(account).copied().unwrap_or_default().accelerators;
+            let lent = ledger.unused(account).accelerators.saturating_sub(free.accelerators);
+            rows.push(row([
+                ("account", json!(account)),
+                ("worker", json!(worker)),
+                ("accelerators", json!(amount.accelerators)),
+                ("own", json!(own)),
+                ("borrowed", json!(lent)),
+                ("borrowers", json!(if lent > 0 { names(borrowers.iter()) } else { String::new() })),
+            ]));
+        }
+    }
+    rows
+}
+
+fn shares_on(tables: &Tables, worker: &WorkerId) -> Vec<Share> {
+    let on_worker = tables.running.iter().filter(|(_, gang)| gang.placement.contains_key(worker));
+    let share = |(job, gang): (&JobId, &Running)| Share {
+        job: job.clone(),
+        account: gang.demand.account.clone(),
+        held: gang.held(worker),
+        class: gang.demand.class,
+        started_ms: gang.started_ms,
+        preemptible: gang.demand.preemptible,
+    };
+    on_worker.map(share).collect()
+}
+
+/// Returns the commands that the fold remembers.
+pub fn history(fold: &Fold) -> Vec<Row> {
+    let rows = fold.history.iter().map(|known| {
+        let (verdict, version) = match &known.verdict {
+            Verdict::Accepted { version } => ("accepted", *version),
+            Verdict::Void { current, .. } => ("void", *current),
+        };
+        row([
+            ("offset", json!(known.offset)),
+            ("id", json!(known.record.id)),
+            ("operator", json!(known.record.operator)),
+            ("subject", json!(known.record.command.subject())),
+            ("verdict", json!(verdict)),
+            ("version", json!(version)),
+        ])
+    });
+    rows.collect()
+}
+
+/// Returns the burn of each account's objectives.
+pub fn burn(burn: &Burn, now_ms: u64) -> Vec<Row> {
+    let rows = burn.report(now_ms).into_iter().map(|line| {
+        row([
+            ("account", json!(line.account)),
+            ("objective", json!(line.objective.name())),
+            ("window", json!(line.window.name())),
+            ("total", json!(line.counts.total())),
+            ("good", json!(line.counts.good)),
+            ("refused", json!(line.counts.refused)),
+            ("late", json!(line.counts.late)),
+            ("unknown", json!(line.counts.unknown)),
+            ("failed", json!(line.counts.failed)),
+            ("target", json!(line.objective.target())),
+            ("burn", json!((line.burn() * 100.0).round() / 100.0)),
+        ])
+    });
+    rows.collect()
+}
+
+fn shape_list(shapes: &[Shape]) -> String {
+    let names: Vec<String> = shapes.iter().map(Shape::to_string).collect();
+    names.join(", ")
+}
+
+fn names<T: ToString>(items: impl Iterator<Item = T>) -> String {
+    let names: Vec<String> = items.map(|item| item.to_string()).collect();
+    names.join(" ")
+}
--- /dev/null
+++ b/crates/daemon/src/entry/service.rs
@@ -0,0 +1,121 @@
+//! The entry's remote calls, and the push of configuration to agents.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sorrelland_core::id::WorkerId;
+use sorrelland_wire::agent::AgentConfig;
+use sorrelland_wire::connect::{self, within};
+use sorrelland_wire::entry::{Beat, BeatReply, EntryRpc, Ping};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+
+use crate::entry::Entry;
+use crate::sync::lock;
+
+/// Time for an agent to take a configuration.
+const CONFIGURE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Silence after which a worker is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+#[derive(Clone)]
+struct Service(Arc<Entry>);
+
+impl EntryRpc for Service {
+    async fn beat(self, _: Context, beat: Beat) -> BeatReply {
+        self.0.take_beat(beat)
+    }
+
+    async fn ping(self, _: Context, ping: Ping) -> Ping {
+        lock(&self.0.peers).take(&ping);
+        self.0.own_ping(self.0.stop.is_raised())
+    }
+
+    async fn fold(self, _: Context) -> Option<Vec<u8>> {
+        self.0.with_fold(|fold| serde_json::to_vec(fold).ok()).flatten()
+    }
+}
+
+impl Entry {
+    pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let key = self.settings.daemon.process_key.as_str().into();
+        let service = Service(self);
+        connect::serve(listener, key, move |call| {
+            tokio::spawn(call.execute(service.clone().serve()));
+        })
+        .await;
+    }
+
+    fn take_beat(&self, beat: Beat) -> BeatReply {
+        self.metrics.beat();
+        let asks = beat.report.is_some();
+        let (worker, offset) = (beat.worker.clone(), beat.offset);
+        let (report_number, next_ms) = {
+            let mut fleet = lock(&self.fleet);
+            (fleet.take(beat), fleet.beat_ms())
+        };
+        if asks {
+            self.wake.notify_one();
+        }
+        let config = self.agent_config(&worker).filter(|config| config.offset > offset);
+        let entries = if asks { self.entry_addresses() } else { Vec::new() };
+        BeatReply { report_number, next_ms: next_ms as u32, config, entries }
+    }
+
+    fn entry_addresses(&self) -> Vec<String> {
+        let mut addresses = self.with_fold(|fold| fold.entries.values().cloned().collect::<Vec<_>>());
+        let addresses = addresses.get_or_insert_default();
+        if !addresses.contains(&self.address) {
+            addresses.push(self.address.clone());
+        }
+        addresses.clone()
+    }
+
+    /// Returns the part of the configuration that an agent needs, if any is known.
+    fn agent_config(&self, worker: &WorkerId) -> Option<AgentConfig> {
+        self.with_fold(|fold| AgentConfig {
+            // One past the version, so that the empty configuration is told from none.
+            offset: fold.agent_version() + 1,
+            drained: fold.drained.contains(worker),
+            paused: fold.accounts.iter().filter(|(_, a)| a.paused).map(|(id, _)| id.clone()).collect(),
+            backing: fold.plan.backing_on(worker),
+        })
+    }
+
+    /// Pushes a new configuration to every agent, so that it is in force before their next beats.
+    pub(super) async fn push_loop(self: Arc<Self>) {
+        let mut pushed = 0;
+        let mut advanced = self.advanced.subscribe();
+        loop {
+            let changed = tokio::time::timeout(Duration::from_secs(60), advanced.changed()).await;
+            if changed.is_err() {
+                lock(&self.fleet).forget(FORGET_AFTER);
+                continue;
+            }
+            let version = self.with_fold(|fold| fold.agent_version()).unwrap_or_default();
+            if version <= pushed {
+                continue;
+            }
+            pushed = version;
+            let agents: Vec<(WorkerId, String)> = {
+                let fleet = lock(&self.fleet);
+                fleet.rows().iter().map(|(id, row)| (id.clone(), row.report.address.clone())).collect()
+            };
+            for (worker, address) in agents {
+                let Some(config) = self.agent_config(&worker) else { continue };
+                let entry = self.clone();
+                tokio::spawn(async move { entry.push(&address, config).await });
+            }
+        }
+    }
+
+    async fn push(&self, address: &str, config: AgentConfig) {
+        let call = self
+            .agents
+            .call(address, |agent| async move { agent.configure(within(CONFIGURE_TIMEOUT), config).await });
+        if let Err(e) = call.await {
+            log::debug!("agent at {address} gets the configuration with its next beat: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replay of the decision core in virtual time.
--- /dev/null
+++ b/crates/spec/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model checking of the core protocol.
--- /dev/null
+++ b/crates/standin/src/command.rs
@@ -0,0 +1,100 @@
+//! The command line of the stand-ins.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error, From};
+use lexopt::{Arg, ValueExt};
+
+use crate::worker::Sizes;
+
+/// Result of the command line.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Help text of the program.
+pub const HELP: &str = "\
+sorrelland-standin - stand-ins for the platform
+
+Usage:
+  sorrelland-standin log [--listen IP:PORT]
+  sorrelland-standin worker [--listen IP:PORT] [--name NAME] [--slots N] [--accelerators N]
+
+Options:
+  --listen IP:PORT   address to listen on; port 0 takes a free one [127.0.0.1:0]
+  --name NAME        name of the worker [worker-1]
+  --slots N          task slots [8]
+  --accelerators N   accelerators [8]
+  --connections N    connections of the upstream [64]
+  --help             print this text
+
+The address is printed on the first line, as: listening IP:PORT
+";
+
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Print the help text.
+    Help,
+    /// Run a log.
+    Log {
+        /// Address to listen on.
+        listen: SocketAddr,
+    },
+    /// Run a worker.
+    Worker {
+        /// Address to listen on.
+        listen: SocketAddr,
+        /// Sizes of the worker.
+        sizes: Sizes,
+    },
+}
+
+/// Why the command line or a server failed.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// The command line was malformed.
+    #[display("{_0}")]
+    Usage(lexopt::Error),
+    /// The server did not start.
+    #[display("{_0}")]
+    Start(dropshot::BuildError),
+}
+
+/// Returns the sizes of a worker as the first users have them.
+pub fn default_sizes() -> Sizes {
+    Sizes {
+        name: "worker-1".to_owned(),
+        slots: 8,
+        accelerators: 8,
+        connections: 64,
+        processors: 130,
+        memory_gb: 256,
+    }
+}
+
+/// Parses the command line.
+///
+/// # Errors
+///
+/// Returns what was malformed.
+pub fn parse(mut parser: lexopt::Parser) -> Result<Command> {
+    let mut kind = None;
+    let mut listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut sizes = default_sizes();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
+            Arg::Long("listen") => listen = parser.value()?.parse()?,
+            Arg::Long("name") => sizes.name = parser.value()?.string()?,
+            Arg::Long("slots") => sizes.slots = parser.value()?.parse()?,
+            Arg::Long("accelerators") => sizes.accelerators = parser.value()?.parse()?,
+            Arg::Long("connections") => sizes.connections = parser.value()?.parse()?,
+            Arg::Value(value) if kind.is_none() => kind = Some(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    match kind.as_deref() {
+        Some("log") => Ok(Command::Log { listen }),
+        Some("worker") => Ok(Command::Worker { listen, sizes }),
+        _ => Err(lexopt::Error::Custom("expected log or worker".into()).into()),
+    }
+}
