Test the whole path with real processes and check histories

Cause: the path had been tried by hand only. Conclusion: short requests, keyed requests, gangs, bad input and a graceful stop of each role hold as processes.

--- a/crates/daemon/src/entry/fleet.rs
+++ b/crates/daemon/src/entry/fleet.rs
@@ -85,6 +85,7 @@
     pub fn take(&mut self, beat: Beat) -> u64 {
         let now = Instant::now();
         let known = self.rows.get_mut(&beat.worker);
+        let same_life = known.as_ref().is_some_and(|row| row.incarnation == beat.incarnation);
         let row = match (known, beat.report) {
             (Some(row), None) if row.incarnation == beat.incarnation => row,
             (Some(row), Some(report)) => {
@@ -111,11 +112,18 @@
         };
         row.reported = beat.in_flight;
         row.service_us = beat.service_us;
-        row.offset = beat.offset;
+        row.offset = if same_life { row.offset.max(beat.offset) } else { beat.offset };
         row.seen = now;
         row.report_number
     }
 
+    /// Records the configuration that a worker's agent confirmed.
+    pub fn configured(&mut self, worker: &WorkerId, offset: u64) {
+        if let Some(row) = self.rows.get_mut(worker) {
+            row.offset = row.offset.max(offset);
+        }
+    }
+
     /// Counts a request that this entry sends to a worker.
     pub fn enter(&mut self, worker: &WorkerId) {
         if let Some(row) = self.rows.get_mut(worker) {
--- a/crates/daemon/src/entry/operator.rs
+++ b/crates/daemon/src/entry/operator.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use dropshot::{
     ApiDescription, ApiDescriptionRegisterError, HttpResponseOk, Path, Query, TypedBody, endpoint,
@@ -22,6 +23,12 @@
 use crate::entry::write;
 use crate::sync::lock;
 
+/// Longest time that a command's answer waits for all processes.
+const FORCE_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at where a command is in force.
+const FORCE_POLL: Duration = Duration::from_millis(20);
+
 /// A command as an operator sends it.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -176,9 +183,26 @@
         if self.with_fold(|fold| fold.verdict(id).is_some()) != Some(true) {
             self.write_commands(vec![record]).await?;
         }
+        self.await_force(id).await;
         Ok(self.command_answer(id))
     }
 
+    /// Waits a moment for an accepted command to be in force everywhere.
+    async fn await_force(&self, id: &str) {
+        let deadline = Instant::now() + FORCE_WAIT;
+        while Instant::now() < deadline {
+            let version = self.with_fold(|fold| match fold.verdict(id) {
+                Some(Verdict::Accepted { version }) => Some(*version),
+                _ => None,
+            });
+            let Some(Some(version)) = version else { return };
+            if self.in_force(version).missing.is_empty() {
+                return;
+            }
+            tokio::time::sleep(FORCE_POLL).await;
+        }
+    }
+
     /// Cancels jobs in one append and tells what became of each command.
     pub(super) async fn send_wave(
         &self,
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -105,17 +105,18 @@
             for (worker, address) in agents {
                 let Some(config) = self.agent_config(&worker) else { continue };
                 let entry = self.clone();
-                tokio::spawn(async move { entry.push(&address, config).await });
+                tokio::spawn(async move { entry.push(&worker, &address, config).await });
             }
         }
     }
 
-    async fn push(&self, address: &str, config: AgentConfig) {
+    async fn push(&self, worker: &WorkerId, address: &str, config: AgentConfig) {
         let call = self
             .agents
             .call(address, |agent| async move { agent.configure(within(CONFIGURE_TIMEOUT), config).await });
-        if let Err(e) = call.await {
-            log::debug!("agent at {address} gets the configuration with its next beat: {e}");
+        match call.await {
+            Ok(offset) => lock(&self.fleet).configured(worker, offset),
+            Err(e) => log::debug!("agent at {address} gets the configuration with its next beat: {e}"),
         }
     }
 }
--- /dev/null
+++ b/crates/sorrelland/tests/path.rs
@@ -0,0 +1,173 @@
+//! The whole path through real processes.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ACCOUNT_KEYS, Site, eventually};
+use http::Method;
+use serde_json::{Value, json};
+
+const CHANDLER: &str = ACCOUNT_KEYS[0].1;
+const MUSEUM: &str = ACCOUNT_KEYS[1].1;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_short_request() {
+    let site = Site::start(2, 2).await;
+    let body = json!({ "request": "r-1", "idempotent": true, "body": { "cost_ms": 3 } });
+    let answer = site.call(1, CHANDLER, Method::POST, "/v1/requests", body).await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.body["outcome"], "done");
+    assert_eq!(answer.body["request"], "r-1");
+    assert_eq!(answer.body["answer"]["request"], "r-1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_keyed_request_runs_once() {
+    let site = Site::start(2, 2).await;
+    let key = site.call(1, CHANDLER, Method::POST, "/v1/keys", Value::Null).await.unwrap();
+    let body = json!({ "request": "order-1", "key": key.body["key"], "body": { "cost_ms": 50 } });
+    let calls: Vec<_> = (0..8)
+        .map(|at| {
+            let client = sorrelland_web::Client::new(Duration::from_secs(5)).with_bearer(CHANDLER);
+            let url = format!("http://{}/v1/requests", site.entry(1 + at % 2));
+            let body = body.clone();
+            tokio::spawn(async move { client.call::<Value>(Method::POST, &url, &body).await.unwrap() })
+        })
+        .collect();
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.push(call.await.unwrap());
+    }
+    assert!(answers.iter().all(|answer| answer["outcome"] == "done"), "{answers:?}");
+    let runs = site.history(2).await.into_iter().filter(|event| event.what == "request").count();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_gang_waits_runs_and_ends() {
+    let site = Site::start(2, 3).await;
+    let long =
+        json!({ "shape": { "tasks": 3, "accelerators": 8, "span": "rack" }, "work": { "run_ms": 1_200 } });
+    let first = site.submit(1, "reprice", long.clone()).await.unwrap();
+    assert_eq!(first.status, 202, "{first:?}");
+    eventually(Duration::from_secs(5), "first gang runs", async || {
+        site.job(1, "reprice").await["state"] == "running"
+    })
+    .await;
+    let second = site.submit(1, "match", long).await.unwrap();
+    assert_eq!(second.body["state"], "waiting");
+    assert_eq!(site.outcome(2, "reprice", Duration::from_secs(10)).await["outcome"], "done");
+    assert_eq!(site.outcome(2, "match", Duration::from_secs(10)).await["outcome"], "done");
+    let starts = site.history(3).await.into_iter().filter(|event| event.what == "start").count();
+    assert_eq!(starts, 6);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_bad_input() {
+    let site = Site::start(1, 2).await;
+    let request =
+        async |key: &str, body: Value| site.call(1, key, Method::POST, "/v1/requests", body).await.unwrap();
+    let job = async |body: Value| site.call(1, CHANDLER, Method::POST, "/v1/jobs", body).await.unwrap();
+    let wide = json!({ "tasks": 1, "accelerators": 9, "span": "worker" });
+    let cases = [
+        (request("no-such-key", json!({ "body": 1 })).await, 401, "bad_account_key"),
+        (request(CHANDLER, json!("text")).await, 400, "malformed"),
+        (request(CHANDLER, json!({ "body": 1, "bodi": 2 })).await, 400, "malformed"),
+        (request(CHANDLER, json!({ "body": "x".repeat(300_000) })).await, 400, "body_too_large"),
+        (request(CHANDLER, json!({ "body": 1 })).await, 428, "key_required"),
+        (request(CHANDLER, json!({ "body": 1, "key": "mine" })).await, 400, "bad_key"),
+        (job(json!({ "name": "a/b", "shape": wide, "declared_ms": 1 })).await, 400, "bad_name"),
+        (job(json!({ "name": "wide", "shape": wide, "declared_ms": 1 })).await, 422, "never_fits"),
+        (
+            site.call(1, CHANDLER, Method::GET, "/v1/requests", Value::Null).await.unwrap(),
+            405,
+            "method_not_allowed",
+        ),
+        (
+            site.call(1, CHANDLER, Method::PUT, "/v1/jobs/x", Value::Null).await.unwrap(),
+            405,
+            "method_not_allowed",
+        ),
+        (
+            site.call(1, CHANDLER, Method::POST, "/v1/query", json!({ "text": "show jobs" })).await.unwrap(),
+            401,
+            "bad_operator_key",
+        ),
+        (site.query(1, "show jbos").await, 400, "syntax"),
+        (site.query(1, "set account x guarantee 40x8@region").await, 422, "never_fits"),
+    ];
+    for (answer, status, code) in &cases {
+        assert_eq!((answer.status, answer.body["error_code"].as_str()), (*status, Some(*code)), "{answer:?}");
+    }
+    let jobs = site.query(1, "show jobs").await;
+    assert_eq!(jobs.body["rows"], json!([]), "nothing is recorded");
+    assert!(site.history(2).await.is_empty(), "nothing ran");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_accounts_do_not_see_each_other() {
+    let site = Site::start(1, 1).await;
+    let shape =
+        json!({ "shape": { "tasks": 1, "accelerators": 1, "span": "worker" }, "work": { "run_ms": 10 } });
+    site.submit(1, "secret", shape.clone()).await.unwrap();
+    let other = site.call(1, MUSEUM, Method::GET, "/v1/jobs/secret", Value::Null).await.unwrap();
+    assert_eq!(other.status, 404);
+    let other = site.call(1, MUSEUM, Method::DELETE, "/v1/jobs/secret", Value::Null).await.unwrap();
+    assert_eq!(other.status, 404);
+    let metrics = site.call(1, MUSEUM, Method::GET, "/metrics", Value::Null).await.unwrap();
+    assert_eq!(metrics.status, 401);
+    let mut same_name = shape;
+    same_name
+        .as_object_mut()
+        .unwrap()
+        .extend([("name".to_owned(), json!("secret")), ("declared_ms".to_owned(), json!(1))]);
+    let own = site.call(1, MUSEUM, Method::POST, "/v1/jobs", same_name).await.unwrap();
+    assert_eq!(own.status, 202, "names are the account's own: {own:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_graceful_stop_cuts_nothing() {
+    let mut site = Site::start(2, 3).await;
+    let body = json!({ "idempotent": true, "body": { "cost_ms": 400 } });
+    let key = site.call(1, CHANDLER, Method::POST, "/v1/keys", Value::Null).await.unwrap();
+    let keyed = json!({ "key": key.body["key"], "body": { "cost_ms": 400 } });
+    let clients: Vec<_> = [body.clone(), keyed, body]
+        .into_iter()
+        .map(|body| {
+            let client = sorrelland_web::Client::new(Duration::from_secs(5)).with_bearer(CHANDLER);
+            let url = format!("http://{}/v1/requests", site.entry(1));
+            tokio::spawn(async move { client.call::<Value>(Method::POST, &url, &body).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert!(site.stop("agent-1", Duration::from_secs(10)).await);
+    assert!(site.stop("entry-1", Duration::from_secs(10)).await);
+    for client in clients {
+        let answer = client.await.unwrap().unwrap();
+        assert_eq!(answer["outcome"], "done", "{answer}");
+    }
+    let after =
+        site.call(2, CHANDLER, Method::POST, "/v1/requests", json!({ "idempotent": true, "body": {} })).await;
+    assert_eq!(after.unwrap().body["outcome"], "done", "the other entry goes on");
+    for name in ["agent-2", "agent-3", "entry-2"] {
+        assert!(site.stop(name, Duration::from_secs(10)).await, "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_check_settings() {
+    let file = std::env::temp_dir().join(format!("sorrelland-settings-{}.ini", std::process::id()));
+    std::fs::write(&file, "[daemon]\nrole = agnt\nnmae = x\n[agnet]\n").unwrap();
+    let run = std::process::Command::new(env!("CARGO_BIN_EXE_sorrellandd"))
+        .arg("--check-settings")
+        .arg(&file)
+        .output();
+    std::fs::remove_file(&file).unwrap();
+    let run = run.unwrap();
+    let text = String::from_utf8(run.stderr).unwrap();
+    assert_eq!(run.status.code(), Some(2));
+    assert!(text.contains(":2: [daemon] role:"), "{text}");
+    assert!(text.contains(":3: [daemon] nmae: key is not known; did you mean \"name\"?"), "{text}");
+    assert!(text.contains(":4: [agnet] : section is not known; did you mean \"agent\"?"), "{text}");
+}
