--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod estimate;
 pub mod id;
 pub mod naive;
+pub mod pass;
 pub mod place;
 pub mod plan;
 pub mod policy;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -38,6 +38,13 @@
     find(view, shape, &totals).is_some()
 }
 
+/// What a group would leave over: accelerators, planned accelerators, accelerators around it, slots.
+type Score = (u32, u32, u32, u32);
+
+/// Returns the group with the least room left over.
+///
+/// Among equals it takes the one with the least planned for guarantees, where nobody can break the gang up, and
+/// then the one in the fullest part of the level above.
 fn tightest(
     view: &View,
     shape: &Shape,
@@ -45,15 +52,24 @@
     room: &[u32],
     span: Span,
 ) -> Option<Range<usize>> {
-    let mut best: Option<((u32, u32), Range<usize>)> = None;
-    for group in view.groups(span) {
+    let around = match span {
+        Span::Worker => free_around(view, Span::Rack),
+        Span::Rack => free_around(view, Span::Domain),
+        Span::Domain | Span::Region => free_around(view, Span::Region),
+    };
+    let mut best: Option<(Score, Range<usize>)> = None;
+    for group in view.groups(span).iter().cloned() {
         let tasks: u32 = room[group.clone()].iter().sum();
         if tasks < shape.tasks {
             continue;
         }
         let accelerators: u32 = amounts[group.clone()].iter().map(|a| a.accelerators).sum();
         let slots: u32 = amounts[group.clone()].iter().map(|a| a.slots).sum();
-        let left = (accelerators, slots);
+        let planned = match shape.tasks {
+            1 => 0,
+            _ => view.cells[group.clone()].iter().map(|cell| cell.planned).sum(),
+        };
+        let left = (accelerators, planned, around[group.start], slots);
         if best.as_ref().is_none_or(|(least, _)| left < *least) {
             best = Some((left, group));
         }
@@ -61,6 +77,16 @@
     best.map(|(_, group)| group)
 }
 
+/// Returns for each row the free accelerators of its group at a level.
+fn free_around(view: &View, span: Span) -> Vec<u32> {
+    let mut around = vec![0; view.cells.len()];
+    for group in view.groups(span).iter().cloned() {
+        let free: u32 = view.cells[group.clone()].iter().map(|cell| cell.free.accelerators).sum();
+        around[group].fill(free);
+    }
+    around
+}
+
 /// Spreads the tasks over the rows of a group: the fullest use of few rows first, then the tightest last row.
 fn fill(view: &View, shape: &Shape, amounts: &[Amount], room: &[u32], group: Range<usize>) -> Placement {
     let mut rows: Vec<usize> = group.filter(|&at| room[at] > 0).collect();
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -30,6 +30,8 @@
     pub checkpoint_grace_ms: Millis,
     /// Reservations held at the same time.
     pub reservations: usize,
+    /// Whether wider gangs go before narrower ones once both are past a bound on their wait.
+    pub wide_first: bool,
     /// Whether heavy load separates job sizes into areas of the fleet.
     pub size_areas: bool,
 }
@@ -41,9 +43,10 @@
             completion_weight: 1.0,
             fragmentation_weight: 0.3,
             reserve_after_ms: 20 * MINUTE_MS,
-            preempt_after_ms: 2 * HOUR_MS,
+            preempt_after_ms: HOUR_MS,
             checkpoint_grace_ms: 30 * SECOND_MS,
             reservations: 2,
+            wide_first: true,
             size_areas: false,
         }
     }
@@ -52,8 +55,9 @@
     pub fn with_fragmentation_first(mut self) -> Self {
         self.completion_weight = 0.4;
         self.fragmentation_weight = 1.0;
-        self.reserve_after_ms = 5 * MINUTE_MS;
-        self.preempt_after_ms = HOUR_MS;
+        self.wide_first = true;
+        self.reserve_after_ms = MINUTE_MS;
+        self.preempt_after_ms = MINUTE_MS;
         self
     }
 }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -144,6 +144,7 @@
         _ => 2,
     };
     let score = match tier {
+        1 if policy.wide_first => -f64::from(waiting.demand.shape.total().accelerators),
         2 => size_score(tables, policy, usage, waiting),
         _ => 0.0,
     };
--- a/crates/core/src/reclaim.rs
+++ b/crates/core/src/reclaim.rs
@@ -33,23 +33,33 @@
     pub own_used: BTreeMap<AccountId, Amount>,
     /// Jobs that stand on their own account's backing.
     pub own: BTreeSet<JobId>,
-    /// Amount that work outside its own backing holds and that cannot be preempted.
+    /// Amount beyond the own account's backing that work which cannot be preempted holds.
     pub pinned: Amount,
+    own_pinned: BTreeMap<AccountId, Amount>,
 }
 
 impl Ledger {
     /// Splits `shares` by backing, the oldest first.
+    ///
+    /// Work that cannot be preempted takes the account's own backing first, and in part if need be: nothing
+    /// else may hold it. Work that can yield stands on its own backing as a whole or not at all.
     pub fn new(backing: BTreeMap<AccountId, Amount>, shares: &[Share]) -> Self {
         let mut ledger = Self { backing, ..Self::default() };
-        let mut order: Vec<&Share> = shares.iter().collect();
-        // Work that cannot be preempted takes the account's own backing first: nothing else may hold it.
-        order.sort_by_key(|s| (s.preemptible, s.started_ms, s.job.clone()));
+        for share in shares.iter().filter(|share| !share.preemptible) {
+            *ledger.own_pinned.entry(share.account.clone()).or_default() += share.held;
+            ledger.own.insert(share.job.clone());
+        }
+        for (account, held) in &ledger.own_pinned {
+            let backing = ledger.backing.get(account).copied().unwrap_or_default();
+            ledger.pinned += held.less(backing);
+            ledger.own_used.insert(account.clone(), backing.min(*held));
+        }
+        let mut order: Vec<&Share> = shares.iter().filter(|share| share.preemptible).collect();
+        order.sort_by_key(|share| (share.started_ms, share.job.clone()));
         for share in order {
             if ledger.unused(&share.account).holds(share.held) {
                 *ledger.own_used.entry(share.account.clone()).or_default() += share.held;
                 ledger.own.insert(share.job.clone());
-            } else if !share.preemptible {
-                ledger.pinned += share.held;
             }
         }
         ledger
@@ -75,11 +85,10 @@
         if preemptible {
             return free;
         }
-        let own = self.unused(account);
-        let spare = self.spare(capacity);
-        // A share stands on one side only: it is either within the account's own backing or on spare capacity.
-        let larger = if own.accelerators >= spare.accelerators { own } else { spare };
-        larger.min(free)
+        let backing = self.backing.get(account).copied().unwrap_or_default();
+        let mut allowed = backing.less(self.own_pinned.get(account).copied().unwrap_or_default());
+        allowed += self.spare(capacity);
+        allowed.min(free)
     }
 }
 
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -17,6 +17,8 @@
     pub total: Amount,
     /// Resources that nothing holds.
     pub free: Amount,
+    /// Accelerators that back guarantees.
+    pub planned: u32,
 }
 
 /// Workers ordered by region, domain, rack and name, with the ranges of each level.
@@ -25,6 +27,7 @@
     /// Rows in order of place.
     pub cells: Vec<Cell>,
     index: BTreeMap<WorkerId, usize>,
+    rows: Vec<Range<usize>>,
     racks: Vec<Range<usize>>,
     domains: Vec<Range<usize>>,
     regions: Vec<Range<usize>>,
@@ -52,12 +55,13 @@
             .iter()
             .map(|(id, worker)| {
                 let total = if open(worker) { worker.capacity } else { Amount::default() };
-                Cell { worker: (*id).clone(), total, free: total }
+                Cell { worker: (*id).clone(), total, free: total, planned: 0 }
             })
             .collect();
         let index = rows.iter().enumerate().map(|(at, (id, _))| ((*id).clone(), at)).collect();
         let ranges = |same: fn(&Worker, &Worker) -> bool| split(&rows, same);
         Self {
+            rows: (0..rows.len()).map(|at| at..at + 1).collect(),
             cells,
             index,
             racks: ranges(|a, b| a.place == b.place),
@@ -77,12 +81,12 @@
     }
 
     /// Returns the groups of rows at a level of the topology.
-    pub fn groups(&self, span: Span) -> Vec<Range<usize>> {
+    pub fn groups(&self, span: Span) -> &[Range<usize>] {
         match span {
-            Span::Worker => (0..self.cells.len()).map(|at| at..at + 1).collect(),
-            Span::Rack => self.racks.clone(),
-            Span::Domain => self.domains.clone(),
-            Span::Region => self.regions.clone(),
+            Span::Worker => &self.rows,
+            Span::Rack => &self.racks,
+            Span::Domain => &self.domains,
+            Span::Region => &self.regions,
         }
     }
 
--- a/crates/daemon/src/agent/authority.rs
+++ b/crates/daemon/src/agent/authority.rs
@@ -151,7 +151,8 @@
         let own = ledger.unused(&r.account).holds(need);
         let cause = if own { Some(Cause::Guarantee) } else { r.cause.filter(|c| *c != Cause::Guarantee) };
         let Some(cause) = cause else { return refused(ReserveReply::Busy { free }) };
-        if !own && !r.preemptible && !ledger.spare(self.capacity).holds(need) {
+        let reach = ledger.allowed(&r.account, r.preemptible, self.capacity, self.capacity);
+        if !own && !reach.holds(need) {
             return refused(ReserveReply::Busy { free });
         }
         self.make_room(r, cause, &shares, &ledger, now_ms)
