Give claims an end and the gangs they wait for, and take back what a guarantee outbids

A start that was taken back kept its claim, so two claims stood on the same room; a claim took room that another claim's victims had vacated; a claim that lost its room never looked for another. Ruled out: late measurement only (one breach was an artefact of counting claims off the own backing; the others stood in the tables, printed at the moment of the breach).

--- a/crates/core/src/pass.rs
+++ b/crates/core/src/pass.rs
@@ -8,7 +8,7 @@
 use crate::reclaim::{Ledger, Share, victims};
 use crate::shape::{Amount, Shape};
 use crate::table::{Class, Demand, Placement, Running, Tables, Waiting};
-use crate::tick::{Action, Cause, Reservation, URGENT_GRACE_MS};
+use crate::tick::{Action, CLAIM_MARGIN_MS, Cause, Claim, Reservation, URGENT_GRACE_MS};
 use crate::view::View;
 
 /// Estimated run time below which work is small for the separation of sizes, in milliseconds.
@@ -256,7 +256,7 @@
         job: &JobId,
         waiting: &Waiting,
         cause: Cause,
-    ) -> Option<(Placement, BTreeSet<JobId>)> {
+    ) -> Option<(Claim, BTreeSet<JobId>)> {
         let demand = &waiting.demand;
         let placement = match cause {
             Cause::Guarantee => self.find_on_backing(demand, |at| self.reach(at, waiting, cause)),
@@ -285,15 +285,28 @@
             _ if demand.class == Class::Urgent => URGENT_GRACE_MS,
             _ => self.policy.checkpoint_grace_ms,
         };
+        let mut waits_for = match demand.class {
+            Class::Urgent => BTreeSet::new(),
+            _ => self.yielding_on(&placement),
+        };
         for victim in yielding {
             if self.started.contains_key(&victim) {
                 self.retract(&victim);
                 continue;
             }
+            waits_for.insert(victim.clone());
             self.yielding.insert(victim.clone());
             self.actions.push(Action::Preempt { job: victim, for_job: job.clone(), cause, grace_ms });
         }
-        Some((placement, outbid))
+        let until_ms = self.now_ms + grace_ms + CLAIM_MARGIN_MS;
+        Some((Claim { placement, waits_for, until_ms }, outbid))
+    }
+
+    /// Returns the gangs on the workers of a placement that were asked to yield before.
+    fn yielding_on(&self, placement: &Placement) -> BTreeSet<JobId> {
+        let rows = placement.keys().filter_map(|worker| self.view.row(worker));
+        let shares = rows.flat_map(|at| &self.shares[at]);
+        shares.filter(|share| self.yielding.contains(&share.job)).map(|share| share.job.clone()).collect()
     }
 
     /// Returns whether a share is a claim that this cause goes before.
--- a/crates/core/src/tick.rs
+++ b/crates/core/src/tick.rs
@@ -11,10 +11,14 @@
 use crate::queue::order;
 use crate::shape::Shape;
 use crate::table::{Class, Placement, Tables, Waiting};
+use crate::topology::Standing;
 
 /// Grace for a checkpoint when urgent work needs the room, in milliseconds.
 pub const URGENT_GRACE_MS: Millis = SECOND_MS;
 
+/// Time on top of the grace after which a claim is given up, in milliseconds.
+pub const CLAIM_MARGIN_MS: Millis = 200;
+
 /// Why a gang is asked to yield.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
@@ -59,6 +63,17 @@
     pub at_ms: Millis,
 }
 
+/// Room that others are vacating for a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Tasks on each worker.
+    pub placement: Placement,
+    /// Gangs that have to be gone first; without them the claim would take room that others wait for.
+    pub waits_for: BTreeSet<JobId>,
+    /// Time after which the claim is given up and the job looks for room anew.
+    pub until_ms: Millis,
+}
+
 /// The state that the scheduling systems keep from tick to tick; all of it can be lost.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -66,8 +81,8 @@
     pub policy: Policy,
     /// Room kept for aged jobs.
     pub reservations: BTreeMap<JobId, Reservation>,
-    /// Workers promised to jobs whose room is being vacated.
-    pub claims: BTreeMap<JobId, Placement>,
+    /// Room that is being vacated, by the job that gets it.
+    pub claims: BTreeMap<JobId, Claim>,
     yielding: BTreeSet<JobId>,
 }
 
@@ -88,7 +103,7 @@
 
     /// Runs all systems once and returns what to do.
     pub fn tick(&mut self, tables: &Tables, now_ms: Millis) -> Vec<Action> {
-        self.forget_finished(tables);
+        self.forget_finished(tables, now_ms);
         let policy = self.policy.clone();
         let mut pass = Pass::new(tables, &policy, &self.yielding, now_ms);
         self.serve_claims(&mut pass);
@@ -108,24 +123,27 @@
         actions
     }
 
-    fn forget_finished(&mut self, tables: &Tables) {
+    fn forget_finished(&mut self, tables: &Tables, now_ms: Millis) {
         let waits = |job: &JobId| tables.waiting.contains_key(job);
-        let backed = |worker: &WorkerId| tables.workers.get(worker).is_some_and(|w| w.backs_guarantees());
-        self.claims.retain(|job, placement| waits(job) && placement.keys().all(backed));
-        self.reservations.retain(|job, held| waits(job) && held.workers.iter().all(backed));
+        let ready =
+            |worker: &WorkerId| tables.workers.get(worker).is_some_and(|w| w.standing == Standing::Ready);
+        self.claims
+            .retain(|job, claim| waits(job) && now_ms <= claim.until_ms && claim.placement.keys().all(ready));
+        for claim in self.claims.values_mut() {
+            // A victim that runs again later is another matter.
+            claim.waits_for.retain(|victim| tables.running.contains_key(victim));
+        }
+        self.reservations.retain(|job, held| waits(job) && held.workers.iter().all(ready));
         self.yielding.retain(|job| tables.running.contains_key(job));
     }
 
     fn serve_claims(&self, pass: &mut Pass<'_>) {
-        // Room that is vacated early for urgent work must not go to a claim that still waits for its own.
-        let mut claims: Vec<(&JobId, &Placement)> = self.claims.iter().collect();
-        claims.sort_by_key(|(job, _)| std::cmp::Reverse(pass.tables.waiting[*job].demand.class));
-        for (job, placement) in claims {
+        for (job, claim) in &self.claims {
             let demand = &pass.tables.waiting[job].demand;
-            if pass.view.holds(&demand.shape, placement) {
-                pass.start(job, demand, placement.clone());
+            if claim.waits_for.is_empty() && pass.view.holds(&demand.shape, &claim.placement) {
+                pass.start(job, demand, claim.placement.clone());
             } else {
-                pass.claim(job, demand, placement);
+                pass.claim(job, demand, &claim.placement);
             }
         }
     }
@@ -147,6 +165,7 @@
             }
             let mut failed = Failed::default();
             for job in retracted {
+                self.claims.remove(&job);
                 self.serve(pass, &mut failed, &job, &tables.waiting[&job]);
             }
         }
@@ -159,9 +178,9 @@
             return;
         }
         for cause in [Cause::Guarantee, Cause::Urgent, Cause::Aged] {
-            if let Some(placement) = self.find_by_preemption(pass, failed, job, waiting, cause) {
-                pass.claim(job, &waiting.demand, &placement);
-                self.claims.insert(job.clone(), placement);
+            if let Some(claim) = self.find_by_preemption(pass, failed, job, waiting, cause) {
+                pass.claim(job, &waiting.demand, &claim.placement);
+                self.claims.insert(job.clone(), claim);
                 self.reservations.remove(job);
                 return;
             }
@@ -206,7 +225,7 @@
         job: &JobId,
         waiting: &Waiting,
         cause: Cause,
-    ) -> Option<Placement> {
+    ) -> Option<Claim> {
         let demand = &waiting.demand;
         let account = (!demand.preemptible).then(|| demand.account.clone());
         let waited_ms = pass.now_ms.saturating_sub(waiting.since_ms);
@@ -221,16 +240,16 @@
         if known {
             return None;
         }
-        let (placement, outbid) = pass.find_by_preemption(job, waiting, cause)?;
-        for claim in outbid {
-            self.claims.remove(&claim);
+        let (claim, outbid) = pass.find_by_preemption(job, waiting, cause)?;
+        for other in outbid {
+            self.claims.remove(&other);
         }
         match cause {
             Cause::Guarantee => failed.guarantee.remove(&(demand.shape, demand.account.clone())),
             Cause::Urgent => failed.urgent.remove(&(demand.shape, account)),
             Cause::Aged => failed.aged.remove(&(demand.shape, account)),
         };
-        Some(placement)
+        Some(claim)
     }
 
     /// Keeps workers for an aged job; once chosen they stay the same, or the job would never see them free.
--- a/crates/core/tests/differential.rs
+++ b/crates/core/tests/differential.rs
@@ -215,8 +215,8 @@
                 }
             }
             // Claims hold room as if they ran.
-            for (job, placement) in scheduler.claims.clone() {
-                apply(&mut tables, &job, placement, now_ms);
+            for (job, claim) in scheduler.claims.clone() {
+                apply(&mut tables, &job, claim.placement, now_ms);
             }
             let view = View::of_capacity(&tables.workers);
             let ledgers = ledgers(&tables);
--- a/crates/daemon/src/entry/schedule.rs
+++ b/crates/daemon/src/entry/schedule.rs
@@ -87,9 +87,9 @@
                 }
             }
         }
-        for (job, placement) in std::mem::take(&mut scheduler.claims) {
+        for (job, claim) in std::mem::take(&mut scheduler.claims) {
             let cause = causes.get(&job).copied().unwrap_or(Cause::Guarantee);
-            starts.push((job, placement, Some(cause)));
+            starts.push((job, claim.placement, Some(cause)));
         }
         starts
     }
--- a/crates/replay/src/sim.rs
+++ b/crates/replay/src/sim.rs
@@ -44,6 +44,9 @@
 /// Time between two passes while jobs wait.
 const PASS_MS: Millis = 5 * SECOND_MS;
 
+/// Time between two passes while urgent jobs wait; an entry makes one every 100 ms.
+const URGENT_PASS_MS: Millis = 250;
+
 /// Time after which work fails on a worker that fails everything.
 const FAILURE_MS: Millis = 5 * SECOND_MS;
 
@@ -320,7 +323,9 @@
         self.check_guarantees();
         if !self.tables.waiting.is_empty() && !self.pass_scheduled {
             self.pass_scheduled = true;
-            self.events.insert((self.now_ms + PASS_MS, Event::Pass));
+            let urgent = self.tables.waiting.values().any(|waiting| waiting.demand.class == Class::Urgent);
+            let next_ms = if urgent { URGENT_PASS_MS } else { PASS_MS };
+            self.events.insert((self.now_ms + next_ms, Event::Pass));
         }
     }
 
@@ -368,18 +373,18 @@
         for (job, running) in &self.tables.running {
             place_shares(&view, &mut shares, job, &running.placement, running, running.started_ms);
         }
-        for (job, placement) in &self.scheduler.claims {
+        for (job, claim) in &self.scheduler.claims {
             let Some(waiting) = self.tables.waiting.get(job) else { continue };
             let demand = &waiting.demand;
             let claimed = Running {
                 demand: demand.clone(),
-                placement: placement.clone(),
+                placement: claim.placement.clone(),
                 since_ms: waiting.since_ms,
                 started_ms: self.now_ms,
                 done_ms: 0,
                 own: false,
             };
-            place_shares(&view, &mut shares, job, placement, &claimed, self.now_ms);
+            place_shares(&view, &mut shares, job, &claim.placement, &claimed, self.now_ms);
         }
         let mut backing = self.tables.plan.backing();
         let ledgers: Vec<Ledger> = view
@@ -405,8 +410,12 @@
             if !self.tables.plan.bindings.contains_key(account) {
                 continue;
             }
-            // Room that is being vacated for a guarantee is on its way back; other claims are no guarantee.
-            let claimed = self.scheduler.claims.contains_key(job) && self.entitled_ms.contains_key(job);
+            // Room that is being vacated on the account's own backing is on its way back.
+            let claim = self.scheduler.claims.get(job);
+            let claimed = claim.is_some_and(|claim| {
+                let mut rows = claim.placement.keys().filter_map(|worker| view.row(worker));
+                rows.all(|at| ledgers[at].own.contains(job))
+            });
             let rows = view.cells.iter().zip(ledgers);
             let unused: Vec<Amount> = rows
                 .map(
