--- a/crates/replay/src/sim.rs
+++ b/crates/replay/src/sim.rs
@@ -323,7 +323,8 @@
         self.check_guarantees();
         if !self.tables.waiting.is_empty() && !self.pass_scheduled {
             self.pass_scheduled = true;
-            let urgent = self.tables.waiting.values().any(|waiting| waiting.demand.class == Class::Urgent);
+            let urgent = self.policy != Policy::Naive
+                && self.tables.waiting.values().any(|waiting| waiting.demand.class == Class::Urgent);
             let next_ms = if urgent { URGENT_PASS_MS } else { PASS_MS };
             self.events.insert((self.now_ms + next_ms, Event::Pass));
         }
