--- a/crates/daemon/src/agent/gang.rs
+++ b/crates/daemon/src/agent/gang.rs
@@ -31,6 +31,9 @@
 
 impl Agent {
     pub(super) fn reserve(self: &Arc<Self>, reserve: Reserve) -> ReserveReply {
+        if reserve.incarnation != self.incarnation {
+            return ReserveReply::OtherLife;
+        }
         let now_ms = self.now_ms();
         let (reply, yielding) = lock(&self.authority).reserve(&reserve, now_ms);
         for job in yielding {
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -171,6 +171,11 @@
         fleet.rows().get(worker).map(|row| row.report.address.clone()).unwrap_or_default()
     }
 
+    /// Returns the life of a worker's agent that this entry knows.
+    fn agent_life(&self, worker: &WorkerId) -> u64 {
+        lock(&self.fleet).rows().get(worker).map_or(0, |row| row.incarnation)
+    }
+
     /// Reserves the members in order of name, so that competing gangs cannot hold each other up in a circle.
     async fn reserve_all(
         &self,
@@ -188,6 +193,7 @@
             let reserve = Reserve {
                 job: gang.job.clone(),
                 epoch: gang.epoch,
+                incarnation: self.agent_life(&member.worker),
                 account: spec.demand.account.clone(),
                 each: spec.demand.shape.each(),
                 tasks: placement[&member.worker],
--- a/crates/wire/src/agent.rs
+++ b/crates/wire/src/agent.rs
@@ -75,6 +75,8 @@
     pub job: JobId,
     /// Attempt.
     pub epoch: Epoch,
+    /// Life of the agent that is meant; a later life refuses, for it has forgotten what it fenced.
+    pub incarnation: u64,
     /// Account of the job.
     pub account: AccountId,
     /// What one task takes.
@@ -116,6 +118,8 @@
         /// Free amount.
         free: Amount,
     },
+    /// The reservation was meant for an earlier life of the agent.
+    OtherLife,
     /// The agent takes nothing new.
     Draining,
     /// The agent knows no configuration.
