--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -58,7 +58,8 @@
         if asks {
             self.wake.notify_one();
         }
-        let config = self.agent_config(&worker).filter(|config| config.offset > offset);
+        let behind = self.with_fold(|fold| fold.agent_version() + 1 > offset) == Some(true);
+        let config = if behind { self.agent_config(&worker) } else { None };
         let entries = if asks { self.entry_addresses() } else { Vec::new() };
         BeatReply { report_number, next_ms: next_ms as u32, config, entries }
     }
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -23,6 +23,12 @@
   --keyed              take a key for each request
   --pid NAME=PID       process whose processor time is told; may be given more than once
   --help               print this text
+
+  sorrelland-load --agents N --rpc IP:PORT --process-key KEY [--seconds N] [--pid NAME=PID]
+
+  --agents N           fake agents that beat at an entry instead of requests
+  --rpc IP:PORT        the entry's address for other processes
+  --process-key KEY    key that the processes share
 ";
 
 /// The whole command line.
@@ -44,6 +50,12 @@
     pub cost_ms: u64,
     /// Whether each request takes a key.
     pub keyed: bool,
+    /// Fake agents that beat instead of requests.
+    pub agents: usize,
+    /// The entry's address for other processes.
+    pub rpc: String,
+    /// Key that the processes share.
+    pub process_key: String,
     /// Processes whose processor time is told.
     pub processes: Vec<(String, u32)>,
 }
@@ -73,12 +85,16 @@
             Arg::Long("seconds") => args.seconds = parser.value()?.parse()?,
             Arg::Long("cost-ms") => args.cost_ms = parser.value()?.parse()?,
             Arg::Long("keyed") => args.keyed = true,
+            Arg::Long("agents") => args.agents = parser.value()?.parse()?,
+            Arg::Long("rpc") => args.rpc = parser.value()?.string()?,
+            Arg::Long("process-key") => args.process_key = parser.value()?.string()?,
             Arg::Long("pid") => args.processes.push(process(&parser.value()?.string()?)?),
             other => return Err(other.unexpected().into()),
         }
     }
-    if !args.help && (args.entry.is_empty() || args.rate == 0 || args.seconds == 0) {
-        return Err(custom("--entry is needed, and --rate and --seconds are at least 1"));
+    let target = if args.agents > 0 { &args.rpc } else { &args.entry };
+    if !args.help && (target.is_empty() || args.rate == 0 || args.seconds == 0) {
+        return Err(custom("--entry or --rpc is needed, and --rate and --seconds are at least 1"));
     }
     Ok(args)
 }
--- a/crates/load/src/usage.rs
+++ b/crates/load/src/usage.rs
@@ -24,3 +24,10 @@
     let pages = fields.get(21)?.parse::<u64>().ok()?;
     Some(Usage { cpu_s: ticks as f64 / TICKS_A_SECOND, memory_bytes: pages * PAGE_BYTES })
 }
+
+/// Returns the bytes that the loopback device has carried, headers included.
+pub fn loopback_bytes() -> u64 {
+    let table = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let row = table.lines().find_map(|line| line.trim().strip_prefix("lo:").map(str::to_owned));
+    row.and_then(|row| row.split_whitespace().next()?.parse().ok()).unwrap_or_default()
+}
