--- a/crates/sorrelland/tests/failure.rs
+++ b/crates/sorrelland/tests/failure.rs
@@ -171,7 +171,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn log_down_urgent_work_starts_and_jobs_are_refused() {
     let site = Site::start(1, 2).await;
-    // A guarantee of the other account is lent to a long job, which has to yield.
+    // A long job holds everything and has to yield.
     site.submit(1, "long", gang(2, 60_000)).await.unwrap();
     eventually(Duration::from_secs(5), "long job runs", async || {
         site.job(1, "long").await["state"] == "running"
