--- a/crates/core/src/pass.rs
+++ b/crates/core/src/pass.rs
@@ -49,7 +49,7 @@
         for (job, running) in &tables.running {
             for worker in running.placement.keys() {
                 if let Some(at) = view.row(worker) {
-                    shares[at].push(share_of(job, running, worker));
+                    shares[at].push(running.share(job, worker));
                 }
             }
         }
@@ -441,17 +441,6 @@
     now_ms + now_ms.saturating_sub(running.started_ms) / 2 + SECOND_MS
 }
 
-fn share_of(job: &JobId, running: &Running, worker: &WorkerId) -> Share {
-    Share {
-        job: job.clone(),
-        account: running.demand.account.clone(),
-        held: running.held(worker),
-        class: running.demand.class,
-        started_ms: running.started_ms,
-        preemptible: running.demand.preemptible,
-    }
-}
-
 /// Returns held and waiting accelerators over all accelerators.
 fn load(tables: &Tables) -> f64 {
     let all: u32 = tables.workers.values().map(|w| w.capacity.accelerators).sum();
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -10,6 +10,7 @@
 use crate::id::{AccountId, JobId, WorkerId};
 use crate::plan::Plan;
 use crate::policy::Millis;
+use crate::reclaim::Share;
 use crate::shape::{Amount, Shape};
 use crate::topology::Worker;
 
@@ -76,8 +77,6 @@
     pub started_ms: Millis,
     /// Run time that earlier attempts completed, in milliseconds.
     pub done_ms: Millis,
-    /// Whether all of the gang stands on its own account's backing.
-    pub own: bool,
 }
 
 impl Running {
@@ -86,6 +85,18 @@
         let tasks = self.placement.get(worker).copied().unwrap_or_default();
         self.demand.shape.each().times(tasks)
     }
+
+    /// Returns the gang's share of `worker`; `job` is its name.
+    pub fn share(&self, job: &JobId, worker: &WorkerId) -> Share {
+        Share {
+            job: job.clone(),
+            account: self.demand.account.clone(),
+            held: self.held(worker),
+            class: self.demand.class,
+            started_ms: self.started_ms,
+            preemptible: self.demand.preemptible,
+        }
+    }
 }
 
 /// All entities of the decision core.
--- a/crates/core/tests/differential.rs
+++ b/crates/core/tests/differential.rs
@@ -102,7 +102,6 @@
         since_ms: waiting.since_ms,
         started_ms: now_ms,
         done_ms: 0,
-        own: false,
     };
     tables.running.insert(job.clone(), running);
 }
@@ -117,16 +116,7 @@
     let backing = tables.plan.backing();
     let ledger = |worker: &WorkerId| {
         let on_worker = tables.running.iter().filter(|(_, gang)| gang.placement.contains_key(worker));
-        let shares: Vec<Share> = on_worker
-            .map(|(job, gang)| Share {
-                job: job.clone(),
-                account: gang.demand.account.clone(),
-                held: gang.held(worker),
-                class: gang.demand.class,
-                started_ms: gang.started_ms,
-                preemptible: gang.demand.preemptible,
-            })
-            .collect();
+        let shares: Vec<Share> = on_worker.map(|(job, gang)| gang.share(job, worker)).collect();
         Ledger::new(backing.get(worker).cloned().unwrap_or_default(), &shares)
     };
     tables.workers.keys().map(|worker| (worker.clone(), ledger(worker))).collect()
--- a/crates/daemon/src/entry/fleet.rs
+++ b/crates/daemon/src/entry/fleet.rs
@@ -199,7 +199,6 @@
                         since_ms: started_ms,
                         started_ms,
                         done_ms: 0,
-                        own: false,
                     }
                 });
                 gang.demand.shape.tasks += share.tasks;
--- a/crates/daemon/src/entry/rows.rs
+++ b/crates/daemon/src/entry/rows.rs
@@ -213,15 +213,7 @@
 
 fn shares_on(tables: &Tables, worker: &WorkerId) -> Vec<Share> {
     let on_worker = tables.running.iter().filter(|(_, gang)| gang.placement.contains_key(worker));
-    let share = |(job, gang): (&JobId, &Running)| Share {
-        job: job.clone(),
-        account: gang.demand.account.clone(),
-        held: gang.held(worker),
-        class: gang.demand.class,
-        started_ms: gang.started_ms,
-        preemptible: gang.demand.preemptible,
-    };
-    on_worker.map(share).collect()
+    on_worker.map(|(job, gang)| gang.share(job, worker)).collect()
 }
 
 /// Returns the commands that the fold remembers.
--- a/crates/daemon/src/entry/schedule.rs
+++ b/crates/daemon/src/entry/schedule.rs
@@ -213,7 +213,6 @@
             since_ms: candidate.since_ms,
             started_ms: now_ms,
             done_ms: candidate.done_ms,
-            own: false,
         };
         let driver = Driver { running: Some(running), rest_until_ms: None };
         lock(&self.drivers).insert(job.clone(), driver);
--- a/crates/replay/src/cost.rs
+++ b/crates/replay/src/cost.rs
@@ -91,7 +91,6 @@
             since_ms: 8 * HOUR_MS,
             started_ms: 9 * HOUR_MS + rng.random_range(0..HOUR_MS),
             done_ms: 0,
-            own: false,
         };
         tables.running.insert(JobId::new(&format!("running-{at}")), running);
         tasks += gang;
--- a/crates/replay/src/sim.rs
+++ b/crates/replay/src/sim.rs
@@ -353,7 +353,6 @@
             since_ms: waiting.since_ms,
             started_ms: self.now_ms,
             done_ms: waiting.done_ms,
-            own: false,
         };
         self.tables.running.insert(job.clone(), running);
     }
@@ -372,7 +371,7 @@
         let view = View::of_tables(&self.tables);
         let mut shares: Vec<Vec<Share>> = vec![Vec::new(); view.cells.len()];
         for (job, running) in &self.tables.running {
-            place_shares(&view, &mut shares, job, &running.placement, running, running.started_ms);
+            place_shares(&view, &mut shares, job, running);
         }
         for (job, claim) in &self.scheduler.claims {
             let Some(waiting) = self.tables.waiting.get(job) else { continue };
@@ -383,9 +382,8 @@
                 since_ms: waiting.since_ms,
                 started_ms: self.now_ms,
                 done_ms: 0,
-                own: false,
             };
-            place_shares(&view, &mut shares, job, &claim.placement, &claimed, self.now_ms);
+            place_shares(&view, &mut shares, job, &claimed);
         }
         let mut backing = self.tables.plan.backing();
         let ledgers: Vec<Ledger> = view
@@ -439,23 +437,10 @@
     }
 }
 
-fn place_shares(
-    view: &View,
-    shares: &mut [Vec<Share>],
-    job: &JobId,
-    placement: &Placement,
-    running: &Running,
-    started_ms: Millis,
-) {
-    for worker in placement.keys() {
-        let Some(at) = view.row(worker) else { continue };
-        shares[at].push(Share {
-            job: job.clone(),
-            account: running.demand.account.clone(),
-            held: running.held(worker),
-            class: running.demand.class,
-            started_ms,
-            preemptible: running.demand.preemptible,
-        });
+fn place_shares(view: &View, shares: &mut [Vec<Share>], job: &JobId, running: &Running) {
+    for worker in running.placement.keys() {
+        if let Some(at) = view.row(worker) {
+            shares[at].push(running.share(job, worker));
+        }
     }
 }
