--- a/crates/sorrelland/tests/failure.rs
+++ b/crates/sorrelland/tests/failure.rs
@@ -284,12 +284,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn drain_ends_new_work_within_bound() {
+    const REQUESTS: usize = 240;
     let site = std::sync::Arc::new(Site::start(2, 2).await);
     let load = tokio::spawn({
         let site = site.clone();
         async move {
             let mut answers = Vec::new();
-            for number in 0..120 {
+            // Long enough to go on past the bound after the drain.
+            for number in 0..REQUESTS {
                 let body = json!({ "idempotent": true, "body": { "cost_ms": 20 } });
                 answers.push(send(&site, 1 + number % 2, body));
                 tokio::time::sleep(Duration::from_millis(25)).await;
@@ -305,7 +307,7 @@
         let answer = answer.await.unwrap().unwrap();
         done += usize::from(answer["outcome"] == "done");
     }
-    assert_eq!(done, 120, "nothing in flight is cut and everything goes elsewhere");
+    assert_eq!(done, REQUESTS, "nothing in flight is cut and everything goes elsewhere");
     let last_ms =
         site.history(2).await.iter().filter(|event| event.worker == "worker-1").map(|e| e.at_ms).max();
     let now_ms =
