--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -22,6 +22,9 @@
 /// Silence after which an entry counts as gone.
 const GONE_AFTER: Duration = Duration::from_millis(3_000);
 
+/// Silence after which an entry is not missed any more: it was replaced.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
 /// Silence after which the jobs of an entry are adopted.
 const ADOPT_AFTER: Duration = Duration::from_secs(5);
 
@@ -85,7 +88,7 @@
 
     /// Returns the names of entries that were there and are silent now.
     pub fn silent(&self) -> Vec<String> {
-        let silent = |row: &&Row| row.seen.elapsed() >= GONE_AFTER && !row.leaving;
+        let silent = |row: &&Row| (GONE_AFTER..FORGET_AFTER).contains(&row.seen.elapsed()) && !row.leaving;
         self.rows.values().flatten().filter(silent).map(|row| row.name.clone()).collect()
     }
 
