--- a/crates/sorrelland/tests/path.rs
+++ b/crates/sorrelland/tests/path.rs
@@ -70,7 +70,9 @@
         async |key: &str, body: Value| site.call(1, key, Method::POST, "/v1/requests", body).await.unwrap();
     let job = async |body: Value| site.call(1, CHANDLER, Method::POST, "/v1/jobs", body).await.unwrap();
     let wide = json!({ "tasks": 1, "accelerators": 9, "span": "worker" });
+    site.set("remove account museum").await;
     let cases = [
+        (request(MUSEUM, json!({ "idempotent": true, "body": 1 })).await, 404, "unknown_account"),
         (request("no-such-key", json!({ "body": 1 })).await, 401, "bad_account_key"),
         (request(CHANDLER, json!("text")).await, 400, "malformed"),
         (request(CHANDLER, json!({ "body": 1, "bodi": 2 })).await, 400, "malformed"),
