--- a/crates/core/src/pass.rs
+++ b/crates/core/src/pass.rs
@@ -280,9 +280,8 @@
             yielding.extend(victims(&candidates, &self.ledgers[at], vacated, need)?);
         }
         outbid.iter().for_each(|claim| self.drop_claim(claim));
-        let grace_ms = match cause {
-            Cause::Urgent => URGENT_GRACE_MS,
-            _ if demand.class == Class::Urgent => URGENT_GRACE_MS,
+        let grace_ms = match demand.class {
+            Class::Urgent => URGENT_GRACE_MS,
             _ => self.policy.checkpoint_grace_ms,
         };
         let mut waits_for = match demand.class {
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -68,7 +68,7 @@
     pub since_ms: Millis,
     /// Whether an attempt got past its reservation.
     pub started: bool,
-    /// Whether the caller's request has its final answer.
+    /// Where the final outcome goes; `None` once it was sent.
     pub answered: Option<oneshot::Sender<Final>>,
 }
 
--- a/crates/daemon/src/entry/query.rs
+++ b/crates/daemon/src/entry/query.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use sorrelland_core::account::Account;
 use sorrelland_core::id::{AccountId, JobId, WorkerId};
+use sorrelland_core::topology::Standing;
 use sorrelland_lang::parse;
 use sorrelland_lang::select::{Row, matches, select};
 use sorrelland_lang::statement::{Change, Condition, Options, Selection, Setting, Statement, Table};
@@ -74,12 +75,9 @@
     }
 
     fn rows_answer(&self, columns: &[&'static str], rows: Vec<Row>) -> RowsAnswer {
-        let lost = |(id, row): (&WorkerId, &crate::entry::fleet::Row)| {
-            let fleet_row = lock(&self.fleet).standing(id, row);
-            (fleet_row == sorrelland_core::topology::Standing::Lost).then(|| format!("worker {id}"))
-        };
-        let rows_of_fleet = lock(&self.fleet).rows().clone();
-        let mut missing: Vec<String> = rows_of_fleet.iter().filter_map(lost).collect();
+        let workers = lock(&self.fleet).workers();
+        let lost = workers.iter().filter(|(_, worker)| worker.standing == Standing::Lost);
+        let mut missing: Vec<String> = lost.map(|(id, _)| format!("worker {id}")).collect();
         missing.extend(lock(&self.peers).silent().into_iter().map(|name| format!("entry {name}")));
         RowsAnswer { columns: columns.to_vec(), rows, missing, config_age_ms: self.config_age_ms() }
     }
--- a/crates/daemon/src/entry/schedule.rs
+++ b/crates/daemon/src/entry/schedule.rs
@@ -54,7 +54,7 @@
         let now_ms = wall_ms();
         lock(&self.drivers).retain(|_, driver| driver.rest_until_ms.is_none_or(|until| now_ms < until));
         self.drive_placed(now_ms);
-        let candidates = self.candidates(now_ms);
+        let candidates = self.candidates();
         if candidates.is_empty() {
             return;
         }
@@ -143,7 +143,7 @@
         job.claimant.as_deref() == Some(&self.claimant)
     }
 
-    fn candidates(&self, _now_ms: Millis) -> BTreeMap<JobId, Candidate> {
+    fn candidates(&self) -> BTreeMap<JobId, Candidate> {
         let driven = self.driven();
         let mut candidates = BTreeMap::new();
         if !self.stop.is_raised() {
