--- /dev/null
+++ b/crates/control/src/agent.rs
@@ -0,0 +1,362 @@
+//! The agent beside a worker: the only process that gives it orders.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::join_all;
+use http::{Method, StatusCode};
+use sorrelland_fleet::orders::{Start, Stop};
+use sorrelland_platform::serve::{self, Answer, Call};
+use sorrelland_platform::worker::{Error, StartOrder, Started, announcement};
+use sorrelland_platform::{Settings, Store, WorkerClient};
+use tokio::sync::{Notify, Semaphore};
+
+use crate::calls::{Links, Ping, Wish, call};
+use crate::clock::now_ms;
+use crate::duty::{CLAIMS, Office};
+use crate::lease::Watched;
+use crate::signals::{self, stopped};
+use crate::{Error as RunError, Result, follow, lock};
+
+/// Longest wait of a look for an end; also the longest time between two extensions of a lease.
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a call to the worker failed, and before an order without an answer is repeated.
+const ORDER_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause between checks for leases that have run out while there is nothing else to do.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time for a report and its answer; the planner answers within half of it.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Pause after a report that failed.
+const REPORT_PAUSE: Duration = Duration::from_millis(150);
+
+/// Reports on their way at a time: one that waits, and newer ones that overtake it.
+const REPORTS_AT_A_TIME: usize = 3;
+
+/// Time for a ping.
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Path of announcements.
+const INSTANCES: &str = "/instances/";
+
+struct Agent {
+    settings: Settings,
+    life: u64,
+    office: Office,
+    links: Links,
+    worker: WorkerClient,
+    watched: Mutex<Watched>,
+    entries: Mutex<Vec<String>>,
+    /// Causes a report.
+    news: Notify,
+    /// Causes orders to be given.
+    orders: Notify,
+    /// Causes a look.
+    look: Notify,
+}
+
+/// Runs an agent until it is asked to stop.
+///
+/// # Errors
+///
+/// Returns why it could not start.
+pub async fn run(settings: Settings) -> Result<()> {
+    let listen = settings.announcements.ok_or(RunError::Missing("the address for announcements"))?;
+    let worker = settings.worker.ok_or(RunError::Missing("the address of the worker"))?;
+    let asked = signals::listen();
+    let store = Store::new(&settings.store);
+    let agent = Arc::new(Agent {
+        life: rand::random(),
+        office: Office::default(),
+        links: Links::new(&settings.store),
+        worker: WorkerClient::new(&worker.to_string()),
+        watched: Mutex::default(),
+        entries: Mutex::default(),
+        news: Notify::new(),
+        orders: Notify::new(),
+        look: Notify::new(),
+        settings,
+    });
+    let handler = {
+        let agent = agent.clone();
+        Arc::new(move |call: Call| {
+            let answer = agent.announced(&call);
+            async move { answer }.boxed()
+        })
+    };
+    let server = serve::start(listen, handler)?;
+    log::info!("event=started role=agent instance={} life={}", agent.settings.instance, agent.life);
+    let office = agent.office.clone();
+    let take = move |key: &str, value: &[u8], offset: u64| office.take(key, value, offset);
+    tokio::spawn(async move { follow::follow(&store, CLAIMS, take, |_| ()).await });
+    tokio::spawn(agent.clone().run_orders());
+    tokio::spawn(agent.clone().run_looks());
+    tokio::spawn(agent.clone().run_reports());
+    stopped(asked).await;
+    // The worker keeps its leases until the next life of this agent extends them.
+    log::info!("event=stopping role=agent instance={}", agent.settings.instance);
+    if let Err(e) = server.close().await {
+        log::warn!("event=server_failed cause=\"{e}\"");
+    }
+    Ok(())
+}
+
+impl Agent {
+    /// Answers an announcement of the worker.
+    fn announced(&self, call: &Call) -> Answer {
+        let Some(life) = call.path.strip_prefix(INSTANCES).filter(|life| !life.is_empty()) else {
+            return Answer::new(StatusCode::NOT_FOUND);
+        };
+        match call.method {
+            Method::PUT => match announcement(life, &call.body) {
+                Ok(announcement) => {
+                    let draining = announcement.info.draining;
+                    let stop_ms = self.settings.bounds.stop_ms;
+                    if lock(&self.watched).announce(now_ms(), announcement, stop_ms) {
+                        log::info!("event=worker_announced worker={life} draining={draining}");
+                        self.news.notify_one();
+                        self.look.notify_one();
+                    }
+                    Answer::new(StatusCode::OK).with_json(&serde_json::json!({}))
+                }
+                Err(e) => {
+                    log::warn!("event=announcement_skipped worker={life} cause=\"{e}\"");
+                    Answer::new(StatusCode::BAD_REQUEST)
+                }
+            },
+            Method::DELETE => {
+                lock(&self.watched).leave(life);
+                log::info!("event=worker_left worker={life}");
+                self.news.notify_one();
+                Answer::new(StatusCode::OK)
+            }
+            _ => Answer::new(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    async fn run_reports(self: Arc<Self>) {
+        let slots = Arc::new(Semaphore::new(REPORTS_AT_A_TIME));
+        let answered = Arc::new(Notify::new());
+        let mut seq = 0;
+        loop {
+            let Ok(permit) = slots.clone().acquire_owned().await else { return };
+            seq += 1;
+            let (agent, answered_by) = (self.clone(), answered.clone());
+            tokio::spawn(async move {
+                agent.report_once(seq).await;
+                answered_by.notify_one();
+                drop(permit);
+            });
+            tokio::select! {
+                () = answered.notified() => (),
+                () = self.news.notified() => (),
+            }
+        }
+    }
+
+    async fn report_once(&self, seq: u64) {
+        let Some(holder) = self.office.holder() else {
+            tokio::time::sleep(REPORT_PAUSE).await;
+            return;
+        };
+        let report = lock(&self.watched).report(&self.settings.instance, self.life, seq);
+        let sent = now_ms();
+        let answer =
+            call(&self.links, &holder.address, REPORT_TIMEOUT, async |rpc, cx| rpc.report(cx, report).await);
+        match answer.await {
+            Ok(Wish::Orders { epoch, orders, entries }) => {
+                if !entries.is_empty() {
+                    *lock(&self.entries) = entries;
+                }
+                if lock(&self.watched).take_orders(sent, epoch, orders) {
+                    self.orders.notify_one();
+                }
+            }
+            Ok(Wish::NotPlanner(known)) => {
+                self.office.learn(known);
+                tokio::time::sleep(REPORT_PAUSE).await;
+            }
+            Err(e) => {
+                log::debug!("event=report_failed planner={} cause=\"{e}\"", holder.address);
+                self.ask_entries(&holder.address).await;
+                tokio::time::sleep(REPORT_PAUSE).await;
+            }
+        }
+    }
+
+    /// Asks the entries who plans, since the one that was thought to is silent.
+    async fn ask_entries(&self, silent: &str) {
+        let entries = lock(&self.entries).clone();
+        let pings = entries.iter().filter(|address| *address != silent).map(|address| async move {
+            let ping = Ping { address: String::new(), holder: self.office.holder(), version: u64::MAX };
+            call(&self.links, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await
+        });
+        for pong in join_all(pings).await.into_iter().flatten() {
+            self.office.learn(pong.holder);
+        }
+    }
+
+    async fn run_orders(self: Arc<Self>) {
+        loop {
+            let (life, starts, stops, clocked) = {
+                let watched = lock(&self.watched);
+                let life = watched.life().map(str::to_owned);
+                (life, watched.starts(now_ms()), watched.stops(), watched.has_clock())
+            };
+            let Some(life) = life.filter(|_| !starts.is_empty() || !stops.is_empty()) else {
+                self.orders.notified().await;
+                continue;
+            };
+            if !clocked && !starts.is_empty() {
+                self.look_once(&life, Duration::ZERO).await;
+            }
+            // Stops first: what they free may be what the starts need.
+            let stops = join_all(stops.iter().map(|stop| self.stop_once(&life, stop))).await;
+            let starts = join_all(starts.iter().map(|start| self.start_once(&life, start))).await;
+            let final_answers = stops.iter().chain(&starts).any(|answered| *answered);
+            if final_answers {
+                self.look.notify_one();
+                self.news.notify_one();
+                self.look_once(&life, Duration::ZERO).await;
+            }
+            if stops.iter().chain(&starts).any(|answered| !*answered) {
+                tokio::time::sleep(ORDER_PAUSE).await;
+            }
+        }
+    }
+
+    /// Orders a start; returns whether the answer was final.
+    async fn start_once(&self, life: &str, start: &Start) -> bool {
+        let (token, lease_end_ms) = {
+            let mut watched = lock(&self.watched);
+            // The wish may have changed while earlier orders were on their way.
+            if !watched.starts(now_ms()).contains(start) {
+                return true;
+            }
+            let Some(lease_end_ms) = watched.extend(now_ms()) else { return false };
+            watched.note_tried(start);
+            (watched.epoch(), lease_end_ms)
+        };
+        let order = StartOrder {
+            task: &start.task,
+            run: start.run,
+            spec: &start.spec,
+            saved: &start.saved,
+            ticket: start.ticket.as_deref(),
+            lease_end_ms,
+            token,
+        };
+        let (job, task, run) = (&start.task.job, &start.task, start.run);
+        match self.worker.start(life, &order).await {
+            Ok((Started::Running, clock_ms)) => {
+                log::info!("event=started job={job} task={task} run={run} worker={life} token={token}");
+                let mut watched = lock(&self.watched);
+                if let Some(clock_ms) = clock_ms {
+                    watched.note_clock(now_ms(), clock_ms);
+                }
+                watched.note_started(life, start, clock_ms.unwrap_or_default());
+                true
+            }
+            Ok((Started::Never(why), _)) => {
+                log::warn!("event=start_refused job={job} task={task} run={run} worker={life} why={why}");
+                lock(&self.watched).note_final(life, task, run, &why, now_ms());
+                true
+            }
+            Ok((Started::NotNow(why), clock_ms)) => {
+                log::warn!("event=start_delayed job={job} task={task} run={run} worker={life} why=\"{why}\"");
+                if let Some(clock_ms) = clock_ms {
+                    lock(&self.watched).note_clock(now_ms(), clock_ms);
+                }
+                false
+            }
+            Err(e) => {
+                log::warn!(
+                    "event=start_unanswered job={job} task={task} run={run} worker={life} cause=\"{e}\""
+                );
+                self.note_error(life, &e);
+                false
+            }
+        }
+    }
+
+    /// Orders a stop; returns whether it was answered.
+    async fn stop_once(&self, life: &str, stop: &Stop) -> bool {
+        let token = lock(&self.watched).epoch();
+        let (job, task, run) = (&stop.task.job, &stop.task, stop.run);
+        match self.worker.stop(life, task, run, token).await {
+            Ok(()) => {
+                log::info!("event=stop_ordered job={job} task={task} run={run} worker={life} token={token}");
+                lock(&self.watched).note_final(life, task, run, "stopped before it was there", now_ms());
+                true
+            }
+            Err(e) => {
+                log::warn!(
+                    "event=stop_unanswered job={job} task={task} run={run} worker={life} cause=\"{e}\""
+                );
+                self.note_error(life, &e);
+                false
+            }
+        }
+    }
+
+    fn note_error(&self, life: &str, error: &Error) {
+        if matches!(error, Error::OtherLife) {
+            log::warn!("event=worker_replaced worker={life}");
+            lock(&self.watched).drop_current(life);
+        }
+    }
+
+    async fn run_looks(self: Arc<Self>) {
+        loop {
+            let grant_ms = self.settings.bounds.longest_lease_ms;
+            let (life, needed, resolves) = {
+                let mut watched = lock(&self.watched);
+                if watched.lapse(now_ms(), grant_ms, self.settings.bounds.stop_ms) {
+                    log::warn!("event=leases_lapsed worker={}", watched.life().unwrap_or_default());
+                    self.news.notify_one();
+                }
+                (watched.life().map(str::to_owned), watched.needs_look(), watched.resolves())
+            };
+            let Some(life) = life.filter(|_| needed) else {
+                let _ = tokio::time::timeout(IDLE_PAUSE, self.look.notified()).await;
+                continue;
+            };
+            let wait = if resolves { Duration::ZERO } else { LOOK_WAIT };
+            let done = tokio::select! {
+                done = self.look_once(&life, wait) => done,
+                // Something happened that the look on its way can't show.
+                () = self.look.notified() => true,
+            };
+            if !done || resolves {
+                tokio::time::sleep(ORDER_PAUSE).await;
+            }
+        }
+    }
+
+    /// Looks at the worker and extends its leases; returns whether it answered.
+    async fn look_once(&self, life: &str, wait: Duration) -> bool {
+        let (token, seen, lease_end_ms) = {
+            let mut watched = lock(&self.watched);
+            (watched.epoch(), watched.seen(), watched.extend(now_ms()))
+        };
+        let sent = now_ms();
+        match self.worker.look(life, token, seen, lease_end_ms, wait).await {
+            Ok(listing) => {
+                if lock(&self.watched).take_listing(now_ms(), sent, life, listing) {
+                    self.news.notify_one();
+                    self.orders.notify_one();
+                }
+                true
+            }
+            Err(e) => {
+                log::warn!("event=look_failed worker={life} token={token} cause=\"{e}\"");
+                self.note_error(life, &e);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/clock.rs
@@ -0,0 +1,18 @@
+//! Clocks of a process.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use nix::time::{ClockId, clock_gettime};
+
+/// Returns a steady time in milliseconds that goes on while the machine is suspended, unlike the clock of timers.
+pub fn now_ms() -> u64 {
+    clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .or_else(|_| clock_gettime(ClockId::CLOCK_MONOTONIC))
+        .map(|time| time.tv_sec() as u64 * 1_000 + time.tv_nsec() as u64 / 1_000_000)
+        .unwrap_or_default()
+}
+
+/// Returns the time of day in milliseconds since 1970.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map(|time| time.as_millis() as u64).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,40 @@
+//! The processes that run on the users' platform: entries, one of which plans, and agents beside the workers.
+
+pub mod agent;
+pub mod calls;
+pub mod clock;
+pub mod duty;
+pub mod entry;
+pub mod follow;
+pub mod lease;
+pub mod logging;
+pub mod seat;
+pub mod signals;
+
+use std::io;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use derive_more::{Display, Error, From};
+
+/// Result of running a process.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a process could not run.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// An address could not be used.
+    #[display("cannot listen: {_0}")]
+    Listen(io::Error),
+    /// A server could not be started.
+    #[display("cannot serve: {_0}")]
+    Serve(dropshot::BuildError),
+    /// The settings lack what the role needs.
+    #[display("settings lack {_0}")]
+    #[from(skip)]
+    Missing(#[error(not(source))] &'static str),
+}
+
+/// Locks a mutex; a panic elsewhere does not spread, since every section leaves the state whole.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/control/src/seat.rs
@@ -0,0 +1,393 @@
+//! A planner in office: the decisions, driven by real clocks, the store and the agents.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use sorrelland_fleet::desired::Desired;
+use sorrelland_fleet::orders::Orders;
+use sorrelland_fleet::planner::{Planner, Timing, Verdict};
+use sorrelland_fleet::record;
+use sorrelland_fleet::report::Report;
+use sorrelland_platform::Store;
+use sorrelland_platform::store::{Error, Writer, keyed};
+use tokio::sync::{Notify, watch};
+
+use crate::calls::{Ask, Holder, Told};
+use crate::clock::{now_ms, wall_ms};
+use crate::duty::{ALONE_MS, RENEW_EVERY, renew};
+use crate::lock;
+
+/// Topic of the jobs.
+const JOBS: &str = "keyed.jobs";
+
+/// Name under which planners write the jobs; epochs order them.
+const PRODUCER: &str = "planner";
+
+/// Time between two passes when nothing else causes one; occurrences start no later than this after their time.
+const PASS_EVERY: Duration = Duration::from_millis(100);
+
+/// Time for which an agent's call waits when there is nothing new.
+const AGENT_WAIT: Duration = Duration::from_millis(500);
+
+/// Pause after an append that was refused.
+const APPEND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Bytes of one append at most, below the store's limit of a call.
+const APPEND_BYTES: usize = 1_500_000;
+
+/// Tries to read the jobs before the office is given back.
+const LOAD_TRIES: u32 = 20;
+
+/// A planner in office.
+pub struct Seat {
+    /// The office as this process holds it.
+    pub holder: Holder,
+    planner: Mutex<Planner>,
+    /// Causes a pass.
+    pass: Notify,
+    /// Causes an append.
+    append: Notify,
+    stored: watch::Sender<u64>,
+    over: watch::Sender<bool>,
+    agents: Mutex<BTreeMap<String, AgentSlot>>,
+}
+
+/// What an agent was told, and how to wake its waiting call.
+struct AgentSlot {
+    wake: Arc<Notify>,
+    told: Option<(u64, Orders)>,
+}
+
+impl Seat {
+    /// Takes the office up: fences every earlier writer, then reads the jobs.
+    pub async fn take(
+        store: &Store,
+        holder: Holder,
+        timing: Timing,
+        desired: Arc<Desired>,
+    ) -> Option<Arc<Self>> {
+        let mut writer = Writer { producer: PRODUCER.to_owned(), epoch: holder.epoch, sequence: 0 };
+        let jobs = load(store, &mut writer).await?;
+        let planner = Planner::new(timing, desired, jobs, now_ms());
+        let seat = Arc::new(Self {
+            holder,
+            planner: Mutex::new(planner),
+            pass: Notify::new(),
+            append: Notify::new(),
+            stored: watch::Sender::new(0),
+            over: watch::Sender::new(false),
+            agents: Mutex::default(),
+        });
+        log::info!("event=office_taken epoch={}", seat.holder.epoch);
+        tokio::spawn(seat.clone().run_passes());
+        tokio::spawn(seat.clone().run_appends(store.clone(), writer));
+        tokio::spawn(seat.clone().run_renewals(store.clone()));
+        Some(seat)
+    }
+
+    /// Returns whether the office is over.
+    pub fn is_over(&self) -> bool {
+        *self.over.borrow()
+    }
+
+    /// Waits until the office is over.
+    pub async fn ended(&self) {
+        let mut over = self.over.subscribe();
+        // The sender lives as long as this seat.
+        let _ = over.wait_for(|over| *over).await;
+    }
+
+    /// Ends the office; every call is answered with a redirection from now on.
+    pub fn end(&self, why: &str) {
+        if !self.over.send_replace(true) {
+            log::info!("event=office_ended epoch={} why=\"{why}\"", self.holder.epoch);
+        }
+        for slot in lock(&self.agents).values() {
+            slot.wake.notify_waiters();
+        }
+    }
+
+    /// Hands a new desired state to the decisions.
+    pub fn set_desired(&self, desired: Arc<Desired>) {
+        lock(&self.planner).set_desired(desired);
+        self.pass.notify_one();
+    }
+
+    async fn run_passes(self: Arc<Self>) {
+        while !self.is_over() {
+            let waited = tokio::time::timeout(PASS_EVERY, self.pass.notified());
+            // Either a cause or the time for the next pass.
+            let _ = waited.await;
+            self.pass_now();
+        }
+    }
+
+    fn pass_now(&self) {
+        let (lines, poked) = {
+            let mut planner = lock(&self.planner);
+            planner.tick(now_ms(), wall_ms());
+            (planner.take_log(), planner.take_poked())
+        };
+        for line in lines {
+            log::info!("{line}");
+        }
+        self.append.notify_one();
+        self.poke(poked);
+    }
+
+    fn poke(&self, agents: Vec<String>) {
+        let slots = lock(&self.agents);
+        for agent in agents {
+            if let Some(slot) = slots.get(&agent) {
+                slot.wake.notify_one();
+            }
+        }
+    }
+
+    async fn run_appends(self: Arc<Self>, store: Store, mut writer: Writer) {
+        while !self.is_over() {
+            self.append.notified().await;
+            loop {
+                let Some((records, change)) = lock(&self.planner).take_changes() else { break };
+                let raw: Vec<Vec<u8>> = records.iter().map(keyed).collect();
+                for part in parts(raw) {
+                    if !self.append_part(&store, &mut writer, &part).await {
+                        return;
+                    }
+                }
+                let poked = {
+                    let mut planner = lock(&self.planner);
+                    planner.note_stored(change);
+                    planner.take_poked_by_store()
+                };
+                self.stored.send_replace(change);
+                self.poke(poked);
+            }
+        }
+    }
+
+    /// Appends until the store has answered; returns whether the office goes on.
+    async fn append_part(&self, store: &Store, writer: &mut Writer, part: &[Vec<u8>]) -> bool {
+        // Set once an append may have been carried out although no answer came.
+        let mut unanswered = false;
+        while !self.is_over() {
+            match store.append_as(JOBS, writer, part).await {
+                Ok(_) => {
+                    writer.sequence += 1;
+                    return true;
+                }
+                Err(Error::Fenced) => {
+                    self.end("a writer with a higher epoch has taken over");
+                    return false;
+                }
+                Err(Error::Sequence { expected: Some(next) }) if !unanswered && next != writer.sequence => {
+                    log::warn!("event=sequence_set from={} to={next}", writer.sequence);
+                    writer.sequence = next;
+                }
+                Err(e @ Error::Sequence { .. }) => {
+                    self.end(&format!("the order of appends is lost: {e}"));
+                    return false;
+                }
+                Err(e) => {
+                    unanswered |= !e.nothing_done();
+                    log::warn!("event=append_retried sequence={} cause=\"{e}\"", writer.sequence);
+                    tokio::time::sleep(APPEND_PAUSE).await;
+                }
+            }
+        }
+        false
+    }
+
+    async fn run_renewals(self: Arc<Self>, store: Store) {
+        let mut renewed_at = now_ms();
+        while !self.is_over() {
+            match renew(&store, self.holder.epoch, false).await {
+                Ok(()) => renewed_at = now_ms(),
+                Err(e) => log::warn!("event=renewal_failed epoch={} cause=\"{e}\"", self.holder.epoch),
+            }
+            if now_ms() > renewed_at + ALONE_MS {
+                self.end("the store was out of reach for too long");
+            }
+            tokio::time::sleep(RENEW_EVERY).await;
+        }
+    }
+
+    /// Waits until a change is stored; returns whether it is.
+    async fn wait_stored(&self, change: u64, wait: Duration) -> bool {
+        let mut stored = self.stored.subscribe();
+        let mut over = self.over.subscribe();
+        let stored = async {
+            // The sender lives as long as this seat.
+            let _ = stored.wait_for(|stored| *stored >= change).await;
+            true
+        };
+        tokio::select! {
+            done = stored => done,
+            _ = over.wait_for(|over| *over) => false,
+            () = tokio::time::sleep(wait) => false,
+        }
+    }
+
+    /// Answers on behalf of a caller who waits for `wait`.
+    pub async fn ask(&self, ask: Ask, wait: Duration) -> Told {
+        if self.is_over() {
+            return Told::NotPlanner(None);
+        }
+        match ask {
+            Ask::Submit(sub) => {
+                let verdict = {
+                    let mut planner = lock(&self.planner);
+                    planner.submit(now_ms(), wall_ms(), &sub)
+                };
+                match verdict {
+                    Verdict::Refused { why, retry_after_ms } => {
+                        let Self { holder, .. } = self;
+                        log::info!(
+                            "event=refused job={} queue={} account={} epoch={} retry_after_ms={retry_after_ms} \
+                             why=\"{why}\"",
+                            sub.job,
+                            sub.queue,
+                            sub.account,
+                            holder.epoch
+                        );
+                        Told::Refused { why, retry_after_ms }
+                    }
+                    Verdict::Accepted { change } => {
+                        // The placement goes into the same append as the job.
+                        self.pass_now();
+                        match self.wait_stored(change, wait).await {
+                            true => {
+                                log::info!(
+                                    "event=accepted job={} queue={} account={} steps={}",
+                                    sub.job,
+                                    sub.queue,
+                                    sub.account,
+                                    sub.steps.len()
+                                );
+                                Told::Accepted
+                            }
+                            false if self.is_over() => Told::NotPlanner(None),
+                            false => Told::Unresolved,
+                        }
+                    }
+                }
+            }
+            Ask::State(job) => Told::State(lock(&self.planner).state(&job)),
+            Ask::Pending(queue) => Told::Pending(lock(&self.planner).pending(&queue) as u64),
+            Ask::Cancel(job) => {
+                let change = lock(&self.planner).cancel(now_ms(), wall_ms(), &job);
+                let Some(change) = change else { return Told::Cancelled(false) };
+                self.pass_now();
+                match self.wait_stored(change, wait).await {
+                    true => Told::Cancelled(true),
+                    false if self.is_over() => Told::NotPlanner(None),
+                    false => Told::Unresolved,
+                }
+            }
+        }
+    }
+
+    /// Takes an agent's report and returns the wish for its worker once it differs from what the agent was told,
+    /// or after a while.
+    pub async fn report(&self, report: Report) -> Option<Option<Orders>> {
+        let (agent, life) = (report.agent.clone(), report.agent_life);
+        let news = !report.ended.is_empty() || !report.gone.is_empty();
+        let joined = {
+            let mut planner = lock(&self.planner);
+            let before = planner.agents_heard(now_ms()).1;
+            planner.report(now_ms(), wall_ms(), &report);
+            planner.agents_heard(now_ms()).1 != before
+        };
+        let wake = {
+            let mut slots = lock(&self.agents);
+            let slot = slots.entry(agent.clone());
+            slot.or_insert_with(|| AgentSlot { wake: Arc::new(Notify::new()), told: None }).wake.clone()
+        };
+        if news || joined {
+            self.pass.notify_one();
+        }
+        let until = tokio::time::Instant::now() + AGENT_WAIT;
+        loop {
+            if self.is_over() {
+                return None;
+            }
+            let orders = lock(&self.planner).orders(now_ms(), &agent);
+            let late = tokio::time::Instant::now() >= until;
+            if late || self.differs(&agent, life, orders.as_ref()) {
+                return Some(orders);
+            }
+            // Woken by a change for this agent, or by the end of the wait.
+            let _ = tokio::time::timeout_at(until, wake.notified()).await;
+        }
+    }
+
+    /// Returns whether a wish differs from what a life of an agent was told last, and notes it as told.
+    fn differs(&self, agent: &str, life: u64, orders: Option<&Orders>) -> bool {
+        let mut slots = lock(&self.agents);
+        let (Some(slot), Some(orders)) = (slots.get_mut(agent), orders) else { return false };
+        let told = slot.told.as_ref();
+        if told.is_some_and(|(told_life, told)| *told_life == life && same_wish(told, orders)) {
+            return false;
+        }
+        slot.told = Some((life, orders.clone()));
+        true
+    }
+}
+
+/// Returns whether two wishes ask for the same.
+fn same_wish(one: &Orders, other: &Orders) -> bool {
+    let plain = |orders: &Orders| Orders { number: 0, grant_ms: 0, ..orders.clone() };
+    plain(one) == plain(other)
+}
+
+/// Splits records into appends that the store takes in one call.
+fn parts(raw: Vec<Vec<u8>>) -> Vec<Vec<Vec<u8>>> {
+    let mut parts: Vec<Vec<Vec<u8>>> = Vec::new();
+    let mut bytes = usize::MAX;
+    for record in raw {
+        if bytes.saturating_add(record.len()) > APPEND_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += record.len() + 4;
+        if let Some(part) = parts.last_mut() {
+            part.push(record);
+        }
+    }
+    parts
+}
+
+/// Sets the epoch of the jobs, which refuses every earlier writer from then on, and reads them.
+async fn load(store: &Store, writer: &mut Writer) -> Option<Vec<sorrelland_fleet::Job>> {
+    let mut fenced = false;
+    for _ in 0..LOAD_TRIES {
+        if !fenced {
+            match store.append_as(JOBS, writer, &[]).await {
+                Ok(_) => fenced = true,
+                Err(Error::Fenced) => {
+                    log::warn!("event=office_lost epoch={} why=\"fenced while loading\"", writer.epoch);
+                    return None;
+                }
+                Err(e) => log::warn!("event=load_retried cause=\"{e}\""),
+            }
+        }
+        if fenced {
+            match store.newest(JOBS).await {
+                Ok((items, _)) => {
+                    writer.sequence = 1;
+                    let records = items.iter().map(|item| (item.key.as_str(), item.value.as_slice()));
+                    let (jobs, findings) = record::read(records);
+                    for finding in findings {
+                        log::error!("event=record_skipped topic={JOBS} cause=\"{finding}\"");
+                    }
+                    log::info!("event=jobs_loaded epoch={} jobs={}", writer.epoch, jobs.len());
+                    return Some(jobs);
+                }
+                Err(e) => log::warn!("event=load_retried cause=\"{e}\""),
+            }
+        }
+        tokio::time::sleep(APPEND_PAUSE).await;
+    }
+    None
+}
--- /dev/null
+++ b/crates/fleet/src/place.rs
@@ -0,0 +1,249 @@
+//! Placement: which waiting unit goes where.
+//!
+//! Answers the load of the heaviest days: bursts of urgent narrow gangs, wide gangs with whole workers for each
+//! member, and broad steps of single subtasks, all at once on a fleet that is nearly full.
+
+use std::collections::BTreeMap;
+
+use crate::job::Step;
+use crate::planner::{HEARD_WITHIN_MS, Planner};
+use crate::preempt;
+use crate::room::Room;
+use crate::unit::{UnitKey, Where};
+use crate::worker::Worker;
+
+/// Time for which room that is being vacated is kept for the unit it was vacated for, in milliseconds: a stop, its
+/// report, and a lost answer on the way.
+const CLAIM_MS: u64 = 2_500;
+
+/// Share of a unit's estimate for which it waits for room near its data or on one rack, in thousandths; away from
+/// there it takes several times as long.
+const NEAR_WAIT_MILLI: u64 = 1_000;
+
+/// Time left before a draining worker goes that a start there must not count on, in milliseconds.
+const LEAST_ESTIMATE_MS: u64 = 1;
+
+/// Room that is kept for units while it is being vacated.
+#[derive(Clone, Debug, Default)]
+pub struct Claims {
+    by_unit: BTreeMap<(String, UnitKey), Claim>,
+}
+
+#[derive(Clone, Debug)]
+struct Claim {
+    workers: Vec<String>,
+    each: Room,
+    until: u64,
+}
+
+impl Claims {
+    /// Keeps room on `workers`, one entry a member, for a unit.
+    pub fn insert(&mut self, name: &str, key: UnitKey, workers: Vec<String>, each: Room, now: u64) {
+        let claim = Claim { workers, each, until: now + CLAIM_MS };
+        self.by_unit.insert((name.to_owned(), key), claim);
+    }
+
+    /// Returns whether a unit has a claim.
+    pub fn has(&self, name: &str, key: UnitKey) -> bool {
+        self.by_unit.contains_key(&(name.to_owned(), key))
+    }
+
+    fn remove(&mut self, name: &str, key: UnitKey) {
+        self.by_unit.remove(&(name.to_owned(), key));
+    }
+
+    fn expire(&mut self, now: u64, waits: impl Fn(&str, UnitKey) -> bool) {
+        self.by_unit.retain(|(name, key), claim| claim.until > now && waits(name, *key));
+    }
+}
+
+/// A unit that waits, with what its order depends on.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Job of the unit.
+    pub job: String,
+    /// Place in the job.
+    pub key: UnitKey,
+    /// Urgency of its queue; 0 comes first.
+    pub priority: u32,
+    /// Whether the job can still end in time, or late, or not at all: 0, 1 or 2.
+    pub lateness: u8,
+    /// Time by which it should have started, on the wall clock in milliseconds.
+    pub start_by: u64,
+}
+
+/// Room left on the workers that may be used, while a pass goes on.
+pub struct Offer<'a> {
+    /// Workers by life with the room that is left.
+    pub left: BTreeMap<&'a str, (&'a Worker, Room)>,
+}
+
+impl Planner {
+    /// Places what waits, the most urgent first, and vacates room for what cannot wait.
+    pub fn place_all(&mut self, now: u64, wall: u64) {
+        let jobs = &self.jobs;
+        self.claims.expire(now, |name, key| {
+            let unit = jobs.get(name).filter(|job| job.outcome.is_none()).and_then(|job| job.units.get(&key));
+            unit.is_some_and(|unit| unit.at == Where::Waiting)
+        });
+        for candidate in self.candidates(wall) {
+            let (name, key) = (&candidate.job, candidate.key);
+            if let Some(lives) = self.find(now, &candidate) {
+                self.claims.remove(name, key);
+                self.place(now, name, key, &lives);
+            } else if candidate.priority == 0 && !self.claims.has(name, key) {
+                preempt::make_room(self, now, &candidate);
+            }
+        }
+    }
+
+    /// Returns the units that wait and whose turn has come, in the order in which they are placed.
+    pub fn candidates(&self, wall: u64) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for name in &self.live {
+            let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
+            let Some(queue) = self.desired.queue(&job.sub.queue) else { continue };
+            for (key, unit) in &job.units {
+                if unit.at != Where::Waiting || !job.turn_has_come(*key, wall) {
+                    continue;
+                }
+                let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
+                let from = job.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
+                let target = job.chain_ms() * queue.stretch_milli / 1_000 + queue.full_value_ms;
+                let rest = job.chain_from_ms(key.step);
+                let in_time = (from + target).saturating_sub(rest);
+                let late = (from + 3 * target).saturating_sub(rest);
+                let lateness = u8::from(wall > in_time) + u8::from(wall > late);
+                let priority = if step.fills { u32::MAX } else { queue.priority };
+                let start_by = if lateness == 0 { in_time } else { late };
+                candidates.push(Candidate { job: name.clone(), key: *key, priority, lateness, start_by });
+            }
+        }
+        candidates.sort_by_key(|c| (c.lateness == 2, c.priority, c.lateness, c.start_by, c.key));
+        candidates
+    }
+
+    /// Returns the workers that may take a step of a job now, with the room that no claim of others keeps.
+    pub fn offer<'a>(&'a self, now: u64, candidate: &Candidate, step: &Step) -> Offer<'a> {
+        let Some(queue) = self.queue_of(&candidate.job) else { return Offer { left: BTreeMap::new() } };
+        let mut left: BTreeMap<&str, (&Worker, Room)> = self
+            .workers
+            .values()
+            .filter(|worker| worker.info.service == queue.service && usable(worker, step, now))
+            .map(|worker| (worker.info.life.as_str(), (worker, worker.free())))
+            .collect();
+        for ((name, key), claim) in &self.claims.by_unit {
+            if name == &candidate.job && *key == candidate.key {
+                continue;
+            }
+            for life in &claim.workers {
+                if let Some((_, room)) = left.get_mut(life.as_str()) {
+                    *room -= claim.each;
+                }
+            }
+        }
+        Offer { left }
+    }
+
+    /// Returns a worker for each member of a unit, or nothing while there is no room for all of them.
+    fn find(&self, now: u64, candidate: &Candidate) -> Option<Vec<String>> {
+        let job = self.jobs.get(&candidate.job)?;
+        let step = job.sub.steps.get(candidate.key.step as usize)?;
+        let unit = job.units.get(&candidate.key)?;
+        let mut offer = self.offer(now, candidate, step);
+        self.limit_per_worker(&mut offer, candidate, step);
+        let patience = step.estimate_ms.max(LEAST_ESTIMATE_MS) * NEAR_WAIT_MILLI / 1_000;
+        let patient = now < unit.since + patience;
+        if unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang) {
+            let others = offer.left.keys().any(|life| !unit.failed_on.iter().any(|failed| failed == life));
+            if others {
+                offer.left.retain(|life, _| !unit.failed_on.iter().any(|failed| failed == life));
+            }
+        }
+        if step.gang { find_gang(&offer, step, patient) } else { find_single(&offer, step, patient) }
+    }
+
+    /// Leaves only room for as many more subtasks of a step as its limit per worker allows.
+    fn limit_per_worker(&self, offer: &mut Offer<'_>, candidate: &Candidate, step: &Step) {
+        let Some(most) = step.most_per_worker else { return };
+        let (occurrence, number) = (candidate.key.occurrence, candidate.key.step);
+        offer.left.retain(|_, (worker, _)| {
+            let same = worker.placed.iter().filter(|(task, _)| {
+                task.job == candidate.job && task.occurrence == occurrence && task.step == number
+            });
+            (same.count() as u32) < most
+        });
+    }
+}
+
+/// Returns whether a worker may take new work of a step at all.
+pub fn usable(worker: &Worker, step: &Step, now: u64) -> bool {
+    !worker.info.draining
+        && worker.out_until <= now
+        && worker.heard_at + HEARD_WITHIN_MS >= now
+        && step.label.as_deref().is_none_or(|label| worker.has_label(label))
+}
+
+fn find_single(offer: &Offer<'_>, step: &Step, patient: bool) -> Option<Vec<String>> {
+    let need = step.counted();
+    let fits = offer.left.iter().filter(|(_, (_, room))| room.holds(&need));
+    let near = |worker: &Worker| step.near.as_deref().is_none_or(|rack| worker.has_label(rack));
+    let best = fits.min_by_key(|(_, (worker, room))| (!near(worker), left_over(room, &need, worker)))?;
+    // Only a rack with workers of its own is worth waiting for.
+    let near_exists = offer.left.values().any(|(worker, _)| near(worker));
+    if patient && near_exists && !near(best.1.0) {
+        return None;
+    }
+    Some(vec![(*best.0).to_owned()])
+}
+
+/// Returns the room that would be left, accelerators first: the tightest fit keeps whole workers whole.
+fn left_over(room: &Room, need: &Room, worker: &Worker) -> (i64, i64) {
+    let mut rest = *room;
+    rest -= *need;
+    let idle = i64::from(worker.used == Room::default());
+    match need.accelerators {
+        0 => (rest.accelerators + idle, rest.millicores),
+        _ => (rest.accelerators, rest.millicores),
+    }
+}
+
+fn find_gang(offer: &Offer<'_>, step: &Step, patient: bool) -> Option<Vec<String>> {
+    let mut racks: BTreeMap<&str, Vec<(&Worker, Room)>> = BTreeMap::new();
+    for (worker, room) in offer.left.values() {
+        racks.entry(worker.rack()).or_default().push((worker, *room));
+    }
+    let near = |rack: &str| step.near.as_deref().is_none_or(|wanted| wanted == rack);
+    let within = racks.iter().filter_map(|(rack, workers)| {
+        let lives = fill(workers, step)?;
+        let rest: i64 = workers.iter().map(|(_, room)| room.accelerators).sum();
+        Some(((!near(rack), rest), lives))
+    });
+    if let Some((_, lives)) = within.min_by_key(|(order, _)| *order) {
+        return Some(lives);
+    }
+    let possible = |workers: &Vec<(&Worker, Room)>| {
+        let empty: Vec<_> = workers.iter().map(|(worker, _)| (*worker, worker.info.capacity)).collect();
+        fill(&empty, step).is_some()
+    };
+    if step.one_rack && (patient || racks.values().any(possible)) {
+        return None;
+    }
+    let all: Vec<(&Worker, Room)> = offer.left.values().copied().collect();
+    fill(&all, step)
+}
+
+/// Returns a worker for each member of a gang, the tightest fits first, or nothing if they don't all fit.
+pub fn fill(workers: &[(&Worker, Room)], step: &Step) -> Option<Vec<String>> {
+    let need = step.counted();
+    let most = step.most_per_worker.map_or(i64::MAX, i64::from);
+    let mut order: Vec<_> = workers.iter().filter(|(_, room)| room.holds(&need)).collect();
+    order.sort_by_key(|(worker, room)| (room.accelerators, room.millicores, worker.info.life.clone()));
+    let mut lives = Vec::new();
+    for (worker, room) in order {
+        let wanted = i64::from(step.count) - lives.len() as i64;
+        let here = room.copies_of(&need).min(most).min(wanted);
+        lives.extend((0..here).map(|_| worker.info.life.clone()));
+    }
+    (lives.len() == step.count as usize).then_some(lives)
+}
--- /dev/null
+++ b/crates/fleet/src/preempt.rs
@@ -0,0 +1,133 @@
+//! Preemption: which runs give way to an urgent unit, so that the least work is thrown away.
+//!
+//! Answers a burst of urgent gangs while others fill the fleet: room has to be there within the bound of a
+//! guarantee, and every stop throws away what was not saved.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::place::{Candidate, fill};
+use crate::planner::Planner;
+use crate::room::Room;
+use crate::unit::{UnitKey, Where};
+use crate::worker::Worker;
+
+/// Part of a run in percent after which it is left to end: stopping it frees the room hardly earlier.
+const NEARLY_DONE_PERCENT: u64 = 85;
+
+/// A placed unit that may give way.
+struct Victim {
+    job: String,
+    key: UnitKey,
+    /// Work that would be thrown away, in millicore-milliseconds.
+    lost: i64,
+    /// Room that it takes on each worker.
+    on: BTreeMap<String, Room>,
+}
+
+/// Ends runs that are less urgent than a unit until it fits, and keeps the room for it.
+pub fn make_room(planner: &mut Planner, now: u64, candidate: &Candidate) {
+    let Some(job) = planner.jobs.get(&candidate.job) else { return };
+    let Some(step) = job.sub.steps.get(candidate.key.step as usize).cloned() else { return };
+    let victims = victims(planner, now, candidate);
+    let offer = planner.offer(now, candidate, &step);
+    let mut groups: BTreeMap<&str, Vec<(&Worker, Room)>> = BTreeMap::new();
+    for (worker, room) in offer.left.values() {
+        let group = if step.one_rack { worker.rack() } else { "" };
+        groups.entry(group).or_default().push((worker, *room));
+    }
+    let plans = groups.values().filter_map(|workers| choose(workers, &victims, &step));
+    let Some((_, chosen, lives)) = plans.min_by_key(|(cost, _, _)| *cost) else { return };
+    let ends: Vec<(String, UnitKey)> =
+        chosen.iter().map(|at| (victims[*at].job.clone(), victims[*at].key)).collect();
+    planner.claims.insert(&candidate.job, candidate.key, lives, step.counted(), now);
+    let why = format!("room for {}", candidate.job);
+    for (name, key) in ends {
+        planner.vacate(now, &name, key, &why);
+    }
+}
+
+fn victims(planner: &Planner, now: u64, candidate: &Candidate) -> Vec<Victim> {
+    let mut victims = Vec::new();
+    for name in &planner.live {
+        let Some(job) = planner.jobs.get(name) else { continue };
+        let priority = planner.desired.queue(&job.sub.queue).map_or(u32::MAX, |queue| queue.priority);
+        if priority <= candidate.priority {
+            continue;
+        }
+        for (key, unit) in &job.units {
+            let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
+            if unit.at != Where::Placed && unit.at != Where::Ending {
+                continue;
+            }
+            let percent = unit.members.iter().map(|member| member.percent).max().unwrap_or(0);
+            if unit.at == Where::Placed && percent >= NEARLY_DONE_PERCENT && !step.lasting {
+                continue;
+            }
+            let mut on: BTreeMap<String, Room> = BTreeMap::new();
+            for member in unit.members.iter().filter(|member| !member.gone) {
+                *on.entry(member.worker.clone()).or_default() += step.counted();
+            }
+            let ran_ms = now.saturating_sub(unit.since) as i64;
+            let weight = step.room.weight() * unit.members.len() as i64;
+            let lost = match unit.at {
+                // What is being ended anyway costs nothing more.
+                Where::Ending => 0,
+                _ if step.saves || step.lasting => weight * ran_ms.min(500) / 2,
+                _ => weight * ran_ms,
+            };
+            victims.push(Victim { job: name.clone(), key: *key, lost, on });
+        }
+    }
+    victims
+}
+
+/// Returns the cheapest found set of victims in a group of workers, its cost, and the workers of the members.
+fn choose(
+    workers: &[(&Worker, Room)],
+    victims: &[Victim],
+    step: &crate::job::Step,
+) -> Option<(i64, Vec<usize>, Vec<String>)> {
+    let names: BTreeSet<&str> = workers.iter().map(|(worker, _)| worker.info.life.as_str()).collect();
+    let mut order: Vec<usize> = (0..victims.len())
+        .filter(|at| victims[*at].on.keys().any(|life| names.contains(life.as_str())))
+        .collect();
+    order.sort_by_key(|at| {
+        let victim = &victims[*at];
+        let here = victim.on.iter().filter(|(life, _)| names.contains(life.as_str()));
+        let freed: i64 = here.map(|(_, room)| room.weight()).sum();
+        // Loss for each core freed here; a gang that lies elsewhere too costs all of its work.
+        victim.lost / freed.max(1)
+    });
+    let free_with = |chosen: &[usize]| -> Vec<(&Worker, Room)> {
+        let mut free = workers.to_vec();
+        for (worker, room) in &mut free {
+            for at in chosen {
+                if let Some(more) = victims[*at].on.get(&worker.info.life) {
+                    *room += *more;
+                }
+            }
+        }
+        free
+    };
+    let mut chosen = Vec::new();
+    let mut fits = fill(&free_with(&chosen), step);
+    for at in order {
+        if fits.is_some() {
+            break;
+        }
+        chosen.push(at);
+        fits = fill(&free_with(&chosen), step);
+    }
+    let mut lives = fits?;
+    // The dearest that turned out not to be needed stay.
+    let mut by_cost = chosen.clone();
+    by_cost.sort_by_key(|at| std::cmp::Reverse(victims[*at].lost));
+    for at in by_cost {
+        let fewer: Vec<usize> = chosen.iter().copied().filter(|other| *other != at).collect();
+        if let Some(found) = fill(&free_with(&fewer), step) {
+            (chosen, lives) = (fewer, found);
+        }
+    }
+    let cost = chosen.iter().map(|at| victims[*at].lost).sum();
+    Some((cost, chosen, lives))
+}
--- /dev/null
+++ b/crates/fleet/src/room.rs
@@ -0,0 +1,79 @@
+//! Amounts of processor, memory and accelerators.
+
+use std::ops::{AddAssign, Mul, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// Cores that one accelerator counts as when the cost of work is compared, as the users' price list has it.
+pub const CORES_PER_ACCELERATOR: i64 = 8;
+
+/// An amount of room on a worker, or what a subtask needs; negative where a worker is over its capacity.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Processor in thousandths of a core.
+    pub millicores: i64,
+    /// Memory in megabytes.
+    pub memory_mb: i64,
+    /// Whole accelerators.
+    pub accelerators: i64,
+}
+
+impl Room {
+    /// Creates an amount.
+    pub fn new(millicores: i64, memory_mb: i64, accelerators: i64) -> Self {
+        Self { millicores, memory_mb, accelerators }
+    }
+
+    /// Returns whether `other` fits into this amount.
+    pub fn holds(&self, other: &Self) -> bool {
+        self.copies_of(other) >= 1
+    }
+
+    /// Returns how many copies of `other` fit into this amount.
+    pub fn copies_of(&self, other: &Self) -> i64 {
+        let each = |have: i64, need: i64| match need {
+            0 => i64::MAX,
+            need => have.max(0) / need,
+        };
+        each(self.millicores, other.millicores)
+            .min(each(self.memory_mb, other.memory_mb))
+            .min(each(self.accelerators, other.accelerators))
+    }
+
+    /// Returns the price weight in thousandths of a core, accelerators included.
+    pub fn weight(&self) -> i64 {
+        self.millicores + self.accelerators * CORES_PER_ACCELERATOR * 1_000
+    }
+
+    /// Returns the largest share of `capacity` that this amount takes of any one resource, in thousandths.
+    pub fn share_of(&self, capacity: &Self) -> i64 {
+        let each = |have: i64, of: i64| if of > 0 { have * 1_000 / of } else { 0 };
+        each(self.millicores, capacity.millicores)
+            .max(each(self.memory_mb, capacity.memory_mb))
+            .max(each(self.accelerators, capacity.accelerators))
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, other: Self) {
+        self.millicores += other.millicores;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, other: Self) {
+        self.millicores -= other.millicores;
+        self.memory_mb -= other.memory_mb;
+        self.accelerators -= other.accelerators;
+    }
+}
+
+impl Mul<i64> for Room {
+    type Output = Self;
+
+    fn mul(self, times: i64) -> Self {
+        Self::new(self.millicores * times, self.memory_mb * times, self.accelerators * times)
+    }
+}
--- a/crates/sorrelland/src/bin/sorrellandd.rs
+++ b/crates/sorrelland/src/bin/sorrellandd.rs
@@ -13,10 +13,14 @@
 Usage:
   sorrellandd --settings FILE
   sorrellandd --check-settings FILE
+  sorrellandd --platform ROLE
+  sorrellandd --platform ROLE --check-settings FILE
 
 Options:
   --settings FILE         run the role that FILE names
   --check-settings FILE   report everything that is wrong with FILE and start nothing
+  --platform ROLE         run ROLE, entry or agent, on the users' platform, with the settings file that the
+                          variable SORRELLANDING_SETTINGS names
   --help                  print this text
   --version               print the version
 
@@ -28,6 +32,15 @@
     Version,
     Run(PathBuf),
     Check(PathBuf),
+    Platform(Role),
+    CheckPlatform(PathBuf),
+}
+
+/// A role on the users' platform.
+#[derive(Clone, Copy)]
+enum Role {
+    Entry,
+    Agent,
 }
 
 fn main() -> ExitCode {
@@ -58,23 +71,92 @@
             }
         },
         Command::Run(path) => run(&path),
+        Command::Platform(role) => run_on_platform(role),
+        Command::CheckPlatform(path) => match sorrelland_platform::Settings::load(&path) {
+            Ok(_) => {
+                println!("{}: in order", path.display());
+                ExitCode::SUCCESS
+            }
+            Err(findings) => {
+                eprintln!("{findings}");
+                ExitCode::from(2)
+            }
+        },
     }
 }
 
 fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
-    let mut command = None;
+    let (mut command, mut platform) = (None, None);
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("version") | Arg::Short('V') => return Ok(Command::Version),
+            Arg::Long("platform") => platform = Some(role(&parser.value()?.string()?)?),
             Arg::Long("settings") => command = Some(Command::Run(parser.value()?.parse()?)),
             Arg::Long("check-settings") => command = Some(Command::Check(parser.value()?.parse()?)),
             other => return Err(other.unexpected()),
         }
     }
+    if let Some(role) = platform {
+        return match command {
+            None => Ok(Command::Platform(role)),
+            Some(Command::Check(path)) => Ok(Command::CheckPlatform(path)),
+            Some(_) => Err(lexopt::Error::Custom("--platform takes its settings from the platform".into())),
+        };
+    }
     command.ok_or_else(|| lexopt::Error::Custom("--settings or --check-settings is needed".into()))
 }
 
+fn role(name: &str) -> Result<Role, lexopt::Error> {
+    match name {
+        "entry" => Ok(Role::Entry),
+        "agent" => Ok(Role::Agent),
+        other => {
+            Err(lexopt::Error::Custom(format!("--platform: {other:?} is neither entry nor agent").into()))
+        }
+    }
+}
+
+fn run_on_platform(role: Role) -> ExitCode {
+    let path = match std::env::var_os(sorrelland_platform::settings::PATH_VARIABLE) {
+        Some(path) => PathBuf::from(path),
+        None => {
+            eprintln!("sorrellandd: {} is not set", sorrelland_platform::settings::PATH_VARIABLE);
+            return ExitCode::from(2);
+        }
+    };
+    let settings = match sorrelland_platform::Settings::load(&path) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(2);
+        }
+    };
+    if let Err(e) = sorrelland_control::logging::init(log::LevelFilter::Info) {
+        eprintln!("sorrellandd: {e}");
+        return ExitCode::FAILURE;
+    }
+    // The platform's instances have a fraction of a core: more threads would only take turns.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            log::error!("event=no_runtime cause=\"{e}\"");
+            return ExitCode::FAILURE;
+        }
+    };
+    let result = match role {
+        Role::Entry => runtime.block_on(sorrelland_control::entry::run(settings)),
+        Role::Agent => runtime.block_on(sorrelland_control::agent::run(settings)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("event=failed cause=\"{e}\"");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run(path: &std::path::Path) -> ExitCode {
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -81,7 +81,12 @@
     Ok(())
 }
 
-async fn open(address: &str, key: &str) -> io::Result<Framed<TcpStream, LengthDelimitedCodec>> {
+/// Connects to `address`, proves `key`, and returns the framed connection.
+///
+/// # Errors
+///
+/// Returns why no connection could be made.
+pub async fn open(address: &str, key: &str) -> io::Result<Framed<TcpStream, LengthDelimitedCodec>> {
     let address: SocketAddr = address
         .parse()
         .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("{address}: {e}")))?;
