--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -104,6 +104,9 @@
                 job.ended_ms = read.ended_ms;
                 job.begun = read.begun;
                 job.units = read.units.into_iter().collect();
+                // Units like new ones were left out of the record.
+                let opened = job.units.keys().map(|key| key.occurrence + 1).max().unwrap_or(0);
+                (0..opened).for_each(|occurrence| job.open(occurrence));
             }
             Err(e) => findings.push(format!("{key}: {e}")),
         }
