Look at workers only when there is something to learn

Cause: a look returns at once while ends are listed that the planner has not stored, and the agent looked again at once.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -25,6 +25,9 @@
 /// Pause after a call to the worker failed, and before an order without an answer is repeated.
 const ORDER_PAUSE: Duration = Duration::from_millis(150);
 
+/// Wait for the planner to store ends before they are looked at again.
+const CONFIRM_WAIT: Duration = Duration::from_millis(400);
+
 /// Pause between checks for leases that have run out while there is nothing else to do.
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -172,9 +175,17 @@
                 if !entries.is_empty() {
                     *lock(&self.entries) = entries;
                 }
-                if lock(&self.watched).take_orders(sent, epoch, orders) {
+                let (taken, confirmed) = {
+                    let mut watched = lock(&self.watched);
+                    let before = watched.seen();
+                    (watched.take_orders(sent, epoch, orders), watched.seen() > before)
+                };
+                if taken {
                     self.orders.notify_one();
                 }
+                if confirmed {
+                    self.look.notify_one();
+                }
             }
             Ok(Wish::NotPlanner(known)) => {
                 self.office.learn(known);
@@ -331,7 +342,10 @@
                 // Something happened that the look on its way can't show.
                 () = self.look.notified() => true,
             };
-            if !done || resolves {
+            if lock(&self.watched).has_unconfirmed() {
+                // A look would return at once until the planner has stored the ends.
+                let _ = tokio::time::timeout(CONFIRM_WAIT, self.look.notified()).await;
+            } else if !done || resolves {
                 tokio::time::sleep(ORDER_PAUSE).await;
             }
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -270,6 +270,12 @@
             || self.orders.as_ref().is_some_and(|orders| !orders.starts.is_empty())
     }
 
+    /// Returns whether the worker lists ends that the planner has not stored yet; a look returns at once then.
+    pub fn has_unconfirmed(&self) -> bool {
+        let seen = self.seen();
+        self.ended.iter().any(|end| end.n > seen)
+    }
+
     /// Returns whether a run waits for a look that tells whether it was there.
     pub fn resolves(&self) -> bool {
         !self.resolving.is_empty()
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use sorrelland_fleet::Room;
 use sorrelland_fleet::desired::Desired;
+use sorrelland_fleet::job::{Step, Submission};
 use sorrelland_fleet::orders::Orders;
 use sorrelland_fleet::planner::{Planner, Timing, Verdict};
 use sorrelland_fleet::record;
@@ -259,11 +261,11 @@
                         match self.wait_stored(change, wait).await {
                             true => {
                                 log::info!(
-                                    "event=accepted job={} queue={} account={} steps={}",
+                                    "event=accepted job={} queue={} account={} {}",
                                     sub.job,
                                     sub.queue,
                                     sub.account,
-                                    sub.steps.len()
+                                    shape(&sub)
                                 );
                                 Told::Accepted
                             }
@@ -335,6 +337,32 @@
     }
 }
 
+/// Returns the shape of a job for the logs.
+fn shape(sub: &Submission) -> String {
+    let step = |step: &Step| {
+        let flags = [
+            (step.gang, "gang"),
+            (step.one_rack, "one_rack"),
+            (step.saves, "saves"),
+            (step.speculative, "speculative"),
+            (step.lasting, "lasting"),
+            (step.fills, "fills"),
+            (step.label.is_some(), "label"),
+            (step.near.is_some(), "near"),
+            (step.most_per_worker.is_some(), "spread"),
+            (step.target_ms.is_some(), "target"),
+            (!step.after.is_empty(), "after"),
+        ];
+        let flags: Vec<&str> = flags.iter().filter(|(on, _)| *on).map(|(_, name)| *name).collect();
+        let Room { millicores, memory_mb, accelerators } = step.room;
+        let (count, ms) = (step.count, step.estimate_ms);
+        format!("{count}x{millicores}m/{memory_mb}MB/{accelerators}acc~{ms}ms:{}", flags.join("+"))
+    };
+    let steps: Vec<String> = sub.steps.iter().map(step).collect();
+    let occurrences = sub.schedule.map_or(1, |schedule| schedule.occurrences);
+    format!("occurrences={occurrences} shape=\"{}\"", steps.join(","))
+}
+
 /// Returns whether two wishes ask for the same.
 fn same_wish(one: &Orders, other: &Orders) -> bool {
     let plain = |orders: &Orders| Orders { number: 0, grant_ms: 0, ..orders.clone() };
