Order by urgency, prospect and density; preempt where the gain covers the cost

Cause: urgent jobs preempted at once whatever was thrown away, and the latest start took estimates for exact.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod room;
 pub mod task;
 pub mod unit;
+pub mod value;
 pub mod worker;
 
 pub use desired::Desired;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -3,13 +3,14 @@
 //! Answers the load of the heaviest days: bursts of urgent narrow gangs, wide gangs with whole workers for each
 //! member, and broad steps of single subtasks, all at once on a fleet that is nearly full.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::job::Step;
 use crate::planner::{HEARD_WITHIN_MS, Planner};
 use crate::preempt;
 use crate::room::Room;
 use crate::unit::{UnitKey, Where};
+use crate::value::{Prospect, Times, earnable, work_core_s};
 use crate::worker::Worker;
 
 /// Time for which room that is being vacated is kept for the unit it was vacated for, in milliseconds: a stop, its
@@ -66,10 +67,18 @@
     pub key: UnitKey,
     /// Urgency of its queue; 0 comes first.
     pub priority: u32,
-    /// Whether the job can still end in time, or late, or not at all: 0, 1 or 2.
-    pub lateness: u8,
-    /// Time by which it should have started, on the wall clock in milliseconds.
+    /// Whether a guarantee covers the job, so that it has to begin within a bound.
+    pub guaranteed: bool,
+    /// What can still be earned.
+    pub prospect: Prospect,
+    /// Worth of the job when it ends in time.
+    pub worth: f64,
+    /// Worth that can still be earned, for each core-second of the job.
+    pub density: f64,
+    /// Latest start that keeps the prospect, on the wall clock in milliseconds.
     pub start_by: u64,
+    /// When its turn came, on the steady clock in milliseconds.
+    pub since: u64,
 }
 
 /// Room left on the workers that may be used, while a pass goes on.
@@ -79,7 +88,7 @@
 }
 
 impl Planner {
-    /// Places what waits, the most urgent first, and vacates room for what cannot wait.
+    /// Places what waits, the most urgent first, and vacates room for what is worth it.
     pub fn place_all(&mut self, now: u64, wall: u64) {
         let jobs = &self.jobs;
         self.claims.expire(now, |name, key| {
@@ -91,38 +100,72 @@
             if let Some(lives) = self.find(now, &candidate) {
                 self.claims.remove(name, key);
                 self.place(now, name, key, &lives);
-            } else if candidate.priority == 0 && !self.claims.has(name, key) {
-                preempt::make_room(self, now, &candidate);
+            } else if !self.claims.has(name, key) {
+                preempt::make_room(self, now, wall, &candidate);
             }
         }
     }
 
     /// Returns the units that wait and whose turn has come, in the order in which they are placed.
     pub fn candidates(&self, wall: u64) -> Vec<Candidate> {
+        let covered = self.covered_by_guarantees();
         let mut candidates = Vec::new();
         for name in &self.live {
             let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
             let Some(queue) = self.desired.queue(&job.sub.queue) else { continue };
+            let work = work_core_s(&job.sub).max(1.0);
+            let worth = self.mean_work(&job.sub.queue).worth(queue.priority, work);
             for (key, unit) in &job.units {
                 if unit.at != Where::Waiting || !job.turn_has_come(*key, wall) {
                     continue;
                 }
                 let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
-                let from = job.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
-                let target = job.chain_ms() * queue.stretch_milli / 1_000 + queue.full_value_ms;
-                let rest = job.chain_from_ms(key.step);
-                let in_time = (from + target).saturating_sub(rest);
-                let late = (from + 3 * target).saturating_sub(rest);
-                let lateness = u8::from(wall > in_time) + u8::from(wall > late);
-                let priority = if step.fills { u32::MAX } else { queue.priority };
-                let start_by = if lateness == 0 { in_time } else { late };
-                candidates.push(Candidate { job: name.clone(), key: *key, priority, lateness, start_by });
+                let times = Times::new(job, queue, *key);
+                let prospect = times.prospect(wall);
+                candidates.push(Candidate {
+                    job: name.clone(),
+                    key: *key,
+                    priority: if step.fills { u32::MAX } else { queue.priority },
+                    guaranteed: queue.priority == 0 && covered.contains(name.as_str()),
+                    prospect,
+                    worth,
+                    density: earnable(worth, prospect) / work,
+                    start_by: if prospect == Prospect::InTime { times.in_time } else { times.late },
+                    since: unit.since,
+                });
             }
         }
-        candidates.sort_by_key(|c| (c.lateness == 2, c.priority, c.lateness, c.start_by, c.key));
+        candidates.sort_by(|one, other| {
+            let first = |c: &Candidate| (!c.guaranteed, c.prospect == Prospect::Worthless, c.priority, c.prospect);
+            first(one)
+                .cmp(&first(other))
+                .then(other.density.total_cmp(&one.density))
+                .then(one.start_by.cmp(&other.start_by))
+                .then(one.key.cmp(&other.key))
+        });
         candidates
     }
 
+    /// Returns the urgent jobs whose account needs no more accelerators for all of them than its guarantee has.
+    fn covered_by_guarantees(&self) -> BTreeSet<&str> {
+        let mut by_account: BTreeMap<&str, (i64, Vec<&str>)> = BTreeMap::new();
+        for name in &self.live {
+            let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
+            if self.desired.queue(&job.sub.queue).is_none_or(|queue| queue.priority != 0) {
+                continue;
+            }
+            let need = job.sub.steps.iter().map(|step| step.room.accelerators * i64::from(step.count)).max();
+            let account = by_account.entry(&job.sub.account).or_default();
+            account.0 += need.unwrap_or(0);
+            account.1.push(name);
+        }
+        let within = |account: &&str, need: i64| {
+            self.desired.accounts.get(*account).is_some_and(|own| need <= own.guaranteed_accelerators)
+        };
+        let covered = by_account.iter().filter(|(account, (need, _))| within(account, *need));
+        covered.flat_map(|(_, (_, names))| names.iter().copied()).collect()
+    }
+
     /// Returns the workers that may take a step of a job now, with the room that no claim of others keeps.
     pub fn offer<'a>(&'a self, now: u64, candidate: &Candidate, step: &Step) -> Offer<'a> {
         let Some(queue) = self.queue_of(&candidate.job) else { return Offer { left: BTreeMap::new() } };
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -13,6 +13,7 @@
 use crate::room::Room;
 use crate::task::Task;
 use crate::unit::{Unit, UnitKey, Where};
+use crate::value::{MeanWork, work_core_s};
 use crate::worker::Worker;
 
 /// Lives of agents and workers that are remembered as over; enough for years of restarts in one reign.
@@ -73,6 +74,7 @@
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) workers: BTreeMap<String, Worker>,
     pub(crate) claims: Claims,
+    pub(crate) mean_work: BTreeMap<String, MeanWork>,
     agents: BTreeMap<String, Agent>,
     past_agents: BTreeSet<u64>,
     past_workers: BTreeSet<String>,
@@ -115,6 +117,7 @@
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             workers: BTreeMap::new(),
             claims: Claims::default(),
+            mean_work: BTreeMap::new(),
             agents: BTreeMap::new(),
             past_agents: BTreeSet::new(),
             past_workers: BTreeSet::new(),
@@ -212,6 +215,7 @@
         if let Err(refusal) = admit::admit(self, now, sub) {
             return Verdict::Refused { why: refusal.why, retry_after_ms: refusal.retry_after_ms };
         }
+        self.mean_work.entry(sub.queue.clone()).or_default().note(work_core_s(sub));
         let mut job = new_job(sub.clone(), wall);
         job.accepted_in = self.change;
         self.jobs.insert(sub.job.clone(), job);
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -9,26 +9,34 @@
 use crate::planner::Planner;
 use crate::room::Room;
 use crate::unit::{UnitKey, Where};
+use crate::value::{Prospect, earnable};
 use crate::worker::Worker;
 
 /// Part of a run in percent after which it is left to end: stopping it frees the room hardly earlier.
 const NEARLY_DONE_PERCENT: u64 = 85;
 
+/// Part of the bound of a guarantee that is kept for storing, orders and a lost answer, in milliseconds.
+const RECLAIM_MARGIN_MS: u64 = 900;
+
+/// Time before the latest start at which room is made, in milliseconds; before that it may come free by itself.
+const DECIDE_BEFORE_MS: u64 = 500;
+
 /// A placed unit that may give way.
 struct Victim {
     job: String,
     key: UnitKey,
-    /// Work that would be thrown away, in millicore-milliseconds.
-    lost: i64,
+    /// What ending its run costs, in worth.
+    lost: f64,
     /// Room that it takes on each worker.
     on: BTreeMap<String, Room>,
 }
 
 /// Ends runs that are less urgent than a unit until it fits, and keeps the room for it.
-pub fn make_room(planner: &mut Planner, now: u64, candidate: &Candidate) {
+pub fn make_room(planner: &mut Planner, now: u64, wall: u64, candidate: &Candidate) {
+    let Some(gain) = gain(planner, now, wall, candidate) else { return };
     let Some(job) = planner.jobs.get(&candidate.job) else { return };
     let Some(step) = job.sub.steps.get(candidate.key.step as usize).cloned() else { return };
-    let victims = victims(planner, now, candidate);
+    let victims = victims(planner, now, wall, candidate);
     let offer = planner.offer(now, candidate, &step);
     let mut groups: BTreeMap<&str, Vec<(&Worker, Room)>> = BTreeMap::new();
     for (worker, room) in offer.left.values() {
@@ -36,7 +44,10 @@
         groups.entry(group).or_default().push((worker, *room));
     }
     let plans = groups.values().filter_map(|workers| choose(workers, &victims, &step));
-    let Some((_, chosen, lives)) = plans.min_by_key(|(cost, _, _)| *cost) else { return };
+    let Some((cost, chosen, lives)) = plans.min_by(|one, other| one.0.total_cmp(&other.0)) else { return };
+    if cost > gain {
+        return;
+    }
     let ends: Vec<(String, UnitKey)> =
         chosen.iter().map(|at| (victims[*at].job.clone(), victims[*at].key)).collect();
     planner.claims.insert(&candidate.job, candidate.key, lives, step.counted(), now);
@@ -46,7 +57,26 @@
     }
 }
 
-fn victims(planner: &Planner, now: u64, candidate: &Candidate) -> Vec<Victim> {
+/// Returns the most that room for a unit may cost now, in worth; `None` while it can wait.
+fn gain(planner: &Planner, now: u64, wall: u64, candidate: &Candidate) -> Option<f64> {
+    if candidate.guaranteed {
+        // A guarantee holds whatever it costs; until its bound is near, only what waiting would lose counts.
+        let waited = now.saturating_sub(candidate.since);
+        let bound = planner.timing.reclaim_ms.saturating_sub(planner.timing.stop_ms + RECLAIM_MARGIN_MS);
+        if waited >= bound {
+            return Some(f64::INFINITY);
+        }
+    }
+    let near = wall + planner.timing.stop_ms + DECIDE_BEFORE_MS >= candidate.start_by;
+    let now_worth = earnable(candidate.worth, candidate.prospect);
+    let later = match candidate.prospect {
+        Prospect::InTime => earnable(candidate.worth, Prospect::Late),
+        Prospect::Late | Prospect::Worthless => 0.0,
+    };
+    (near && now_worth > later).then_some(now_worth - later)
+}
+
+fn victims(planner: &Planner, now: u64, wall: u64, candidate: &Candidate) -> Vec<Victim> {
     let mut victims = Vec::new();
     for name in &planner.live {
         let Some(job) = planner.jobs.get(name) else { continue };
@@ -67,14 +97,7 @@
             for member in unit.members.iter().filter(|member| !member.gone) {
                 *on.entry(member.worker.clone()).or_default() += step.counted();
             }
-            let ran_ms = now.saturating_sub(unit.since) as i64;
-            let weight = step.room.weight() * unit.members.len() as i64;
-            let lost = match unit.at {
-                // What is being ended anyway costs nothing more.
-                Where::Ending => 0,
-                _ if step.saves || step.lasting => weight * ran_ms.min(500) / 2,
-                _ => weight * ran_ms,
-            };
+            let lost = planner.cost_of_stop(now, wall, job, *key, unit);
             victims.push(Victim { job: name.clone(), key: *key, lost, on });
         }
     }
@@ -86,18 +109,19 @@
     workers: &[(&Worker, Room)],
     victims: &[Victim],
     step: &crate::job::Step,
-) -> Option<(i64, Vec<usize>, Vec<String>)> {
+) -> Option<(f64, Vec<usize>, Vec<String>)> {
     let names: BTreeSet<&str> = workers.iter().map(|(worker, _)| worker.info.life.as_str()).collect();
     let mut order: Vec<usize> = (0..victims.len())
         .filter(|at| victims[*at].on.keys().any(|life| names.contains(life.as_str())))
         .collect();
-    order.sort_by_key(|at| {
+    // Loss for each core freed here; a gang that lies elsewhere too costs all of its work.
+    let per_core = |at: &usize| {
         let victim = &victims[*at];
         let here = victim.on.iter().filter(|(life, _)| names.contains(life.as_str()));
         let freed: i64 = here.map(|(_, room)| room.weight()).sum();
-        // Loss for each core freed here; a gang that lies elsewhere too costs all of its work.
-        victim.lost / freed.max(1)
-    });
+        victim.lost / freed.max(1) as f64
+    };
+    order.sort_by(|one, other| per_core(one).total_cmp(&per_core(other)));
     let free_with = |chosen: &[usize]| -> Vec<(&Worker, Room)> {
         let mut free = workers.to_vec();
         for (worker, room) in &mut free {
@@ -121,7 +145,7 @@
     let mut lives = fits?;
     // The dearest that turned out not to be needed stay.
     let mut by_cost = chosen.clone();
-    by_cost.sort_by_key(|at| std::cmp::Reverse(victims[*at].lost));
+    by_cost.sort_by(|one, other| victims[*other].lost.total_cmp(&victims[*one].lost));
     for at in by_cost {
         let fewer: Vec<usize> = chosen.iter().copied().filter(|other| *other != at).collect();
         if let Some(found) = fill(&free_with(&fewer), step) {
