Keep accelerators free for urgent jobs while others can wait

Cause: an urgent job that has to vacate room loses a stop of 400 to 900 ms of the 1.5 s that it can spare.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -21,6 +21,13 @@
 /// there it takes several times as long.
 const NEAR_WAIT_MILLI: u64 = 1_000;
 
+/// Share of a service's accelerators that is kept free for urgent jobs while others can wait, in thousandths: a stop
+/// takes most of the time that an urgent job has to spare.
+const RESERVE_MILLI: i64 = 150;
+
+/// Time before its latest start from which a unit may use the reserve, in milliseconds.
+const RESERVE_SLACK_MS: u64 = 1_000;
+
 /// Time left before a draining worker goes that a start there must not count on, in milliseconds.
 const LEAST_ESTIMATE_MS: u64 = 1;
 
@@ -97,7 +104,7 @@
         });
         for candidate in self.candidates(wall) {
             let (name, key) = (&candidate.job, candidate.key);
-            if let Some(lives) = self.find(now, &candidate) {
+            if let Some(lives) = self.find(now, wall, &candidate) {
                 self.claims.remove(name, key);
                 self.place(now, name, key, &lives);
             } else if !self.claims.has(name, key) {
@@ -136,7 +143,8 @@
             }
         }
         candidates.sort_by(|one, other| {
-            let first = |c: &Candidate| (!c.guaranteed, c.prospect == Prospect::Worthless, c.priority, c.prospect);
+            let first =
+                |c: &Candidate| (!c.guaranteed, c.prospect == Prospect::Worthless, c.priority, c.prospect);
             first(one)
                 .cmp(&first(other))
                 .then(other.density.total_cmp(&one.density))
@@ -189,10 +197,13 @@
     }
 
     /// Returns a worker for each member of a unit, or nothing while there is no room for all of them.
-    fn find(&self, now: u64, candidate: &Candidate) -> Option<Vec<String>> {
+    fn find(&self, now: u64, wall: u64, candidate: &Candidate) -> Option<Vec<String>> {
         let job = self.jobs.get(&candidate.job)?;
         let step = job.sub.steps.get(candidate.key.step as usize)?;
         let unit = job.units.get(&candidate.key)?;
+        if self.leaves_no_reserve(now, wall, candidate, step) {
+            return None;
+        }
         let mut offer = self.offer(now, candidate, step);
         self.limit_per_worker(&mut offer, candidate, step);
         let patience = step.estimate_ms.max(LEAST_ESTIMATE_MS) * NEAR_WAIT_MILLI / 1_000;
@@ -206,6 +217,20 @@
         if step.gang { find_gang(&offer, step, patient) } else { find_single(&offer, step, patient) }
     }
 
+    /// Returns whether a unit that can still wait would take accelerators that are kept free for urgent jobs.
+    fn leaves_no_reserve(&self, now: u64, wall: u64, candidate: &Candidate, step: &Step) -> bool {
+        if candidate.priority == 0 || wall + RESERVE_SLACK_MS >= candidate.start_by {
+            return false;
+        }
+        let Some(queue) = self.queue_of(&candidate.job) else { return false };
+        let workers = || self.workers.values().filter(|worker| worker.info.service == queue.service);
+        let all: i64 = workers().map(|worker| worker.info.capacity.accelerators).sum();
+        let free = workers().filter(|worker| usable(worker, &Step::default(), now));
+        let free: i64 = free.map(|worker| worker.free().accelerators.max(0)).sum();
+        let members = if step.gang { i64::from(step.count) } else { 1 };
+        free - step.counted().accelerators * members < all * RESERVE_MILLI / 1_000
+    }
+
     /// Leaves only room for as many more subtasks of a step as its limit per worker allows.
     fn limit_per_worker(&self, offer: &mut Offer<'_>, candidate: &Candidate, step: &Step) {
         let Some(most) = step.most_per_worker else { return };
