--- /dev/null
+++ b/crates/emul/src/args.rs
@@ -0,0 +1,80 @@
+//! Command line of the emulator.
+
+use lexopt::{Arg, ValueExt};
+
+use crate::load::{Load, by_name};
+
+/// Help text.
+pub const HELP: &str = "\
+sorrelland-emul - plays a deployment's load over emulated workers in virtual time
+
+Usage:
+  sorrelland-emul [OPTIONS]
+
+Options:
+  --load NAME       hpms or cmsc (default hpms)
+  --seed N          first seed (default 1)
+  --seeds N         number of seeds (default 20)
+  --workers N       workers (default 11)
+  --seconds N       time with arrivals (default 60)
+  --rate X          multiple of the load's rates (default 1)
+  --faults X        faults a minute (default 0)
+  --help            print this text
+
+Exit status: 0 nothing was violated, 1 something was, 2 wrong usage
+";
+
+/// What the command line asks for.
+pub enum Command {
+    /// Print the help text.
+    Help,
+    /// Play.
+    Play(Options),
+}
+
+/// Options of a play.
+pub struct Options {
+    /// Load.
+    pub load: Load,
+    /// First seed.
+    pub seed: u64,
+    /// Number of seeds.
+    pub seeds: u64,
+    /// Workers.
+    pub workers: usize,
+    /// Time with arrivals, in seconds.
+    pub seconds: u64,
+    /// Multiple of the load's rates.
+    pub rate: f64,
+    /// Faults a minute.
+    pub faults: f64,
+}
+
+/// Parses the command line.
+///
+/// # Errors
+///
+/// Returns what is wrong with it.
+pub fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let (mut load, mut seed, mut seeds, mut workers) = ("hpms".to_owned(), 1, 20, 11);
+    let (mut seconds, mut rate, mut faults) = (60, 1.0, 0.0);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
+            Arg::Long("load") => load = parser.value()?.string()?,
+            Arg::Long("seed") => seed = parser.value()?.parse()?,
+            Arg::Long("seeds") => seeds = parser.value()?.parse()?,
+            Arg::Long("workers") => workers = parser.value()?.parse()?,
+            Arg::Long("seconds") => seconds = parser.value()?.parse()?,
+            Arg::Long("rate") => rate = parser.value()?.parse()?,
+            Arg::Long("faults") => faults = parser.value()?.parse()?,
+            other => return Err(other.unexpected()),
+        }
+    }
+    let known = by_name(&load);
+    let load = known.ok_or_else(|| lexopt::Error::Custom(format!("--load: {load:?} is not known").into()))?;
+    if workers == 0 || seeds == 0 {
+        return Err(lexopt::Error::Custom("--workers and --seeds: at least 1 is needed".into()));
+    }
+    Ok(Command::Play(Options { load, seed, seeds, workers, seconds, rate, faults }))
+}
--- a/crates/sorrelland/tests/common/mod.rs
+++ b/crates/sorrelland/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod history;
+pub mod platform;
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -71,6 +72,16 @@
         site
     }
 
+    /// Returns an address of the site's own network.
+    pub fn address(&self, host: usize, port: u16) -> String {
+        format!("{}.{host}:{port}", self.net)
+    }
+
+    /// Returns the folder of the site's files.
+    pub fn dir(&self) -> &std::path::Path {
+        &self.dir
+    }
+
     pub fn log(&self) -> String {
         format!("{}.1:7000", self.net)
     }
@@ -144,11 +155,17 @@
     }
 
     fn spawn(&mut self, name: &str, program: &str, args: &[&str]) {
+        self.spawn_with(name, program, args, &[]);
+    }
+
+    /// Starts a program with further variables; what it prints goes into a file of its name.
+    pub fn spawn_with(&mut self, name: &str, program: &str, args: &[&str], variables: &[(&str, &str)]) {
         let log = fs::OpenOptions::new().create(true).append(true).open(self.dir.join(format!("{name}.log")));
         let child = Command::new(program)
             .args(args)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.as_ref().unwrap().try_clone().unwrap())
             .stderr(log.unwrap())
             .spawn()
             .unwrap();
--- /dev/null
+++ b/crates/sorrelland/tests/platform.rs
@@ -0,0 +1,220 @@
+//! The whole path on the users' platform, as separate processes on loopback, and what must hold while they fail.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::eventually;
+use common::platform::{CANCEL_BOUND, KEY, PREFIX, Platform, RECOVERY_BOUND, step};
+use http::Method;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+fn job(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+#[tokio::test]
+async fn path_serves_steps_gangs_and_bad_input() {
+    let platform = Platform::start(2, 3).await;
+    let mut gang = step(2);
+    gang["gang_scheduled"] = json!(true);
+    let mut after = step(3);
+    after["after"] = json!([0]);
+    assert_eq!(platform.submit(1, &job(1), json!([gang, after]), "run_ms=200").await, 200);
+    // The same name is the same job, at any entry.
+    assert_eq!(platform.submit(2, &job(1), json!([step(1)]), "run_ms=200").await, 200);
+    platform.await_state(&job(1), "completed", Duration::from_secs(10)).await;
+    let starts = platform.history().await;
+    let starts = starts.iter().filter(|event| event.0 == "start" && event.1.starts_with(&job(1)));
+    assert_eq!(starts.count(), 5);
+    platform.assert_run_once().await;
+
+    let get = async |path: &str, key: &str| platform.call(1, Method::GET, path, key, &Value::Null).await;
+    assert_eq!(get(&format!("{PREFIX}{}", job(9)), KEY).await.0, 410);
+    assert_eq!(get(&format!("{PREFIX}{}", job(1)), "other").await.0, 401);
+    assert_eq!(get("/elsewhere/", KEY).await.0, 404);
+    assert_eq!(get(PREFIX, KEY).await, (200, json!({"pending": 0})));
+    assert_eq!(platform.submit(1, "short", json!([step(1)]), "").await, 400);
+    assert_eq!(platform.submit(1, &job(2), json!([]), "").await, 400);
+    let mut huge = step(1);
+    huge["gpu"] = json!(1_000);
+    assert_eq!(platform.submit(1, &job(3), json!([huge]), "").await, 429);
+}
+
+#[tokio::test]
+async fn path_gives_up_a_job_after_its_attempts() {
+    let platform = Platform::start(1, 2).await;
+    assert_eq!(platform.submit(1, &job(1), json!([step(1)]), "fails run_ms=50").await, 200);
+    platform.await_state(&job(1), "failed", Duration::from_secs(10)).await;
+    let failed = platform.history().await.into_iter().filter(|event| event.0 == "failed");
+    assert_eq!(failed.count(), 2);
+}
+
+#[tokio::test]
+async fn cancel_stops_what_runs_within_its_bound() {
+    let platform = Platform::start(2, 2).await;
+    assert_eq!(platform.submit(1, &job(1), json!([step(4)]), "run_ms=60000").await, 200);
+    platform.await_state(&job(1), "running", Duration::from_secs(5)).await;
+    let path = format!("{PREFIX}{}", job(1));
+    assert_eq!(platform.call(2, Method::DELETE, &path, KEY, &Value::Null).await.0, 200);
+    platform.await_state(&job(1), "cancelled", Duration::from_secs(2)).await;
+    eventually(CANCEL_BOUND, "everything is stopped", async || {
+        let events = platform.history().await;
+        let count = |what: &str| events.iter().filter(|e| e.0 == what && e.1.starts_with(&job(1))).count();
+        count("start") == count("stopped")
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn kill_planner_loses_and_doubles_nothing() {
+    let mut platform = Platform::start(3, 3).await;
+    for number in 1..=6 {
+        platform.submit_until_accepted(&job(number), &json!([step(3)]), "run_ms=1500").await;
+    }
+    let planner = platform.planner();
+    platform.site.kill(&format!("entry-{planner}"));
+    let killed = Instant::now();
+    platform.start_entry(planner);
+    platform.submit_until_accepted(&job(7), &json!([step(1)]), "run_ms=100").await;
+    assert!(killed.elapsed() < RECOVERY_BOUND, "accepted again after {:?}", killed.elapsed());
+    for number in 1..=7 {
+        platform.await_state(&job(number), "completed", Duration::from_secs(20)).await;
+    }
+    platform.assert_run_once().await;
+}
+
+#[tokio::test]
+async fn freeze_planner_is_superseded_and_orders_nothing_more() {
+    let platform = Platform::start(3, 3).await;
+    for number in 1..=4 {
+        platform.submit_until_accepted(&job(number), &json!([step(3)]), "run_ms=2500").await;
+    }
+    let planner = format!("entry-{}", platform.planner());
+    platform.site.signal(&planner, Signal::SIGSTOP);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    platform.site.signal(&planner, Signal::SIGCONT);
+    for number in 1..=4 {
+        platform.await_state(&job(number), "completed", Duration::from_secs(20)).await;
+    }
+    platform.assert_run_once().await;
+}
+
+#[tokio::test]
+async fn kill_agent_keeps_what_its_worker_runs() {
+    let mut platform = Platform::start(2, 2).await;
+    platform.submit_until_accepted(&job(1), &json!([step(6)]), "run_ms=3000").await;
+    platform.await_state(&job(1), "running", Duration::from_secs(5)).await;
+    for at in 1..=2 {
+        platform.site.kill(&format!("agent-{at}"));
+        platform.start_agent(at);
+    }
+    platform.await_state(&job(1), "completed", Duration::from_secs(15)).await;
+    let starts = platform.history().await.into_iter();
+    let starts = starts.filter(|event| event.0 == "start" && event.1.starts_with(&job(1))).count();
+    assert_eq!(starts, 6, "a short absence of agents costs no work");
+}
+
+#[tokio::test]
+async fn lose_worker_starts_its_work_elsewhere() {
+    let mut platform = Platform::start(2, 3).await;
+    platform.submit_until_accepted(&job(1), &json!([step(20)]), "run_ms=1500").await;
+    platform.await_state(&job(1), "running", Duration::from_secs(5)).await;
+    platform.site.kill("worker-1");
+    platform.start_worker(1, 2);
+    platform.await_state(&job(1), "completed", Duration::from_secs(20)).await;
+}
+
+#[tokio::test]
+async fn store_down_refuses_nothing_falsely_and_recovers() {
+    let platform = Platform::start(2, 2).await;
+    platform.submit_until_accepted(&job(1), &json!([step(2)]), "run_ms=3000").await;
+    platform.store_faults(json!({"down": true})).await;
+    let status = platform.submit(1, &job(2), json!([step(1)]), "run_ms=100").await;
+    // The job is with the planner and may be stored yet: only "unknown" is true.
+    assert!(matches!(status, 504 | 0), "{status}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.store_faults(json!({})).await;
+    platform.submit_until_accepted(&job(2), &json!([step(1)]), "run_ms=100").await;
+    for number in 1..=2 {
+        platform.await_state(&job(number), "completed", Duration::from_secs(15)).await;
+    }
+    platform.assert_run_once().await;
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_double_nothing() {
+    let platform = Platform::start(2, 2).await;
+    platform.store_faults(json!({"lose_every": 3})).await;
+    for number in 1..=5 {
+        platform.submit_until_accepted(&job(number), &json!([step(2)]), "run_ms=100").await;
+    }
+    platform.store_faults(json!({})).await;
+    for number in 1..=5 {
+        platform.await_state(&job(number), "completed", Duration::from_secs(20)).await;
+    }
+    platform.assert_run_once().await;
+}
+
+#[tokio::test]
+async fn everything_killed_is_back_within_the_bound() {
+    let mut platform = Platform::start(2, 2).await;
+    platform.submit_until_accepted(&job(1), &json!([step(4)]), "run_ms=1000").await;
+    for at in 1..=2 {
+        platform.site.kill(&format!("entry-{at}"));
+        platform.site.kill(&format!("agent-{at}"));
+    }
+    let killed = Instant::now();
+    for at in 1..=2 {
+        platform.start_entry(at);
+        platform.start_agent(at);
+    }
+    platform.submit_until_accepted(&job(2), &json!([step(1)]), "run_ms=100").await;
+    assert!(killed.elapsed() < RECOVERY_BOUND, "accepted again after {:?}", killed.elapsed());
+    for number in 1..=2 {
+        platform.await_state(&job(number), "completed", Duration::from_secs(20)).await;
+    }
+    platform.assert_run_once().await;
+}
+
+#[tokio::test]
+async fn desired_state_is_in_force_after_a_compaction() {
+    let platform = Platform::start(2, 1).await;
+    let url = format!("http://{}/v1/compact?topic=keyed.op", platform.store());
+    let client = sorrelland_web::Client::new(Duration::from_secs(2));
+    client.send(Method::POST, &url, &[], bytes::Bytes::new()).await.unwrap();
+    platform.publish(5, &["key-2"]).await;
+    // An older version that arrives later changes nothing.
+    platform.publish(4, &[KEY]).await;
+    let bound = Duration::from_secs(2);
+    for at in 1..=2 {
+        eventually(bound, "the new keys are in force", async || {
+            platform.call(at, Method::GET, PREFIX, KEY, &Value::Null).await.0 == 401
+                && platform.call(at, Method::GET, PREFIX, "key-2", &Value::Null).await.0 == 200
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn sigterm_hands_the_office_over_without_a_cut_request() {
+    let mut platform = Platform::start(3, 2).await;
+    platform.submit_until_accepted(&job(1), &json!([step(2)]), "run_ms=1500").await;
+    let planner = platform.planner();
+    assert!(platform.site.stop(&format!("entry-{planner}"), Duration::from_secs(6)).await);
+    let other = planner % 3 + 1;
+    let begun = Instant::now();
+    eventually(Duration::from_secs(3), "another entry plans", async || {
+        platform.submit(other, &job(2), json!([step(1)]), "run_ms=100").await == 200
+    })
+    .await;
+    assert!(begun.elapsed() < Duration::from_secs(3));
+    for number in 1..=2 {
+        eventually(Duration::from_secs(10), "job completes", async || {
+            platform.state(other, &job(number)).await == "completed"
+        })
+        .await;
+    }
+    platform.assert_run_once().await;
+}
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error, From};
 use lexopt::{Arg, ValueExt};
 
+use crate::platform_worker::Setup;
 use crate::worker::Sizes;
 
 /// Result of the command line.
@@ -17,12 +18,16 @@
 Usage:
   sorrelland-standin log [--listen IP:PORT]
   sorrelland-standin worker [--listen IP:PORT] [--name NAME] [--slots N] [--accelerators N]
+  sorrelland-standin platform-store [--listen IP:PORT]
+  sorrelland-standin platform-worker --announce IP:PORT [--listen IP:PORT] [--name NAME] [--rack NAME]
 
 Options:
   --listen IP:PORT   address to listen on; port 0 takes a free one [127.0.0.1:0]
   --name NAME        name of the worker [worker-1]
   --slots N          task slots [8]
   --accelerators N   accelerators [8]
+  --announce IP:PORT address of the agent that a platform worker announces itself to
+  --rack NAME        rack of a platform worker [r1]
   --connections N    connections of the upstream [64]
   --help             print this text
 
@@ -46,6 +51,18 @@
         /// Sizes of the worker.
         sizes: Sizes,
     },
+    /// Run a store of the users' platform.
+    PlatformStore {
+        /// Address to listen on.
+        listen: SocketAddr,
+    },
+    /// Run a worker of the users' platform.
+    PlatformWorker {
+        /// Address to listen on.
+        listen: SocketAddr,
+        /// Setup of the worker.
+        setup: Setup,
+    },
 }
 
 /// Why the command line or a server failed.
@@ -80,10 +97,13 @@
     let mut kind = None;
     let mut listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut sizes = default_sizes();
+    let (mut announce, mut rack) = (String::new(), "r1".to_owned());
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("listen") => listen = parser.value()?.parse()?,
+            Arg::Long("announce") => announce = parser.value()?.string()?,
+            Arg::Long("rack") => rack = parser.value()?.string()?,
             Arg::Long("name") => sizes.name = parser.value()?.string()?,
             Arg::Long("slots") => sizes.slots = parser.value()?.parse()?,
             Arg::Long("accelerators") => sizes.accelerators = parser.value()?.parse()?,
@@ -95,6 +115,20 @@
     match kind.as_deref() {
         Some("log") => Ok(Command::Log { listen }),
         Some("worker") => Ok(Command::Worker { listen, sizes }),
-        _ => Err(lexopt::Error::Custom("expected log or worker".into()).into()),
+        Some("platform-store") => Ok(Command::PlatformStore { listen }),
+        Some("platform-worker") if !announce.is_empty() => {
+            let capacity = (
+                i64::from(sizes.processors) * 1_000,
+                i64::from(sizes.memory_gb) * 1_024,
+                i64::from(sizes.accelerators),
+            );
+            let setup = Setup { life: sizes.name, announce, rack, capacity };
+            Ok(Command::PlatformWorker { listen, setup })
+        }
+        Some("platform-worker") => Err(lexopt::Error::Custom("--announce is needed".into()).into()),
+        _ => {
+            Err(lexopt::Error::Custom("expected log, worker, platform-store or platform-worker".into())
+                .into())
+        }
     }
 }
