Notice within the bound that a read of the desired state went silent

Cause: during a silent outage of the store the long polls of all entries went silent; a read was given up only after its wait of 10 s and 1.5 s more, so a version published 6 s after the store was back came into force 6 s late. Ruled out: the order of versions, decoding. Change: entries wait 0.8 s a read, with 0.7 s of slack; agents keep 10 s for the claims. The stand-in can go silent; the new test failed before and passes now.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -19,6 +19,9 @@
 use crate::signals::{self, stopped};
 use crate::{Error as RunError, Result, follow, lock};
 
+/// Wait of a read of the claims: agents hear of planners from entries as well, and there are many agents.
+const FOLLOW_WAIT: Duration = Duration::from_secs(10);
+
 /// Longest wait of a look for an end; also the longest time between two extensions of a lease.
 const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -95,7 +98,7 @@
     log::info!("event=started role=agent instance={} life={}", agent.settings.instance, agent.life);
     let office = agent.office.clone();
     let take = move |key: &str, value: &[u8], offset: u64| office.take(key, value, offset);
-    tokio::spawn(async move { follow::follow(&store, CLAIMS, take, |_| ()).await });
+    tokio::spawn(async move { follow::follow(&store, CLAIMS, FOLLOW_WAIT, take, |_| ()).await });
     tokio::spawn(agent.clone().run_orders());
     tokio::spawn(agent.clone().run_looks());
     tokio::spawn(agent.clone().run_reports());
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -28,6 +28,10 @@
 /// Topic and key of the desired state.
 const DESIRED: (&str, &str) = ("keyed.op", "config");
 
+/// Wait of a read of the desired state or the claims. With the slack of a read it stays below the 2 s within which a
+/// desired state has to be in force, so that a connection that has gone silent does not break the bound.
+const FOLLOW_WAIT: Duration = Duration::from_millis(800);
+
 /// Share of the platform's longest lease that a grant covers, in percent; the rest is for clocks and stops.
 const GRANT_PERCENT: u64 = 80;
 
@@ -217,7 +221,7 @@
                 self.take_desired(value, &format!("offset {offset}"));
             }
         };
-        follow::follow(&store, DESIRED.0, take, |_| ()).await;
+        follow::follow(&store, DESIRED.0, FOLLOW_WAIT, take, |_| ()).await;
     }
 
     /// Takes in a desired state; an older one, or one that can't be read, is left out.
@@ -253,7 +257,7 @@
 
     async fn follow_claims(self: Arc<Self>, store: Store) {
         let take = |key: &str, value: &[u8], offset: u64| self.office.take(key, value, offset);
-        follow::follow(&store, CLAIMS, take, |_| ()).await;
+        follow::follow(&store, CLAIMS, FOLLOW_WAIT, take, |_| ()).await;
     }
 
     async fn run_pings(self: Arc<Self>) {
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -5,17 +5,16 @@
 use sorrelland_platform::Store;
 use sorrelland_platform::store::{Error, split_keyed};
 
-/// Wait of one read for a change; the longest that does not keep a stop waiting.
-const READ_WAIT: Duration = Duration::from_secs(10);
-
 /// Pauses after a failed call, in milliseconds, growing from the first to the last.
 const PAUSE_MS: (u64, u64) = (150, 1_000);
 
 /// Hands every record of a keyed topic to `take`, the newest of each key first: key, value and offset.
+/// `wait` is the wait of one read; a read that went silent is noticed only after it.
 /// `lost` is told when the store is lost and regained.
 pub async fn follow(
     store: &Store,
     topic: &str,
+    wait: Duration,
     mut take: impl FnMut(&str, &[u8], u64),
     mut lost: impl FnMut(bool),
 ) {
@@ -33,7 +32,7 @@
                 }
                 Err(e) => Some(e),
             },
-            Some(at) => match store.read(topic, at, READ_WAIT).await {
+            Some(at) => match store.read(topic, at, wait).await {
                 Ok(read) => {
                     for (offset, raw) in (at..).zip(&read.records) {
                         match split_keyed(raw) {
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -197,6 +197,23 @@
     }
 }
 
+#[tokio::test]
+async fn desired_state_is_in_force_after_calls_went_silent() {
+    let platform = Platform::start(2, 1).await;
+    platform.store_faults(json!({"silent": true})).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.store_faults(json!({})).await;
+    // The platform counts the store as stable after this time.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    platform.publish(3, &["key-2"]).await;
+    for at in 1..=2 {
+        eventually(Duration::from_secs(2), "the new keys are in force", async || {
+            platform.call(at, Method::GET, PREFIX, KEY, &Value::Null).await.0 == 401
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn sigterm_hands_the_office_over_without_a_cut_request() {
     let mut platform = Platform::start(3, 2).await;
--- a/crates/standin/src/platform_store.rs
+++ b/crates/standin/src/platform_store.rs
@@ -40,6 +40,9 @@
     /// Every call is refused with 503.
     #[serde(default)]
     pub down: bool,
+    /// Every call that arrives or waits is never answered, even when the store is back.
+    #[serde(default)]
+    pub silent: bool,
     /// Appends are carried out and the answers withheld, one in this many; 0 for none.
     #[serde(default)]
     pub lose_every: u64,
@@ -91,6 +94,8 @@
     partitions: Mutex<BTreeMap<(String, u64), Partition>>,
     faults: Mutex<Faults>,
     appends: Mutex<u64>,
+    /// Times that the store has gone silent.
+    silences: Mutex<u64>,
     changed: Notify,
 }
 
@@ -155,6 +160,9 @@
 /// Delays an answer; returns whether the store is down.
 async fn is_down(store: &Store) -> bool {
     let faults = *lock(&store.faults);
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
     tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
     faults.down
 }
@@ -236,7 +244,11 @@
     let (store, query) = (cx.context(), query.into_inner());
     let wait = Duration::from_millis(query.wait_ms.unwrap_or(0).min(WAIT_LIMIT_MS));
     let until = tokio::time::Instant::now() + wait;
+    let silences = *lock(&store.silences);
     loop {
+        if *lock(&store.silences) != silences {
+            std::future::pending::<()>().await;
+        }
         if is_down(store).await {
             return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
@@ -292,6 +304,7 @@
 async fn set_faults(cx: RequestContext<Store>, body: TypedBody<Faults>) -> Result<HttpResponseOk<Faults>> {
     let faults = body.into_inner();
     *lock(&cx.context().faults) = faults;
+    *lock(&cx.context().silences) += u64::from(faults.silent);
     Ok(HttpResponseOk(faults))
 }
 
