Serve approvals and paces, count events, and keep a reserve only after urgent work

Cause: queues with a policy service could start nothing, subtasks that fill were never slowed for those that serve, and an idle fleet without urgent work held wide jobs back (a test with three workers showed it: a gang of the whole fleet waited).

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -6,7 +6,7 @@
 use futures::FutureExt;
 use futures::future::join_all;
 use http::{Method, StatusCode};
-use sorrelland_fleet::orders::{Start, Stop};
+use sorrelland_fleet::orders::{Pace, Start, Stop};
 use sorrelland_platform::serve::{self, Answer, Call};
 use sorrelland_platform::worker::{Error, StartOrder, Started, announcement};
 use sorrelland_platform::{Settings, Store, WorkerClient};
@@ -70,10 +70,11 @@
 /// # Errors
 ///
 /// Returns why it could not start.
-pub async fn run(settings: Settings) -> Result<()> {
+pub async fn run(settings: Settings, metrics_port: Option<u16>) -> Result<()> {
     let listen = settings.announcements.ok_or(RunError::Missing("the address for announcements"))?;
     let worker = settings.worker.ok_or(RunError::Missing("the address of the worker"))?;
     let asked = signals::listen();
+    crate::entry::serve_metrics(&settings, metrics_port)?;
     let store = Store::new(&settings.store);
     let agent = Arc::new(Agent {
         life: rand::random(),
@@ -216,12 +217,13 @@
 
     async fn run_orders(self: Arc<Self>) {
         loop {
-            let (life, starts, stops, clocked) = {
+            let (life, starts, stops, paces, clocked) = {
                 let watched = lock(&self.watched);
                 let life = watched.life().map(str::to_owned);
-                (life, watched.starts(now_ms()), watched.stops(), watched.has_clock())
+                (life, watched.starts(now_ms()), watched.stops(), watched.paces(), watched.has_clock())
             };
-            let Some(life) = life.filter(|_| !starts.is_empty() || !stops.is_empty()) else {
+            let Some(life) = life.filter(|_| !starts.is_empty() || !stops.is_empty() || !paces.is_empty())
+            else {
                 self.orders.notified().await;
                 continue;
             };
@@ -231,13 +233,14 @@
             // Stops first: what they free may be what the starts need.
             let stops = join_all(stops.iter().map(|stop| self.stop_once(&life, stop))).await;
             let starts = join_all(starts.iter().map(|start| self.start_once(&life, start))).await;
+            let paces = join_all(paces.iter().map(|pace| self.pace_once(&life, pace))).await;
             let final_answers = stops.iter().chain(&starts).any(|answered| *answered);
             if final_answers {
                 self.look.notify_one();
                 self.news.notify_one();
                 self.look_once(&life, Duration::ZERO).await;
             }
-            if stops.iter().chain(&starts).any(|answered| !*answered) {
+            if stops.iter().chain(&starts).chain(&paces).any(|answered| !*answered) {
                 tokio::time::sleep(ORDER_PAUSE).await;
             }
         }
@@ -317,6 +320,26 @@
         }
     }
 
+    /// Orders a speed share; returns whether it was answered.
+    async fn pace_once(&self, life: &str, pace: &Pace) -> bool {
+        let token = lock(&self.watched).epoch();
+        let Pace { task, run, percent } = pace;
+        match self.worker.pace(life, task, *run, *percent, token).await {
+            Ok(()) => {
+                lock(&self.watched).note_paced(life, pace);
+                true
+            }
+            Err(e) => {
+                log::warn!(
+                    "event=pace_unanswered job={} task={task} run={run} worker={life} cause=\"{e}\"",
+                    task.job
+                );
+                self.note_error(life, &e);
+                false
+            }
+        }
+    }
+
     fn note_error(&self, life: &str, error: &Error) {
         if matches!(error, Error::OtherLife) {
             log::warn!("event=worker_replaced worker={life}");
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -12,7 +12,7 @@
 use sorrelland_fleet::job::{JobState, Outcome};
 use sorrelland_fleet::planner::Timing;
 use sorrelland_platform::serve::{self, Answer, Call};
-use sorrelland_platform::{Settings, Store, desired, jobs};
+use sorrelland_platform::{Policy, Settings, Store, desired, jobs};
 use sorrelland_wire::connect::{self, CallError};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
@@ -23,7 +23,7 @@
 use crate::duty::{self, ALONE_MS, CLAIMS, Office};
 use crate::seat::Seat;
 use crate::signals::{self, stopped};
-use crate::{Error, Result, follow, lock};
+use crate::{Error, Result, follow, lock, metrics};
 
 /// Topic and key of the desired state.
 const DESIRED: (&str, &str) = ("keyed.op", "config");
@@ -92,10 +92,11 @@
 /// # Errors
 ///
 /// Returns why it could not start.
-pub async fn run(settings: Settings) -> Result<()> {
+pub async fn run(settings: Settings, metrics_port: Option<u16>) -> Result<()> {
     let callers = settings.callers.ok_or(Error::Missing("the address for callers"))?;
     let readiness = settings.readiness.ok_or(Error::Missing("the address for readiness checks"))?;
     let asked = signals::listen();
+    serve_metrics(&settings, metrics_port)?;
     let store = Store::new(&settings.store);
     let address = settings.peer_address();
     let listener = TcpListener::bind(&address).await?;
@@ -151,6 +152,18 @@
     Ok(())
 }
 
+/// Serves the metrics of a process on a port of its instance.
+///
+/// # Errors
+///
+/// Returns why the address could not be used.
+pub(crate) fn serve_metrics(settings: &Settings, port: Option<u16>) -> Result<()> {
+    let Some(port) = port else { return Ok(()) };
+    let ip = settings.ip.parse().map_err(|_| Error::Missing("an address of the instance"))?;
+    metrics::serve(std::net::SocketAddr::new(ip, port))?;
+    Ok(())
+}
+
 #[derive(Clone)]
 struct Service(Arc<Entry>);
 
@@ -243,6 +256,7 @@
         });
         if taken {
             *lock(&self.raw_desired) = value.to_vec();
+            metrics::level("desired_version", desired.version);
             log::info!(
                 "event=desired_in_force version={} queues={} accounts={} from=\"{from}\"",
                 desired.version,
@@ -317,7 +331,10 @@
             let Some(holder) = holder else { continue };
             sat = holder.epoch;
             let desired = self.desired.borrow().clone();
-            let Some(seat) = Seat::take(&store, holder, self.timing(), desired).await else { continue };
+            let policy = self.settings.policy.as_deref().map(Policy::new);
+            let Some(seat) = Seat::take(&store, policy, holder, self.timing(), desired).await else {
+                continue;
+            };
             *lock(&self.seat) = Some(seat.clone());
             // A version that came while the jobs were read.
             seat.set_desired(self.desired.borrow().clone());
@@ -368,8 +385,20 @@
         }
     }
 
-    /// Answers a caller.
+    /// Answers a caller and records how long it took.
     async fn answer(self: Arc<Self>, call: Call) -> Answer {
+        let began = std::time::Instant::now();
+        let answer = self.answer_plain(&call).await;
+        let what = match call.method {
+            Method::POST => "submit",
+            Method::DELETE => "cancel",
+            _ => "ask",
+        };
+        metrics::request(what, answer.status, began);
+        answer
+    }
+
+    async fn answer_plain(&self, call: &Call) -> Answer {
         let desired = self.desired.borrow().clone();
         if desired.version == 0 {
             return Answer::new(StatusCode::SERVICE_UNAVAILABLE).with_retry_after_ms(TAKEOVER_RETRY_MS);
@@ -385,14 +414,14 @@
         };
         let job = &call.path[queue.path_prefix.len()..];
         match (&call.method, job) {
-            (&Method::GET, "") => self.pending(queue, &call).await,
+            (&Method::GET, "") => self.pending(queue, call).await,
             (_, "") => refuse(StatusCode::METHOD_NOT_ALLOWED, "a job's name is needed"),
             (_, job) if !is_job(job) => {
                 refuse(StatusCode::BAD_REQUEST, "a job's name has 16 hexadecimal digits")
             }
-            (&Method::POST, job) => self.submit(queue, &account, job, &call).await,
-            (&Method::GET, job) => self.state(job, &call).await,
-            (&Method::DELETE, job) => self.cancel(job, &call).await,
+            (&Method::POST, job) => self.submit(queue, &account, job, call).await,
+            (&Method::GET, job) => self.state(job, call).await,
+            (&Method::DELETE, job) => self.cancel(job, call).await,
             _ => refuse(StatusCode::METHOD_NOT_ALLOWED, "not possible here"),
         }
     }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sorrelland_fleet::Task;
-use sorrelland_fleet::orders::{Orders, Start, Stop};
+use sorrelland_fleet::orders::{Orders, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, Gone, Report, Running, WorkerInfo};
 use sorrelland_platform::worker::{Announcement, Listing};
 
@@ -41,6 +41,8 @@
     /// Runs that can't arrive any more, unless a look sent from then on shows them.
     resolving: BTreeMap<RunKey, (String, u64)>,
     gone: BTreeMap<RunKey, String>,
+    /// Speed shares that the worker has confirmed.
+    paced: BTreeMap<RunKey, u64>,
     listed_clock: u64,
 }
 
@@ -196,6 +198,22 @@
         self.orders.iter().flat_map(|orders| &orders.stops).filter(open).cloned().collect()
     }
 
+    /// Returns the speed shares to order now.
+    pub fn paces(&self) -> Vec<Pace> {
+        let open = |pace: &&Pace| {
+            let run = (pace.task.clone(), pace.run);
+            self.running.contains_key(&run) && self.paced.get(&run).copied().unwrap_or(100) != pace.percent
+        };
+        self.orders.iter().flat_map(|orders| &orders.paces).filter(open).cloned().collect()
+    }
+
+    /// Notes that the worker has confirmed a speed share.
+    pub fn note_paced(&mut self, life: &str, pace: &Pace) {
+        if self.life() == Some(life) {
+            self.paced.insert((pace.task.clone(), pace.run), pace.percent);
+        }
+    }
+
     /// Returns the highest end that the planner has stored.
     pub fn seen(&self) -> u64 {
         self.orders.as_ref().map_or(0, |orders| orders.seen)
@@ -234,6 +252,7 @@
         self.running = running;
         self.ended = listing.ended;
         self.started.retain(|run, at| *at >= listing.clock_ms && !self.running.contains_key(run));
+        self.paced.retain(|run, _| self.running.contains_key(run));
         let ended = |run: &RunKey| self.ended.iter().any(|end| end.task == run.0 && end.run == run.1);
         let settled: Vec<RunKey> =
             self.resolving.iter().filter(|(_, (_, at))| sent >= *at).map(|(run, _)| run.clone()).collect();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod follow;
 pub mod lease;
 pub mod logging;
+pub mod metrics;
 pub mod seat;
 pub mod signals;
 
--- a/crates/control/src/logging.rs
+++ b/crates/control/src/logging.rs
@@ -12,6 +12,8 @@
 use log4rs::encode::pattern::PatternEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 
+use crate::metrics;
+
 /// Result of setting up the logs.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -44,6 +46,9 @@
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = Vec::with_capacity(200);
         self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
+        if let Some(name) = event_name(&line) {
+            metrics::event(name);
+        }
         let suppressed = self.suppressed.swap(0, Ordering::Relaxed);
         if suppressed > 0 {
             line.extend_from_slice(
@@ -59,7 +64,13 @@
     fn flush(&self) {}
 }
 
-/// Sends logs to standard output.
+/// Returns the name of the event that a line tells.
+fn event_name(line: &[u8]) -> Option<&str> {
+    let text = std::str::from_utf8(line).ok()?;
+    text.split(" event=").nth(1)?.split_whitespace().next()
+}
+
+/// Sends logs to standard output, and counts each line by its event.
 ///
 /// # Errors
 ///
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sorrelland_fleet::Room;
 use sorrelland_fleet::desired::Desired;
@@ -11,14 +11,14 @@
 use sorrelland_fleet::planner::{Planner, Timing, Verdict};
 use sorrelland_fleet::record;
 use sorrelland_fleet::report::Report;
-use sorrelland_platform::Store;
 use sorrelland_platform::store::{Error, Writer, keyed};
+use sorrelland_platform::{Policy, Store};
 use tokio::sync::{Notify, watch};
 
 use crate::calls::{Ask, Holder, Told};
 use crate::clock::{now_ms, wall_ms};
 use crate::duty::{ALONE_MS, RENEW_EVERY, renew};
-use crate::lock;
+use crate::{lock, metrics};
 
 /// Topic of the jobs.
 const JOBS: &str = "keyed.jobs";
@@ -38,6 +38,9 @@
 /// Bytes of one append at most, below the store's limit of a call.
 const APPEND_BYTES: usize = 1_500_000;
 
+/// Wait for a question for the policy service before the office is looked at again.
+const QUESTION_WAIT: Duration = Duration::from_secs(2);
+
 /// Tries to read the jobs before the office is given back.
 const LOAD_TRIES: u32 = 20;
 
@@ -50,6 +53,8 @@
     pass: Notify,
     /// Causes an append.
     append: Notify,
+    /// Causes questions to the policy service.
+    questions: Notify,
     stored: watch::Sender<u64>,
     over: watch::Sender<bool>,
     agents: Mutex<BTreeMap<String, AgentSlot>>,
@@ -65,6 +70,7 @@
     /// Takes the office up: fences every earlier writer, then reads the jobs.
     pub async fn take(
         store: &Store,
+        policy: Option<Policy>,
         holder: Holder,
         timing: Timing,
         desired: Arc<Desired>,
@@ -77,6 +83,7 @@
             planner: Mutex::new(planner),
             pass: Notify::new(),
             append: Notify::new(),
+            questions: Notify::new(),
             stored: watch::Sender::new(0),
             over: watch::Sender::new(false),
             agents: Mutex::default(),
@@ -85,6 +92,9 @@
         tokio::spawn(seat.clone().run_passes());
         tokio::spawn(seat.clone().run_appends(store.clone(), writer));
         tokio::spawn(seat.clone().run_renewals(store.clone()));
+        if let Some(policy) = policy {
+            tokio::spawn(seat.clone().run_questions(policy));
+        }
         Some(seat)
     }
 
@@ -129,6 +139,13 @@
         let (lines, poked) = {
             let mut planner = lock(&self.planner);
             planner.tick(now_ms(), wall_ms());
+            let (heard, known) = planner.agents_heard(now_ms());
+            metrics::level("workers_heard", heard as u64);
+            metrics::level("workers_known", known as u64);
+            metrics::level("jobs_live", planner.live_jobs() as u64);
+            if planner.has_questions() {
+                self.questions.notify_one();
+            }
             (planner.take_log(), planner.take_poked())
         };
         for line in lines {
@@ -174,7 +191,10 @@
         // Set once an append may have been carried out although no answer came.
         let mut unanswered = false;
         while !self.is_over() {
-            match store.append_as(JOBS, writer, part).await {
+            let began = Instant::now();
+            let appended = store.append_as(JOBS, writer, part).await;
+            metrics::append(outcome(&appended), began);
+            match appended {
                 Ok(_) => {
                     writer.sequence += 1;
                     return true;
@@ -215,6 +235,28 @@
         }
     }
 
+    /// Asks the policy service, which answers one question after another anyway.
+    async fn run_questions(self: Arc<Self>, policy: Policy) {
+        while !self.is_over() {
+            let question = lock(&self.planner).next_question(now_ms());
+            let Some((step, workers)) = question else {
+                // Either a question, or a look whether the office is over.
+                let _ = tokio::time::timeout(QUESTION_WAIT, self.questions.notified()).await;
+                continue;
+            };
+            let name = format!("{}.{}.{}", step.0, step.1, step.2);
+            match policy.ask(&name, &workers).await {
+                Ok(told) => {
+                    let mut planner = lock(&self.planner);
+                    planner.note_approvals(now_ms(), &step, &workers, &told.admitted, told.valid_ms);
+                    drop(planner);
+                    self.pass.notify_one();
+                }
+                Err(e) => log::warn!("event=policy_unanswered job={} step={name} cause=\"{e}\"", step.0),
+            }
+        }
+    }
+
     /// Waits until a change is stored; returns whether it is.
     async fn wait_stored(&self, change: u64, wait: Duration) -> bool {
         let mut stored = self.stored.subscribe();
@@ -369,6 +411,15 @@
     plain(one) == plain(other)
 }
 
+fn outcome<T>(result: &sorrelland_platform::store::Result<T>) -> &'static str {
+    match result {
+        Ok(_) => "stored",
+        Err(Error::Fenced) => "fenced",
+        Err(e) if e.nothing_done() => "refused",
+        Err(_) => "unanswered",
+    }
+}
+
 /// Splits records into appends that the store takes in one call.
 fn parts(raw: Vec<Vec<u8>>) -> Vec<Vec<Vec<u8>>> {
     let mut parts: Vec<Vec<Vec<u8>>> = Vec::new();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,9 +4,11 @@
 //! that counts suspension, `wall` is milliseconds since 1970.
 
 pub mod admit;
+pub mod advice;
 pub mod desired;
 pub mod job;
 pub mod orders;
+pub mod pace;
 pub mod place;
 pub mod planner;
 pub mod preempt;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -25,6 +25,10 @@
 /// takes most of the time that an urgent job has to spare.
 const RESERVE_MILLI: i64 = 150;
 
+/// Time since the newest urgent job for which a reserve is kept, in milliseconds: without urgent work there is
+/// nothing to keep it for.
+const URGENT_WITHIN_MS: u64 = 30_000;
+
 /// Time before its latest start from which a unit may use the reserve, in milliseconds.
 const RESERVE_SLACK_MS: u64 = 1_000;
 
@@ -97,6 +101,7 @@
 impl Planner {
     /// Places what waits, the most urgent first, and vacates room for what is worth it.
     pub fn place_all(&mut self, now: u64, wall: u64) {
+        self.want_approvals(now, wall);
         let jobs = &self.jobs;
         self.claims.expire(now, |name, key| {
             let unit = jobs.get(name).filter(|job| job.outcome.is_none()).and_then(|job| job.units.get(&key));
@@ -113,6 +118,19 @@
         }
     }
 
+    /// Asks for approvals of the steps that need them and have none that can be used.
+    fn want_approvals(&mut self, now: u64, wall: u64) {
+        for candidate in self.candidates(wall) {
+            if self.queue_of(&candidate.job).is_some_and(|queue| queue.advised) {
+                let step = (candidate.job.clone(), candidate.key.occurrence, candidate.key.step);
+                let any = self.workers.keys().any(|life| self.approvals.usable(&step, life, now).is_some());
+                if !any {
+                    self.approvals.want(step, now);
+                }
+            }
+        }
+    }
+
     /// Returns the units that wait and whose turn has come, in the order in which they are placed.
     pub fn candidates(&self, wall: u64) -> Vec<Candidate> {
         let covered = self.covered_by_guarantees();
@@ -177,10 +195,14 @@
     /// Returns the workers that may take a step of a job now, with the room that no claim of others keeps.
     pub fn offer<'a>(&'a self, now: u64, candidate: &Candidate, step: &Step) -> Offer<'a> {
         let Some(queue) = self.queue_of(&candidate.job) else { return Offer { left: BTreeMap::new() } };
+        let approved = (candidate.job.clone(), candidate.key.occurrence, candidate.key.step);
         let mut left: BTreeMap<&str, (&Worker, Room)> = self
             .workers
             .values()
             .filter(|worker| worker.info.service == queue.service && usable(worker, step, now))
+            .filter(|worker| {
+                !queue.advised || self.approvals.usable(&approved, &worker.info.life, now).is_some()
+            })
             .map(|worker| (worker.info.life.as_str(), (worker, worker.free())))
             .collect();
         for ((name, key), claim) in &self.claims.by_unit {
@@ -219,7 +241,8 @@
 
     /// Returns whether a unit that can still wait would take accelerators that are kept free for urgent jobs.
     fn leaves_no_reserve(&self, now: u64, wall: u64, candidate: &Candidate, step: &Step) -> bool {
-        if candidate.priority == 0 || wall + RESERVE_SLACK_MS >= candidate.start_by {
+        let urgent = self.urgent_at.is_some_and(|at| now <= at + URGENT_WITHIN_MS);
+        if !urgent || candidate.priority == 0 || wall + RESERVE_SLACK_MS >= candidate.start_by {
             return false;
         }
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use crate::admit;
+use crate::advice::Approvals;
 use crate::desired::{Desired, Queue};
 use crate::job::{Job, JobState, Outcome, Step, Submission};
-use crate::orders::{Orders, Start, Stop};
+use crate::orders::{Orders, Pace, Start, Stop};
 use crate::place::Claims;
 use crate::record::{self, Record, new_job};
 use crate::report::{End, Gone, How, Report};
@@ -19,6 +20,9 @@
 /// Lives of agents and workers that are remembered as over; enough for years of restarts in one reign.
 const PAST_LIVES: usize = 20_000;
 
+/// Reason of a start that was refused because its approval was not accepted.
+pub const TICKET_REFUSED: &str = "ticket";
+
 /// Time after which the rest of a gang that is done is stopped, in milliseconds; they end together by themselves.
 const DONE_REST_MS: u64 = 2_000;
 
@@ -74,6 +78,7 @@
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) workers: BTreeMap<String, Worker>,
     pub(crate) claims: Claims,
+    pub(crate) approvals: Approvals,
     pub(crate) mean_work: BTreeMap<String, MeanWork>,
     agents: BTreeMap<String, Agent>,
     past_agents: BTreeSet<u64>,
@@ -82,6 +87,8 @@
     unheard: BTreeMap<String, u64>,
     /// Jobs that have not ended or whose members still take room.
     pub(crate) live: BTreeSet<String>,
+    /// When the newest urgent job came, on the steady clock.
+    pub(crate) urgent_at: Option<u64>,
     change: u64,
     stored: u64,
     fresh: BTreeSet<String>,
@@ -89,10 +96,10 @@
     drops: Vec<Record>,
     order_number: u64,
     /// Agents whose wish changed.
-    poked: BTreeSet<String>,
+    pub(crate) poked: BTreeSet<String>,
     /// Agents whose wish changes once a change is stored.
     poked_by: BTreeSet<(u64, String)>,
-    log: Vec<String>,
+    pub(crate) log: Vec<String>,
 }
 
 impl Planner {
@@ -117,12 +124,14 @@
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             workers: BTreeMap::new(),
             claims: Claims::default(),
+            approvals: Approvals::default(),
             mean_work: BTreeMap::new(),
             agents: BTreeMap::new(),
             past_agents: BTreeSet::new(),
             past_workers: BTreeSet::new(),
             unheard,
             live,
+            urgent_at: None,
             change: 1,
             stored: 0,
             fresh: BTreeSet::new(),
@@ -215,6 +224,9 @@
         if let Err(refusal) = admit::admit(self, now, sub) {
             return Verdict::Refused { why: refusal.why, retry_after_ms: refusal.retry_after_ms };
         }
+        if self.desired.queue(&sub.queue).is_some_and(|queue| queue.priority == 0) {
+            self.urgent_at = Some(now);
+        }
         self.mean_work.entry(sub.queue.clone()).or_default().note(work_core_s(sub));
         let mut job = new_job(sub.clone(), wall);
         job.accepted_in = self.change;
@@ -250,6 +262,11 @@
         self.live.iter().filter_map(|name| self.jobs.get(name)).filter(waiting).count()
     }
 
+    /// Returns the number of jobs that have not ended, or of which something still takes room.
+    pub fn live_jobs(&self) -> usize {
+        self.live.len()
+    }
+
     /// Returns the number of agents heard within [`HEARD_WITHIN_MS`] and of all that were heard in this reign.
     pub fn agents_heard(&self, now: u64) -> (usize, usize) {
         let fresh = |worker: &&Worker| worker.heard_at + HEARD_WITHIN_MS >= now;
@@ -434,6 +451,9 @@
         if let Some(unit) = job.units.get_mut(&key) {
             set_ending(unit, now);
         }
+        if gone.why == TICKET_REFUSED {
+            self.approvals.spoil(&Self::step_of(&gone.task), life);
+        }
         let (task, run, why) = (&gone.task, gone.run, &gone.why);
         self.note(format!("event=run_gone job={} task={task} run={run} worker={life} why={why:?}", task.job));
         self.release(now, life, task, run);
@@ -528,6 +548,7 @@
         }
         self.note(format!("event=job_ended job={name} outcome={outcome:?} age_ms={age}"));
         self.touch(name);
+        self.approvals.forget(name);
         self.retire(name);
     }
 
@@ -545,6 +566,7 @@
         self.expire(now, wall);
         self.open_due(now, wall);
         self.drop_old(wall);
+        self.set_paces(now);
         self.place_all(now, wall);
     }
 
@@ -668,7 +690,7 @@
                     run: *run,
                     spec: job.sub.spec.clone(),
                     saved: unit.saved.clone(),
-                    ticket: None,
+                    ticket: self.approvals.ticket(&Self::step_of(task), &life),
                 }),
                 Where::Ending | Where::Waiting => orders.stops.push(Stop { task: task.clone(), run: *run }),
                 Where::Done if now > unit.since + DONE_REST_MS => {
@@ -677,6 +699,13 @@
                 Where::Placed | Where::Done => (),
             }
         }
+        let pace = |((task, run), percent): (&(Task, u64), &u64)| Pace {
+            task: task.clone(),
+            run: *run,
+            percent: *percent,
+        };
+        orders.paces =
+            self.workers.get(&life).map(|worker| worker.paces.iter().map(pace).collect()).unwrap_or_default();
         // What nobody planned here was carried out late, or belongs to a run that was given up.
         let strays = running.into_iter().filter(|run| !placed.contains(run));
         orders.stops.extend(strays.map(|(task, run)| Stop { task, run }));
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -89,6 +89,10 @@
             if unit.at != Where::Placed && unit.at != Where::Ending {
                 continue;
             }
+            if step.may_miss.is_some() {
+                // The caller allows only so many to be away; they are left alone.
+                continue;
+            }
             let percent = unit.members.iter().map(|member| member.percent).max().unwrap_or(0);
             if unit.at == Where::Placed && percent >= NEARLY_DONE_PERCENT && !step.lasting {
                 continue;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -42,6 +42,8 @@
     pub used: Room,
     /// Members placed on it that are not gone.
     pub placed: BTreeSet<(Task, u64)>,
+    /// When a speed share was last changed, on the steady clock.
+    pub raised_at: u64,
     /// Speed shares that were asked for, in percent.
     pub paces: BTreeMap<(Task, u64), u64>,
 }
@@ -62,6 +64,7 @@
             ejections: 0,
             used: Room::default(),
             placed: BTreeSet::new(),
+            raised_at: 0,
             paces: BTreeMap::new(),
         }
     }
--- a/crates/sorrelland/src/bin/sorrellandd.rs
+++ b/crates/sorrelland/src/bin/sorrellandd.rs
@@ -13,7 +13,7 @@
 Usage:
   sorrellandd --settings FILE
   sorrellandd --check-settings FILE
-  sorrellandd --platform ROLE
+  sorrellandd --platform ROLE [--metrics-port PORT]
   sorrellandd --platform ROLE --check-settings FILE
 
 Options:
@@ -21,6 +21,7 @@
   --check-settings FILE   report everything that is wrong with FILE and start nothing
   --platform ROLE         run ROLE, entry or agent, on the users' platform, with the settings file that the
                           variable SORRELLANDING_SETTINGS names
+  --metrics-port PORT     serve the metrics of a platform role on PORT of the instance
   --help                  print this text
   --version               print the version
 
@@ -32,7 +33,7 @@
     Version,
     Run(PathBuf),
     Check(PathBuf),
-    Platform(Role),
+    Platform(Role, Option<u16>),
     CheckPlatform(PathBuf),
 }
 
@@ -71,7 +72,7 @@
             }
         },
         Command::Run(path) => run(&path),
-        Command::Platform(role) => run_on_platform(role),
+        Command::Platform(role, metrics_port) => run_on_platform(role, metrics_port),
         Command::CheckPlatform(path) => match sorrelland_platform::Settings::load(&path) {
             Ok(_) => {
                 println!("{}: in order", path.display());
@@ -86,12 +87,13 @@
 }
 
 fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
-    let (mut command, mut platform) = (None, None);
+    let (mut command, mut platform, mut metrics_port) = (None, None, None);
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("version") | Arg::Short('V') => return Ok(Command::Version),
             Arg::Long("platform") => platform = Some(role(&parser.value()?.string()?)?),
+            Arg::Long("metrics-port") => metrics_port = Some(parser.value()?.parse()?),
             Arg::Long("settings") => command = Some(Command::Run(parser.value()?.parse()?)),
             Arg::Long("check-settings") => command = Some(Command::Check(parser.value()?.parse()?)),
             other => return Err(other.unexpected()),
@@ -99,7 +101,7 @@
     }
     if let Some(role) = platform {
         return match command {
-            None => Ok(Command::Platform(role)),
+            None => Ok(Command::Platform(role, metrics_port)),
             Some(Command::Check(path)) => Ok(Command::CheckPlatform(path)),
             Some(_) => Err(lexopt::Error::Custom("--platform takes its settings from the platform".into())),
         };
@@ -117,7 +119,7 @@
     }
 }
 
-fn run_on_platform(role: Role) -> ExitCode {
+fn run_on_platform(role: Role, metrics_port: Option<u16>) -> ExitCode {
     let path = match std::env::var_os(sorrelland_platform::settings::PATH_VARIABLE) {
         Some(path) => PathBuf::from(path),
         None => {
@@ -145,8 +147,8 @@
         }
     };
     let result = match role {
-        Role::Entry => runtime.block_on(sorrelland_control::entry::run(settings)),
-        Role::Agent => runtime.block_on(sorrelland_control::agent::run(settings)),
+        Role::Entry => runtime.block_on(sorrelland_control::entry::run(settings, metrics_port)),
+        Role::Agent => runtime.block_on(sorrelland_control::agent::run(settings, metrics_port)),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
