Wait for the store's answers by their usual time, and tell of changed settings

Cause: an append whose answer was lost was asked for again after 1.2 s whatever the store's speed, so two lost answers took a caller's whole time. Ruled out: doubled appends (sequence numbers). Waits are code of their own with two tests. Settings that change, with SIGHUP or without, are checked and told; they are in force after the next start.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -1,5 +1,6 @@
 //! The agent beside a worker: the only process that gives it orders.
 
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use crate::duty::{CLAIMS, Office};
 use crate::lease::Watched;
 use crate::signals::{self, stopped};
-use crate::{Error as RunError, Result, follow, lock};
+use crate::{Error as RunError, Result, follow, lock, reload};
 
 /// Wait of a read of the claims: agents hear of planners from entries as well, and there are many agents.
 const FOLLOW_WAIT: Duration = Duration::from_secs(10);
@@ -70,10 +71,11 @@
 /// # Errors
 ///
 /// Returns why it could not start.
-pub async fn run(settings: Settings, metrics_port: Option<u16>) -> Result<()> {
+pub async fn run(settings: Settings, path: PathBuf, metrics_port: Option<u16>) -> Result<()> {
     let listen = settings.announcements.ok_or(RunError::Missing("the address for announcements"))?;
     let worker = settings.worker.ok_or(RunError::Missing("the address of the worker"))?;
     let asked = signals::listen();
+    tokio::spawn(reload::watch(path, settings.clone(), asked.clone()));
     crate::entry::serve_metrics(&settings, metrics_port)?;
     let store = Store::new(&settings.store);
     let agent = Arc::new(Agent {
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 use crate::duty::{self, ALONE_MS, CLAIMS, Office};
 use crate::seat::Seat;
 use crate::signals::{self, stopped};
-use crate::{Error, Result, follow, lock, metrics};
+use crate::{Error, Result, follow, lock, metrics, reload};
 
 /// Topic and key of the desired state.
 const DESIRED: (&str, &str) = ("keyed.op", "config");
@@ -92,10 +93,11 @@
 /// # Errors
 ///
 /// Returns why it could not start.
-pub async fn run(settings: Settings, metrics_port: Option<u16>) -> Result<()> {
+pub async fn run(settings: Settings, path: PathBuf, metrics_port: Option<u16>) -> Result<()> {
     let callers = settings.callers.ok_or(Error::Missing("the address for callers"))?;
     let readiness = settings.readiness.ok_or(Error::Missing("the address for readiness checks"))?;
     let asked = signals::listen();
+    tokio::spawn(reload::watch(path, settings.clone(), asked.clone()));
     serve_metrics(&settings, metrics_port)?;
     let store = Store::new(&settings.store);
     let address = settings.peer_address();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod lease;
 pub mod logging;
 pub mod metrics;
+pub mod patience;
+pub mod reload;
 pub mod seat;
 pub mod signals;
 
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -11,13 +11,14 @@
 use sorrelland_fleet::planner::{Planner, Timing, Verdict};
 use sorrelland_fleet::record;
 use sorrelland_fleet::report::Report;
-use sorrelland_platform::store::{Error, Writer, keyed};
+use sorrelland_platform::store::{CALL_TIMEOUT, Error, Writer, keyed};
 use sorrelland_platform::{Policy, Store};
 use tokio::sync::{Notify, watch};
 
 use crate::calls::{Ask, Holder, Told};
 use crate::clock::{now_ms, wall_ms};
 use crate::duty::{ALONE_MS, RENEW_EVERY, renew};
+use crate::patience::Patience;
 use crate::{lock, metrics};
 
 /// Topic of the jobs.
@@ -165,13 +166,14 @@
     }
 
     async fn run_appends(self: Arc<Self>, store: Store, mut writer: Writer) {
+        let mut patience = Patience::default();
         while !self.is_over() {
             self.append.notified().await;
             loop {
                 let Some((records, change)) = lock(&self.planner).take_changes() else { break };
                 let raw: Vec<Vec<u8>> = records.iter().map(keyed).collect();
                 for part in parts(raw) {
-                    if !self.append_part(&store, &mut writer, &part).await {
+                    if !self.append_part(&store, &mut writer, &mut patience, &part).await {
                         return;
                     }
                 }
@@ -187,13 +189,23 @@
     }
 
     /// Appends until the store has answered; returns whether the office goes on.
-    async fn append_part(&self, store: &Store, writer: &mut Writer, part: &[Vec<u8>]) -> bool {
+    async fn append_part(
+        &self,
+        store: &Store,
+        writer: &mut Writer,
+        patience: &mut Patience,
+        part: &[Vec<u8>],
+    ) -> bool {
         // Set once an append may have been carried out although no answer came.
         let mut unanswered = false;
         while !self.is_over() {
             let began = Instant::now();
-            let appended = store.append_as(JOBS, writer, part).await;
+            let appended = store.append_as(JOBS, writer, part, patience.wait()).await;
             metrics::append(outcome(&appended), began);
+            match &appended {
+                Err(e) if !e.nothing_done() => patience.note_missed(),
+                _ => patience.note(began.elapsed()),
+            }
             match appended {
                 Ok(_) => {
                     writer.sequence += 1;
@@ -442,7 +454,7 @@
     let mut fenced = false;
     for _ in 0..LOAD_TRIES {
         if !fenced {
-            match store.append_as(JOBS, writer, &[]).await {
+            match store.append_as(JOBS, writer, &[], CALL_TIMEOUT).await {
                 Ok(_) => fenced = true,
                 Err(Error::Fenced) => {
                     log::warn!("event=office_lost epoch={} why=\"fenced while loading\"", writer.epoch);
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -101,13 +101,14 @@
 impl Planner {
     /// Places what waits, the most urgent first, and vacates room for what is worth it.
     pub fn place_all(&mut self, now: u64, wall: u64) {
-        self.want_approvals(now, wall);
         let jobs = &self.jobs;
         self.claims.expire(now, |name, key| {
             let unit = jobs.get(name).filter(|job| job.outcome.is_none()).and_then(|job| job.units.get(&key));
             unit.is_some_and(|unit| unit.at == Where::Waiting)
         });
-        for candidate in self.candidates(wall) {
+        let candidates = self.candidates(wall);
+        self.want_approvals(now, &candidates);
+        for candidate in candidates {
             let (name, key) = (&candidate.job, candidate.key);
             if let Some(lives) = self.find(now, wall, &candidate) {
                 self.claims.remove(name, key);
@@ -119,8 +120,8 @@
     }
 
     /// Asks for approvals of the steps that need them and have none that can be used.
-    fn want_approvals(&mut self, now: u64, wall: u64) {
-        for candidate in self.candidates(wall) {
+    fn want_approvals(&mut self, now: u64, candidates: &[Candidate]) {
+        for candidate in candidates {
             if self.queue_of(&candidate.job).is_some_and(|queue| queue.advised) {
                 let step = (candidate.job.clone(), candidate.key.occurrence, candidate.key.step);
                 let any = self.workers.keys().any(|life| self.approvals.usable(&step, life, now).is_some());
--- a/crates/sorrelland/src/bin/sorrellandd.rs
+++ b/crates/sorrelland/src/bin/sorrellandd.rs
@@ -147,8 +147,8 @@
         }
     };
     let result = match role {
-        Role::Entry => runtime.block_on(sorrelland_control::entry::run(settings, metrics_port)),
-        Role::Agent => runtime.block_on(sorrelland_control::agent::run(settings, metrics_port)),
+        Role::Entry => runtime.block_on(sorrelland_control::entry::run(settings, path, metrics_port)),
+        Role::Agent => runtime.block_on(sorrelland_control::agent::run(settings, path, metrics_port)),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
