Answer "unknown", not "refused", when the office ends during a submission

Ruled out: a late append after the fence (the store refuses those), another attempt of the same caller (it also got 503). Change: such a submission or cancel is unresolved, so the caller gets 504. The new test fails without it. Besides, a claim gives way to one that came after the silent holder: two entries had claimed 13 ms apart.

--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -150,8 +150,9 @@
     }
 }
 
-/// Follows the renewals and returns once the office may be claimed; `rank_ms` spreads the claimants.
-pub async fn wait_for_silence(store: &Store, office: &Office, rank_ms: u64) {
+/// Follows the renewals and returns the epoch of the silent holder once the office may be claimed; `rank_ms` spreads
+/// the claimants.
+pub async fn wait_for_silence(store: &Store, office: &Office, rank_ms: u64) -> u64 {
     let mut silence = Silence::default();
     let mut from = 0;
     let mut epoch = office.epoch();
@@ -191,13 +192,14 @@
         }
         let vacant = epoch == 0 && vacant_since.is_some_and(|since| now_ms() >= since + rank_ms);
         if vacant || silence.is_over(now_ms(), rank_ms) {
-            return;
+            return epoch;
         }
     }
 }
 
-/// Claims the office; returns the holder if this process has it now.
-pub async fn claim(store: &Store, office: &Office, me: &Holder) -> Option<Holder> {
+/// Claims the office; returns the holder if this process has it now. Nothing is claimed if another claim came after
+/// `epoch`, the one that was judged to be silent.
+pub async fn claim(store: &Store, office: &Office, me: &Holder, epoch: u64) -> Option<Holder> {
     let end = match store.newest(CLAIMS).await {
         Ok((items, end)) => {
             for item in &items {
@@ -210,6 +212,9 @@
             return None;
         }
     };
+    if office.epoch() != epoch {
+        return None;
+    }
     let claim = Claim { instance: me.instance.clone(), address: me.address.clone(), life: me.life };
     let value = serde_json::to_vec(&claim).ok()?;
     let record = keyed(&Record { key: KEY.to_owned(), value });
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -322,12 +322,12 @@
             let holder = match mine {
                 Some(holder) => Some(holder),
                 None => {
-                    duty::wait_for_silence(&store, &self.office, rank_ms).await;
+                    let silent = duty::wait_for_silence(&store, &self.office, rank_ms).await;
                     if *self.leaving.borrow() || self.desired.borrow().version == 0 {
                         tokio::time::sleep(TRY_PAUSE).await;
                         continue;
                     }
-                    duty::claim(&store, &self.office, &self.me).await
+                    duty::claim(&store, &self.office, &self.me, silent).await
                 }
             };
             let Some(holder) = holder else { continue };
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -323,7 +323,7 @@
                                 );
                                 Told::Accepted
                             }
-                            false if self.is_over() => Told::NotPlanner(None),
+                            // Even when the office is over the append may have been carried out.
                             false => Told::Unresolved,
                         }
                     }
@@ -337,7 +337,6 @@
                 self.pass_now();
                 match self.wait_stored(change, wait).await {
                     true => Told::Cancelled(true),
-                    false if self.is_over() => Told::NotPlanner(None),
                     false => Told::Unresolved,
                 }
             }
--- /dev/null
+++ b/crates/control/tests/seat.rs
@@ -0,0 +1,120 @@
+//! The planner's office over a stand-in of the store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use sorrelland_control::calls::{Ask, Holder, Told};
+use sorrelland_control::duty::{self, Office, Silence};
+use sorrelland_control::seat::Seat;
+use sorrelland_fleet::desired::{Desired, Queue};
+use sorrelland_fleet::job::{Step, Submission};
+use sorrelland_fleet::planner::Timing;
+use sorrelland_platform::Store;
+use sorrelland_platform::store::{CALL_TIMEOUT, Writer};
+use sorrelland_standin::platform_store;
+use sorrelland_web::Client;
+
+const TIMING: Timing = Timing {
+    grant_ms: 4_800,
+    stop_ms: 400,
+    unheard_ms: 11_000,
+    keep_ended_ms: 240_000,
+    reclaim_ms: 2_900,
+    remote_factor: 3,
+};
+
+fn desired() -> Arc<Desired> {
+    let queue = Queue {
+        name: "plain".to_owned(),
+        service: "svc".to_owned(),
+        stretch_milli: 3_000,
+        full_value_ms: 1_000,
+        ..Queue::default()
+    };
+    Arc::new(Desired { version: 1, queues: vec![queue], keys: BTreeMap::new(), ..Desired::default() })
+}
+
+fn holder(epoch: u64, life: u64) -> Holder {
+    Holder { epoch, instance: format!("entry-{life}"), address: "127.0.0.1:1".to_owned(), life }
+}
+
+fn submission(job: &str) -> Submission {
+    let step = Step { count: 1, estimate_ms: 100, ..Step::default() };
+    Submission { job: job.to_owned(), queue: "plain".to_owned(), steps: vec![step], ..Submission::default() }
+}
+
+async fn store() -> (String, Store) {
+    let server = platform_store::start(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = server.local_addr().to_string();
+    tokio::spawn(server);
+    (address.clone(), Store::new(&address))
+}
+
+async fn faults(address: &str, faults: &'static str) {
+    let client = Client::new(Duration::from_secs(2));
+    let url = format!("http://{address}/v1/faults");
+    client.send(Method::PUT, &url, &[], Bytes::from_static(faults.as_bytes())).await.unwrap();
+}
+
+#[tokio::test]
+async fn ask_does_not_deny_a_job_that_may_be_stored() {
+    let (address, store) = store().await;
+    let seat = Seat::take(&store, None, holder(1, 1), TIMING, desired()).await.unwrap();
+    faults(&address, r#"{"lose_every": 1}"#).await;
+    let asked = {
+        let seat = seat.clone();
+        tokio::spawn(async move {
+            seat.ask(Ask::Submit(submission("00000000000000a1")), Duration::from_secs(3)).await
+        })
+    };
+    // The append is carried out without an answer, then another planner takes over.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    faults(&address, "{}").await;
+    let next = Writer { producer: "planner".to_owned(), epoch: 2, sequence: 0 };
+    store.append_as("keyed.jobs", &next, &[], CALL_TIMEOUT).await.unwrap();
+    assert_eq!(asked.await.unwrap(), Told::Unresolved);
+    assert!(seat.is_over());
+    let successor = Seat::take(&store, None, holder(3, 2), TIMING, desired()).await.unwrap();
+    let told = successor.ask(Ask::State("00000000000000a1".to_owned()), Duration::from_secs(1)).await;
+    assert!(matches!(told, Told::State(Some(_))), "{told:?}");
+}
+
+#[tokio::test]
+async fn claim_gives_way_to_one_that_came_first() {
+    let (_, store) = store().await;
+    let (one, other) = (Office::default(), Office::default());
+    let first = duty::claim(&store, &one, &holder(0, 1), 0).await.unwrap();
+    assert_eq!(duty::claim(&store, &other, &holder(0, 2), 0).await, None);
+    assert_eq!(other.epoch(), first.epoch, "the loser has learned of the winner");
+    let second = duty::claim(&store, &other, &holder(0, 2), first.epoch).await.unwrap();
+    assert!(second.epoch > first.epoch);
+}
+
+#[tokio::test]
+async fn take_fences_the_writer_before() {
+    let (_, store) = store().await;
+    let old = Seat::take(&store, None, holder(1, 1), TIMING, desired()).await.unwrap();
+    let _new = Seat::take(&store, None, holder(2, 2), TIMING, desired()).await.unwrap();
+    let told = old.ask(Ask::Submit(submission("00000000000000a1")), Duration::from_secs(2)).await;
+    assert_ne!(told, Told::Accepted);
+    assert!(old.is_over());
+}
+
+#[test]
+fn is_over_counts_only_silence_that_was_seen() {
+    let mut silence = Silence::default();
+    silence.note_renewed(1_000);
+    silence.note_lost();
+    assert!(!silence.is_over(60_000, 0), "an outage of the store supersedes nobody");
+    silence.note_quiet(60_000);
+    assert!(!silence.is_over(60_000 + duty::SILENT_MS - 1, 0));
+    assert!(silence.is_over(60_000 + duty::SILENT_MS, 0));
+    silence.note_renewed(70_000);
+    assert!(!silence.is_over(70_000, 0));
+    silence.note_resigned();
+    assert!(silence.is_over(70_000, 300));
+}
