--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -251,6 +251,23 @@
         }
     }
 
+    /// Returns the lines of all processes that name a job, with the events they tell.
+    pub fn events_of(&self, job: &str) -> Vec<(String, String)> {
+        let files = fs::read_dir(self.site.dir()).unwrap().flatten().map(|entry| entry.path());
+        let mut lines: Vec<String> = files
+            .filter(|path| path.extension().is_some_and(|ending| ending == "log"))
+            .flat_map(|path| {
+                fs::read_to_string(path).unwrap_or_default().lines().map(str::to_owned).collect::<Vec<_>>()
+            })
+            .filter(|line| line.contains(&format!("job={job}")))
+            .collect();
+        // By time; lines of one process keep their order.
+        let time = |line: &String| line.split(' ').next().unwrap_or_default().to_owned();
+        lines.sort_by_key(time);
+        let event = |line: &String| line.split(" event=").nth(1)?.split(' ').next().map(str::to_owned);
+        lines.iter().filter_map(|line| Some((event(line)?, line.clone()))).collect()
+    }
+
     /// Returns the number of the entry that plans.
     pub fn planner(&self) -> usize {
         let count = |at: usize, what: &str| {
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -235,3 +235,63 @@
     }
     platform.assert_run_once().await;
 }
+
+/// Checks that the events come in this order among those of a job, and returns their lines.
+fn assert_walk(platform: &Platform, job: &str, events: &[&str]) -> Vec<String> {
+    let told = platform.events_of(job);
+    let mut rest = told.iter();
+    let found = events.iter().map(|event| {
+        let line = rest.find(|(name, _)| name == event);
+        line.unwrap_or_else(|| panic!("no {event} in its place: {told:#?}")).1.clone()
+    });
+    found.collect()
+}
+
+#[tokio::test]
+async fn walk_from_a_refused_job_to_its_cause() {
+    let platform = Platform::start(2, 2).await;
+    let mut huge = step(1);
+    huge["gpu"] = json!(64);
+    assert_eq!(platform.submit(1, &job(1), json!([huge]), "").await, 429);
+    eventually(Duration::from_secs(2), "the refusal is logged", async || {
+        !platform.events_of(&job(1)).is_empty()
+    })
+    .await;
+    let lines = assert_walk(&platform, &job(1), &["refused"]);
+    assert!(lines[0].contains("needs 1 places of its shape at once, the fleet has 0"), "{}", lines[0]);
+}
+
+#[tokio::test]
+async fn walk_from_a_failed_job_to_its_cause() {
+    let platform = Platform::start(2, 2).await;
+    assert_eq!(platform.submit(1, &job(1), json!([step(1)]), "fails run_ms=50").await, 200);
+    platform.await_state(&job(1), "failed", Duration::from_secs(10)).await;
+    // The planner's own lines; those of the agents may come within the same millisecond.
+    let events = ["placed", "run_ended", "placed", "run_ended", "job_ended"];
+    eventually(Duration::from_secs(2), "the end is logged", async || {
+        platform.events_of(&job(1)).iter().any(|(event, _)| event == "job_ended")
+    })
+    .await;
+    let lines = assert_walk(&platform, &job(1), &events);
+    assert!(lines[3].contains("how=Failed") && lines[3].contains("fails=2"), "{}", lines[3]);
+    let told = platform.events_of(&job(1));
+    let count = |event: &str| told.iter().filter(|(name, _)| name == event).count();
+    assert_eq!((count("accepted"), count("started")), (1, 2), "{told:#?}");
+}
+
+#[tokio::test]
+async fn walk_from_an_unknown_job_to_its_cause() {
+    let platform = Platform::start(2, 2).await;
+    platform.store_faults(json!({"down": true})).await;
+    let status = platform.submit(1, &job(1), json!([step(1)]), "run_ms=50").await;
+    assert!(matches!(status, 504 | 0), "{status}");
+    platform.store_faults(json!({})).await;
+    platform.submit_until_accepted(&job(1), &json!([step(1)]), "run_ms=50").await;
+    platform.await_state(&job(1), "completed", Duration::from_secs(10)).await;
+    eventually(Duration::from_secs(2), "the end is logged", async || {
+        platform.events_of(&job(1)).iter().any(|(event, _)| event == "job_ended")
+    })
+    .await;
+    let lines = assert_walk(&platform, &job(1), &["unanswered", "accepted", "job_ended"]);
+    assert!(lines[0].contains("asked=Unresolved"), "{}", lines[0]);
+}
