Let guarantees begin within their bound against urgent work and split racks

Traced: from 1.6 s on room was to be made at any cost, but no rack of eight could be vacated, since as urgent work of other accounts was never stopped, nearly done runs were spared, and a gang for one rack was never spread. Ruled out: late reports, the store, claims that expired. Change: urgent work beyond its own account's guarantee gives way, a gang is spread when its bound is near, and admission never refuses what a guarantee covers (a test showed that the backlog of others did). Two tests fail without it.

--- a/crates/fleet/src/admit.rs
+++ b/crates/fleet/src/admit.rs
@@ -4,6 +4,7 @@
 //! so that the caller can turn elsewhere, and room goes to jobs that will be served.
 
 use crate::job::{Job, Submission};
+use crate::place::accelerators_at_once;
 use crate::planner::Planner;
 use crate::room::Room;
 use crate::unit::Where;
@@ -30,26 +31,25 @@
 }
 
 impl Job {
-    /// Returns the time of the longest chain of steps by their estimates, in milliseconds.
+    /// Returns the time to expect of the longest chain of steps, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
-        chain_ms(&self.sub)
+        chain_ms(&self.sub, &self.expected_ms)
     }
 
-    /// Returns the time of the longest chain that begins with a step, in milliseconds.
+    /// Returns the time to expect of the longest chain that begins with a step, in milliseconds.
     pub fn chain_from_ms(&self, step: u32) -> u64 {
-        let steps = &self.sub.steps;
-        let own = steps.get(step as usize).map_or(0, |step| step.estimate_ms);
-        let next = (0..).zip(steps).filter(|(at, next)| *at > step && next.after.contains(&step));
+        let own = self.expected_ms.get(step as usize).copied().unwrap_or(0);
+        let next = (0..).zip(&self.sub.steps).filter(|(at, next)| *at > step && next.after.contains(&step));
         own + next.map(|(at, _)| self.chain_from_ms(at)).max().unwrap_or(0)
     }
 }
 
-/// Returns the time of the longest chain of steps by their estimates, in milliseconds.
-pub fn chain_ms(sub: &Submission) -> u64 {
+/// Returns the time of the longest chain of steps whose durations are `expected_ms`, in milliseconds.
+pub fn chain_ms(sub: &Submission, expected_ms: &[u64]) -> u64 {
     let mut ends: Vec<u64> = Vec::new();
-    for step in &sub.steps {
+    for (step, own) in sub.steps.iter().zip(expected_ms) {
         let begin = step.after.iter().filter_map(|before| ends.get(*before as usize)).max();
-        ends.push(begin.copied().unwrap_or(0) + step.estimate_ms);
+        ends.push(begin.copied().unwrap_or(0) + own);
     }
     ends.into_iter().max().unwrap_or(0)
 }
@@ -64,9 +64,26 @@
     if sub.schedule.is_some() || sub.steps.iter().any(|step| step.lasting) {
         return Ok(());
     }
+    if is_guaranteed(planner, sub) {
+        // Room is made for it, however much others have waiting.
+        return Ok(());
+    }
     in_time(planner, now, sub)
 }
 
+/// Returns whether the account's guarantee covers its urgent jobs and this one.
+fn is_guaranteed(planner: &Planner, sub: &Submission) -> bool {
+    let urgent = |queue: &str| planner.desired.queue(queue).is_some_and(|queue| queue.priority == 0);
+    let Some(account) = planner.desired.accounts.get(&sub.account).filter(|_| urgent(&sub.queue)) else {
+        return false;
+    };
+    let jobs = planner.live.iter().filter_map(|name| planner.jobs.get(name));
+    let others =
+        jobs.filter(|job| job.outcome.is_none() && job.sub.account == sub.account && urgent(&job.sub.queue));
+    let held: i64 = others.map(|job| accelerators_at_once(&job.sub)).sum();
+    held + accelerators_at_once(sub) <= account.guaranteed_accelerators
+}
+
 /// Checks that the fleet as it is known could ever run each step.
 fn fits_at_all(planner: &Planner, sub: &Submission) -> Result<(), Refusal> {
     let Some(queue) = planner.desired.queue(&sub.queue) else { return Ok(()) };
@@ -105,10 +122,11 @@
         for (key, unit) in &job.units {
             let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
             let members = if step.gang { i64::from(step.count) } else { 1 };
+            let expected = job.expected_ms.get(key.step as usize).copied().unwrap_or(step.estimate_ms);
             let rest = match unit.at {
                 Where::Done => continue,
-                Where::Placed => step.estimate_ms.saturating_sub(now.saturating_sub(unit.since)),
-                Where::Waiting | Where::Ending => step.estimate_ms,
+                Where::Placed => expected.saturating_sub(now.saturating_sub(unit.since)),
+                Where::Waiting | Where::Ending => expected,
             };
             if !step.lasting {
                 ahead += step.counted() * members * rest as i64;
@@ -124,7 +142,7 @@
     .map(|(work, all)| if work == 0 { 0 } else { (work / fillable(all)) as u64 })
     .max()
     .unwrap_or(0);
-    let chain = chain_ms(sub);
+    let chain = chain_ms(sub, &planner.expected_ms(sub));
     let target = chain * queue.stretch_milli / 1_000 + queue.full_value_ms;
     let worthless = 3 * target;
     if wait_ms + chain <= worthless {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::job::Step;
+use crate::job::{Step, Submission};
 use crate::planner::{HEARD_WITHIN_MS, Planner};
 use crate::preempt;
 use crate::room::Room;
@@ -21,6 +21,9 @@
 /// there it takes several times as long.
 const NEAR_WAIT_MILLI: u64 = 1_000;
 
+/// Part of the bound of a guarantee that is kept for storing, orders and a lost answer, in milliseconds.
+const RECLAIM_MARGIN_MS: u64 = 900;
+
 /// Share of a service's accelerators that is kept free for urgent jobs while others can wait, in thousandths: a stop
 /// takes most of the time that an urgent job has to spare.
 const RESERVE_MILLI: i64 = 150;
@@ -45,14 +48,16 @@
 struct Claim {
     workers: Vec<String>,
     each: Room,
+    /// Whether a guarantee covers the unit; only such a claim holds against another that is covered.
+    guaranteed: bool,
     until: u64,
 }
 
 impl Claims {
     /// Keeps room on `workers`, one entry a member, for a unit.
-    pub fn insert(&mut self, name: &str, key: UnitKey, workers: Vec<String>, each: Room, now: u64) {
-        let claim = Claim { workers, each, until: now + CLAIM_MS };
-        self.by_unit.insert((name.to_owned(), key), claim);
+    pub fn insert(&mut self, candidate: &Candidate, workers: Vec<String>, each: Room, now: u64) {
+        let claim = Claim { workers, each, guaranteed: candidate.guaranteed, until: now + CLAIM_MS };
+        self.by_unit.insert((candidate.job.clone(), candidate.key), claim);
     }
 
     /// Returns whether a unit has a claim.
@@ -88,11 +93,12 @@
     pub density: f64,
     /// Latest start that keeps the prospect, on the wall clock in milliseconds.
     pub start_by: u64,
-    /// When its turn came, on the steady clock in milliseconds.
-    pub since: u64,
+    /// Whether a guarantee's bound is so near that it has to begin now, wherever there is room.
+    pub must_begin: bool,
 }
 
 /// Room left on the workers that may be used, while a pass goes on.
+#[derive(Clone)]
 pub struct Offer<'a> {
     /// Workers by life with the room that is left.
     pub left: BTreeMap<&'a str, (&'a Worker, Room)>,
@@ -106,7 +112,7 @@
             let unit = jobs.get(name).filter(|job| job.outcome.is_none()).and_then(|job| job.units.get(&key));
             unit.is_some_and(|unit| unit.at == Where::Waiting)
         });
-        let candidates = self.candidates(wall);
+        let candidates = self.candidates(now, wall);
         self.want_approvals(now, &candidates);
         for candidate in candidates {
             let (name, key) = (&candidate.job, candidate.key);
@@ -133,8 +139,9 @@
     }
 
     /// Returns the units that wait and whose turn has come, in the order in which they are placed.
-    pub fn candidates(&self, wall: u64) -> Vec<Candidate> {
+    pub fn candidates(&self, now: u64, wall: u64) -> Vec<Candidate> {
         let covered = self.covered_by_guarantees();
+        let bound_ms = self.timing.reclaim_ms.saturating_sub(self.timing.stop_ms + RECLAIM_MARGIN_MS);
         let mut candidates = Vec::new();
         for name in &self.live {
             let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
@@ -148,16 +155,17 @@
                 let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
                 let times = Times::new(job, queue, *key);
                 let prospect = times.prospect(wall);
+                let guaranteed = queue.priority == 0 && covered.contains(name.as_str());
                 candidates.push(Candidate {
                     job: name.clone(),
                     key: *key,
                     priority: if step.fills { u32::MAX } else { queue.priority },
-                    guaranteed: queue.priority == 0 && covered.contains(name.as_str()),
+                    guaranteed,
                     prospect,
                     worth,
                     density: earnable(worth, prospect) / work,
                     start_by: if prospect == Prospect::InTime { times.in_time } else { times.late },
-                    since: unit.since,
+                    must_begin: guaranteed && now >= unit.since + bound_ms,
                 });
             }
         }
@@ -174,16 +182,15 @@
     }
 
     /// Returns the urgent jobs whose account needs no more accelerators for all of them than its guarantee has.
-    fn covered_by_guarantees(&self) -> BTreeSet<&str> {
+    pub(crate) fn covered_by_guarantees(&self) -> BTreeSet<&str> {
         let mut by_account: BTreeMap<&str, (i64, Vec<&str>)> = BTreeMap::new();
         for name in &self.live {
             let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
             if self.desired.queue(&job.sub.queue).is_none_or(|queue| queue.priority != 0) {
                 continue;
             }
-            let need = job.sub.steps.iter().map(|step| step.room.accelerators * i64::from(step.count)).max();
             let account = by_account.entry(&job.sub.account).or_default();
-            account.0 += need.unwrap_or(0);
+            account.0 += accelerators_at_once(&job.sub);
             account.1.push(name);
         }
         let within = |account: &&str, need: i64| {
@@ -207,7 +214,8 @@
             .map(|worker| (worker.info.life.as_str(), (worker, worker.free())))
             .collect();
         for ((name, key), claim) in &self.claims.by_unit {
-            if name == &candidate.job && *key == candidate.key {
+            let own = name == &candidate.job && *key == candidate.key;
+            if own || (candidate.guaranteed && !claim.guaranteed) {
                 continue;
             }
             for life in &claim.workers {
@@ -237,7 +245,19 @@
                 offer.left.retain(|life, _| !unit.failed_on.iter().any(|failed| failed == life));
             }
         }
-        if step.gang { find_gang(&offer, step, patient) } else { find_single(&offer, step, patient) }
+        let find = |offer: &Offer<'_>| match step.gang {
+            true => find_gang(offer, step, patient, candidate.must_begin),
+            false => find_single(offer, step, patient),
+        };
+        if candidate.priority == 0 {
+            // Urgent work has little time to spare, so it goes to faster workers if it fits there.
+            let mut fast = offer.clone();
+            fast.left.retain(|_, (worker, _)| !worker.slowness.is_slow());
+            if let Some(lives) = find(&fast) {
+                return Some(lives);
+            }
+        }
+        find(&offer)
     }
 
     /// Returns whether a unit that can still wait would take accelerators that are kept free for urgent jobs.
@@ -268,6 +288,11 @@
     }
 }
 
+/// Returns the accelerators that the widest step of a job takes.
+pub fn accelerators_at_once(sub: &Submission) -> i64 {
+    sub.steps.iter().map(|step| step.room.accelerators * i64::from(step.count)).max().unwrap_or(0)
+}
+
 /// Returns whether a worker may take new work of a step at all.
 pub fn usable(worker: &Worker, step: &Step, now: u64) -> bool {
     !worker.info.draining
@@ -300,7 +325,7 @@
     }
 }
 
-fn find_gang(offer: &Offer<'_>, step: &Step, patient: bool) -> Option<Vec<String>> {
+fn find_gang(offer: &Offer<'_>, step: &Step, patient: bool, must_begin: bool) -> Option<Vec<String>> {
     let mut racks: BTreeMap<&str, Vec<(&Worker, Room)>> = BTreeMap::new();
     for (worker, room) in offer.left.values() {
         racks.entry(worker.rack()).or_default().push((worker, *room));
@@ -318,7 +343,7 @@
         let empty: Vec<_> = workers.iter().map(|(worker, _)| (*worker, worker.info.capacity)).collect();
         fill(&empty, step).is_some()
     };
-    if step.one_rack && (patient || racks.values().any(possible)) {
+    if step.one_rack && !must_begin && (patient || racks.values().any(possible)) {
         return None;
     }
     let all: Vec<(&Worker, Room)> = offer.left.values().copied().collect();
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -15,9 +15,6 @@
 /// Part of a run in percent after which it is left to end: stopping it frees the room hardly earlier.
 const NEARLY_DONE_PERCENT: u64 = 85;
 
-/// Part of the bound of a guarantee that is kept for storing, orders and a lost answer, in milliseconds.
-const RECLAIM_MARGIN_MS: u64 = 900;
-
 /// Time before the latest start at which room is made, in milliseconds; before that it may come free by itself.
 const DECIDE_BEFORE_MS: u64 = 500;
 
@@ -33,7 +30,7 @@
 
 /// Ends runs that are less urgent than a unit until it fits, and keeps the room for it.
 pub fn make_room(planner: &mut Planner, now: u64, wall: u64, candidate: &Candidate) {
-    let Some(gain) = gain(planner, now, wall, candidate) else { return };
+    let Some(gain) = gain(planner, wall, candidate) else { return };
     let Some(job) = planner.jobs.get(&candidate.job) else { return };
     let Some(step) = job.sub.steps.get(candidate.key.step as usize).cloned() else { return };
     let victims = victims(planner, now, wall, candidate);
@@ -44,13 +41,19 @@
         groups.entry(group).or_default().push((worker, *room));
     }
     let plans = groups.values().filter_map(|workers| choose(workers, &victims, &step));
-    let Some((cost, chosen, lives)) = plans.min_by(|one, other| one.0.total_cmp(&other.0)) else { return };
+    let mut best = plans.min_by(|one, other| one.0.total_cmp(&other.0));
+    if best.is_none() && candidate.must_begin {
+        // No rack can be vacated for it: better slow over several racks than not within the bound.
+        let all: Vec<(&Worker, Room)> = offer.left.values().copied().collect();
+        best = choose(&all, &victims, &step);
+    }
+    let Some((cost, chosen, lives)) = best else { return };
     if cost > gain {
         return;
     }
     let ends: Vec<(String, UnitKey)> =
         chosen.iter().map(|at| (victims[*at].job.clone(), victims[*at].key)).collect();
-    planner.claims.insert(&candidate.job, candidate.key, lives, step.counted(), now);
+    planner.claims.insert(candidate, lives, step.counted(), now);
     let why = format!("room for {}", candidate.job);
     for (name, key) in ends {
         planner.vacate(now, &name, key, &why);
@@ -58,14 +61,10 @@
 }
 
 /// Returns the most that room for a unit may cost now, in worth; `None` while it can wait.
-fn gain(planner: &Planner, now: u64, wall: u64, candidate: &Candidate) -> Option<f64> {
-    if candidate.guaranteed {
+fn gain(planner: &Planner, wall: u64, candidate: &Candidate) -> Option<f64> {
+    if candidate.must_begin {
         // A guarantee holds whatever it costs; until its bound is near, only what waiting would lose counts.
-        let waited = now.saturating_sub(candidate.since);
-        let bound = planner.timing.reclaim_ms.saturating_sub(planner.timing.stop_ms + RECLAIM_MARGIN_MS);
-        if waited >= bound {
-            return Some(f64::INFINITY);
-        }
+        return Some(f64::INFINITY);
     }
     let near = wall + planner.timing.stop_ms + DECIDE_BEFORE_MS >= candidate.start_by;
     let now_worth = earnable(candidate.worth, candidate.prospect);
@@ -78,10 +77,13 @@
 
 fn victims(planner: &Planner, now: u64, wall: u64, candidate: &Candidate) -> Vec<Victim> {
     let mut victims = Vec::new();
+    let covered = if candidate.guaranteed { planner.covered_by_guarantees() } else { BTreeSet::new() };
     for name in &planner.live {
         let Some(job) = planner.jobs.get(name) else { continue };
         let priority = planner.desired.queue(&job.sub.queue).map_or(u32::MAX, |queue| queue.priority);
-        if priority <= candidate.priority {
+        // As urgent work gives way only where it lies on what a guarantee needs and has none of its own.
+        let beyond = candidate.guaranteed && !covered.contains(name.as_str());
+        if priority <= candidate.priority && !beyond {
             continue;
         }
         for (key, unit) in &job.units {
@@ -94,7 +96,11 @@
                 continue;
             }
             let percent = unit.members.iter().map(|member| member.percent).max().unwrap_or(0);
-            if unit.at == Where::Placed && percent >= NEARLY_DONE_PERCENT && !step.lasting {
+            if unit.at == Where::Placed
+                && percent >= NEARLY_DONE_PERCENT
+                && !step.lasting
+                && !candidate.must_begin
+            {
                 continue;
             }
             let mut on: BTreeMap<String, Room> = BTreeMap::new();
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -38,7 +38,11 @@
         version: 1,
         queues: vec![queue("urgent", 0), queue("plain", 1), queue("low", 2), advised],
         services: [("svc".to_owned(), Service::default())].into(),
-        accounts: [("museum".to_owned(), Account { guaranteed_accelerators: 16 })].into(),
+        accounts: [
+            ("museum".to_owned(), Account { guaranteed_accelerators: 16 }),
+            ("guest".to_owned(), Account::default()),
+        ]
+        .into(),
         keys: BTreeMap::new(),
     }
 }
@@ -333,6 +337,50 @@
     }
 }
 
+#[test]
+fn make_room_for_a_guarantee_from_urgent_work_beyond_others() {
+    let mut bench = Bench::new(2);
+    let sub = Submission {
+        job: "beyond".to_owned(),
+        queue: "urgent".to_owned(),
+        account: "guest".to_owned(),
+        steps: vec![Step { estimate_ms: 60_000, ..step(2, 8) }],
+        ..Submission::default()
+    };
+    bench.planner.submit(bench.now, bench.now, &sub);
+    let orders = bench.pass(10);
+    assert_eq!(starts(&orders).len(), 2);
+    bench.run(&orders);
+    bench.submit("covered", "urgent", vec![step(1, 8)]);
+    let submitted_at = bench.now;
+    let latest = submitted_at + TIMING.reclaim_ms - TIMING.stop_ms;
+    let stops = |orders: &[Orders]| orders.iter().map(|orders| orders.stops.len()).sum::<usize>();
+    while stops(&bench.pass(50)) == 0 {
+        assert!(bench.now < latest, "nothing was stopped in time for the bound");
+    }
+}
+
+#[test]
+fn place_spreads_a_guaranteed_gang_when_no_rack_can_be_vacated() {
+    // Two racks of three workers; other guaranteed work holds one worker of each.
+    let mut bench = Bench::new(6);
+    let mut desired = desired();
+    desired.version = 2;
+    desired.accounts.insert("museum".to_owned(), Account { guaranteed_accelerators: 48 });
+    bench.planner.set_desired(Arc::new(desired));
+    for (job, rack) in [("r0", "r0"), ("r1", "r1")] {
+        let pinned = Step { label: Some(rack.to_owned()), estimate_ms: 60_000, ..step(1, 8) };
+        bench.submit(job, "urgent", vec![pinned]);
+    }
+    let orders = bench.pass(10);
+    bench.run(&orders);
+    bench.submit("gang", "urgent", vec![Step { gang: true, one_rack: true, ..step(3, 8) }]);
+    let submitted_at = bench.now;
+    while starts(&bench.pass(50)).len() < 3 {
+        assert!(bench.now <= submitted_at + TIMING.reclaim_ms, "not begun within the bound");
+    }
+}
+
 #[test]
 fn place_orders_steps_and_occurrences() {
     let mut bench = Bench::new(1);
