--- a/crates/fleet/src/admit.rs
+++ b/crates/fleet/src/admit.rs
@@ -31,25 +31,26 @@
 }
 
 impl Job {
-    /// Returns the time to expect of the longest chain of steps, in milliseconds.
+    /// Returns the time of the longest chain of steps by their estimates, in milliseconds.
     pub fn chain_ms(&self) -> u64 {
-        chain_ms(&self.sub, &self.expected_ms)
+        chain_ms(&self.sub)
     }
 
-    /// Returns the time to expect of the longest chain that begins with a step, in milliseconds.
+    /// Returns the time of the longest chain that begins with a step, in milliseconds.
     pub fn chain_from_ms(&self, step: u32) -> u64 {
-        let own = self.expected_ms.get(step as usize).copied().unwrap_or(0);
-        let next = (0..).zip(&self.sub.steps).filter(|(at, next)| *at > step && next.after.contains(&step));
+        let steps = &self.sub.steps;
+        let own = steps.get(step as usize).map_or(0, |step| step.estimate_ms);
+        let next = (0..).zip(steps).filter(|(at, next)| *at > step && next.after.contains(&step));
         own + next.map(|(at, _)| self.chain_from_ms(at)).max().unwrap_or(0)
     }
 }
 
-/// Returns the time of the longest chain of steps whose durations are `expected_ms`, in milliseconds.
-pub fn chain_ms(sub: &Submission, expected_ms: &[u64]) -> u64 {
+/// Returns the time of the longest chain of steps by their estimates, in milliseconds.
+pub fn chain_ms(sub: &Submission) -> u64 {
     let mut ends: Vec<u64> = Vec::new();
-    for (step, own) in sub.steps.iter().zip(expected_ms) {
+    for step in &sub.steps {
         let begin = step.after.iter().filter_map(|before| ends.get(*before as usize)).max();
-        ends.push(begin.copied().unwrap_or(0) + own);
+        ends.push(begin.copied().unwrap_or(0) + step.estimate_ms);
     }
     ends.into_iter().max().unwrap_or(0)
 }
@@ -122,11 +123,10 @@
         for (key, unit) in &job.units {
             let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
             let members = if step.gang { i64::from(step.count) } else { 1 };
-            let expected = job.expected_ms.get(key.step as usize).copied().unwrap_or(step.estimate_ms);
             let rest = match unit.at {
                 Where::Done => continue,
-                Where::Placed => expected.saturating_sub(now.saturating_sub(unit.since)),
-                Where::Waiting | Where::Ending => expected,
+                Where::Placed => step.estimate_ms.saturating_sub(now.saturating_sub(unit.since)),
+                Where::Waiting | Where::Ending => step.estimate_ms,
             };
             if !step.lasting {
                 ahead += step.counted() * members * rest as i64;
@@ -142,7 +142,7 @@
     .map(|(work, all)| if work == 0 { 0 } else { (work / fillable(all)) as u64 })
     .max()
     .unwrap_or(0);
-    let chain = chain_ms(sub, &planner.expected_ms(sub));
+    let chain = chain_ms(sub);
     let target = chain * queue.stretch_milli / 1_000 + queue.full_value_ms;
     let worthless = 3 * target;
     if wait_ms + chain <= worthless {
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -111,8 +111,6 @@
     pub sub: Submission,
     /// When it was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
-    /// Durations to expect of the steps' subtasks, in milliseconds.
-    pub expected_ms: Vec<u64>,
     /// Units by occurrence, step and first index.
     pub units: BTreeMap<UnitKey, Unit>,
     /// How the job ended.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod admit;
 pub mod advice;
 pub mod desired;
-pub mod duration;
 pub mod job;
 pub mod orders;
 pub mod pace;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -98,7 +98,6 @@
 }
 
 /// Room left on the workers that may be used, while a pass goes on.
-#[derive(Clone)]
 pub struct Offer<'a> {
     /// Workers by life with the room that is left.
     pub left: BTreeMap<&'a str, (&'a Worker, Room)>,
@@ -245,19 +244,10 @@
                 offer.left.retain(|life, _| !unit.failed_on.iter().any(|failed| failed == life));
             }
         }
-        let find = |offer: &Offer<'_>| match step.gang {
-            true => find_gang(offer, step, patient, candidate.must_begin),
-            false => find_single(offer, step, patient),
-        };
-        if candidate.priority == 0 {
-            // Urgent work has little time to spare, so it goes to faster workers if it fits there.
-            let mut fast = offer.clone();
-            fast.left.retain(|_, (worker, _)| !worker.slowness.is_slow());
-            if let Some(lives) = find(&fast) {
-                return Some(lives);
-            }
+        match step.gang {
+            true => find_gang(&offer, step, patient, candidate.must_begin),
+            false => find_single(&offer, step, patient),
         }
-        find(&offer)
     }
 
     /// Returns whether a unit that can still wait would take accelerators that are kept free for urgent jobs.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -6,7 +6,6 @@
 use crate::admit;
 use crate::advice::Approvals;
 use crate::desired::{Desired, Queue};
-use crate::duration::Usual;
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::orders::{Orders, Pace, Start, Stop};
 use crate::place::Claims;
@@ -81,7 +80,6 @@
     pub(crate) claims: Claims,
     pub(crate) approvals: Approvals,
     pub(crate) mean_work: BTreeMap<String, MeanWork>,
-    pub(crate) usual: BTreeMap<String, Usual>,
     agents: BTreeMap<String, Agent>,
     past_agents: BTreeSet<u64>,
     past_workers: BTreeSet<String>,
@@ -128,7 +126,6 @@
             claims: Claims::default(),
             approvals: Approvals::default(),
             mean_work: BTreeMap::new(),
-            usual: BTreeMap::new(),
             agents: BTreeMap::new(),
             past_agents: BTreeSet::new(),
             past_workers: BTreeSet::new(),
@@ -232,7 +229,6 @@
         }
         self.mean_work.entry(sub.queue.clone()).or_default().note(work_core_s(sub));
         let mut job = new_job(sub.clone(), wall);
-        job.expected_ms = self.expected_ms(sub);
         job.accepted_in = self.change;
         self.jobs.insert(sub.job.clone(), job);
         self.live.insert(sub.job.clone());
@@ -419,8 +415,6 @@
         if !end.saved.is_empty() {
             unit.saved = end.saved.clone();
         }
-        let took_ms = now.saturating_sub(unit.since);
-        let plain_run = unit.at == Where::Placed && unit.run == 1 && end.saved.is_empty();
         let mut failed = false;
         match end.how {
             How::Done if !lasts => set(unit, Where::Done, now),
@@ -437,9 +431,6 @@
             "event=run_ended job={} task={} run={} how={:?} worker={life} fails={fails}",
             end.task.job, end.task, end.run, end.how
         ));
-        if plain_run && end.how == How::Done && !lasts {
-            self.learn(&end.task.job, key.step, life, took_ms);
-        }
         if let Some(worker) = self.workers.get_mut(life) {
             match end.how {
                 How::Done => worker.note_done(),
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -117,7 +117,6 @@
 /// Creates a job that was just accepted.
 pub fn new_job(sub: Submission, accepted_ms: u64) -> Job {
     Job {
-        expected_ms: sub.steps.iter().map(|step| step.estimate_ms).collect(),
         sub,
         accepted_ms,
         units: Default::default(),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::duration::Slowness;
 use crate::report::{Running, WorkerInfo};
 use crate::room::Room;
 use crate::task::Task;
@@ -35,8 +34,6 @@
     pub seen: u64,
     /// Failures in a row.
     pub failed_in_row: u32,
-    /// How slow its runs were.
-    pub slowness: Slowness,
     /// When it may be used again, on the steady clock.
     pub out_until: u64,
     /// Times it was taken out of use.
@@ -63,7 +60,6 @@
             ends: (0, 0),
             seen: 0,
             failed_in_row: 0,
-            slowness: Slowness::default(),
             out_until: 0,
             ejections: 0,
             used: Room::default(),
