Split the planner and the entry by concept, and drop what nothing uses

Dropped: an unused factor of the timing, a callback that nobody used, a constant whose comment was wrong.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -101,7 +101,7 @@
     log::info!("event=started role=agent instance={} life={}", agent.settings.instance, agent.life);
     let office = agent.office.clone();
     let take = move |key: &str, value: &[u8], offset: u64| office.take(key, value, offset);
-    tokio::spawn(async move { follow::follow(&store, CLAIMS, FOLLOW_WAIT, take, |_| ()).await });
+    tokio::spawn(async move { follow::follow(&store, CLAIMS, FOLLOW_WAIT, take).await });
     tokio::spawn(agent.clone().run_orders());
     tokio::spawn(agent.clone().run_looks());
     tokio::spawn(agent.clone().run_reports());
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -10,14 +10,7 @@
 
 /// Hands every record of a keyed topic to `take`, the newest of each key first: key, value and offset.
 /// `wait` is the wait of one read; a read that went silent is noticed only after it.
-/// `lost` is told when the store is lost and regained.
-pub async fn follow(
-    store: &Store,
-    topic: &str,
-    wait: Duration,
-    mut take: impl FnMut(&str, &[u8], u64),
-    mut lost: impl FnMut(bool),
-) {
+pub async fn follow(store: &Store, topic: &str, wait: Duration, mut take: impl FnMut(&str, &[u8], u64)) {
     let mut from = None;
     let mut pause_ms = PAUSE_MS.0;
     loop {
@@ -55,14 +48,12 @@
                 if pause_ms != PAUSE_MS.0 {
                     log::info!("event=store_regained topic={topic}");
                 }
-                lost(false);
                 pause_ms = PAUSE_MS.0;
             }
             Some(e) => {
                 if pause_ms == PAUSE_MS.0 {
                     log::warn!("event=store_lost topic={topic} cause=\"{e}\"");
                 }
-                lost(true);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 pause_ms = (pause_ms * 2).min(PAUSE_MS.1);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The processes that run on the users' platform: entries, one of which plans, and agents beside the workers.
 
 pub mod agent;
+pub mod callers;
 pub mod calls;
 pub mod clock;
 pub mod duty;
--- a/crates/control/tests/entry.rs
+++ b/crates/control/tests/callers.rs
@@ -1,6 +1,6 @@
 //! Waits on behalf of callers.
 
-use sorrelland_control::entry::wait_for_planner_ms;
+use sorrelland_control::callers::wait_for_planner_ms;
 
 #[yare::parameterized(
     usual = { Some(3_000), 2_850 },
--- a/crates/emul/src/run.rs
+++ b/crates/emul/src/run.rs
@@ -75,7 +75,6 @@
         unheard_ms: 6_000 + grant_ms + grant_ms / 50 + load.stop_ms,
         keep_ended_ms: 240_000,
         reclaim_ms: 2_900,
-        remote_factor: 3,
     }
 }
 
--- a/crates/fleet/src/admit.rs
+++ b/crates/fleet/src/admit.rs
@@ -110,7 +110,7 @@
 /// Checks that the work ahead leaves the job a chance to end before its result is worth nothing.
 fn in_time(planner: &Planner, now: u64, sub: &Submission) -> Result<(), Refusal> {
     let Some(queue) = planner.desired.queue(&sub.queue) else { return Ok(()) };
-    let (capacity, _) = planner.capacity_of(&queue.service);
+    let capacity = planner.capacity_of(&queue.service);
     let fillable = |all: i64| (all * FILLABLE_MILLI / 1_000).max(1);
     // Room-milliseconds of work ahead, each resource by itself; the scarcest decides.
     let mut ahead = Room::default();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod advice;
 pub mod desired;
+pub mod intake;
 pub mod job;
 pub mod orders;
 pub mod pace;
@@ -18,6 +19,7 @@
 pub mod task;
 pub mod unit;
 pub mod value;
+pub mod wish;
 pub mod worker;
 
 pub use desired::Desired;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -35,9 +35,6 @@
 /// Time before its latest start from which a unit may use the reserve, in milliseconds.
 const RESERVE_SLACK_MS: u64 = 1_000;
 
-/// Time left before a draining worker goes that a start there must not count on, in milliseconds.
-const LEAST_ESTIMATE_MS: u64 = 1;
-
 /// Room that is kept for units while it is being vacated.
 #[derive(Clone, Debug, Default)]
 pub struct Claims {
@@ -236,7 +233,7 @@
         }
         let mut offer = self.offer(now, candidate, step);
         self.limit_per_worker(&mut offer, candidate, step);
-        let patience = step.estimate_ms.max(LEAST_ESTIMATE_MS) * NEAR_WAIT_MILLI / 1_000;
+        let patience = step.estimate_ms * NEAR_WAIT_MILLI / 1_000;
         let patient = now < unit.since + patience;
         if unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang) {
             let others = offer.left.keys().any(|life| !unit.failed_on.iter().any(|failed| failed == life));
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -11,14 +11,8 @@
 use sorrelland_fleet::report::{End, How, Report, Running, WorkerInfo};
 use sorrelland_fleet::{Room, Task};
 
-const TIMING: Timing = Timing {
-    grant_ms: 4_800,
-    stop_ms: 400,
-    unheard_ms: 11_000,
-    keep_ended_ms: 240_000,
-    reclaim_ms: 2_900,
-    remote_factor: 3,
-};
+const TIMING: Timing =
+    Timing { grant_ms: 4_800, stop_ms: 400, unheard_ms: 11_000, keep_ended_ms: 240_000, reclaim_ms: 2_900 };
 
 fn queue(name: &str, priority: u32) -> Queue {
     Queue {
