Send news to the planner at once, and order a stop once

Now one report waits, news is sent beside it, and the planner answers the older one at once. An answered stop is repeated only when the run is still listed after 1.5 s.

Ruled out: the wait of looks at the worker (they return at an end), the time of appends.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -11,7 +11,8 @@
 use sorrelland_platform::serve::{self, Answer, Call};
 use sorrelland_platform::worker::{Error, StartOrder, Started, announcement};
 use sorrelland_platform::{Settings, Store, WorkerClient};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 use crate::calls::{Links, Ping, Wish, call};
 use crate::clock::now_ms;
@@ -29,6 +30,9 @@
 /// Pause after a call to the worker failed, and before an order without an answer is repeated.
 const ORDER_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time between two looks at what is to be ordered when nothing causes one.
+const ORDERS_EVERY: Duration = Duration::from_secs(1);
+
 /// Wait for the planner to store ends before they are looked at again.
 const CONFIRM_WAIT: Duration = Duration::from_millis(400);
 
@@ -83,7 +87,7 @@
         office: Office::default(),
         links: Links::new(&settings.store),
         worker: WorkerClient::new(&worker.to_string()),
-        watched: Mutex::default(),
+        watched: Mutex::new(Watched::new(settings.bounds.longest_lease_ms, settings.bounds.stop_ms)),
         entries: Mutex::default(),
         news: Notify::new(),
         orders: Notify::new(),
@@ -124,8 +128,7 @@
             Method::PUT => match announcement(life, &call.body) {
                 Ok(announcement) => {
                     let draining = announcement.info.draining;
-                    let stop_ms = self.settings.bounds.stop_ms;
-                    if lock(&self.watched).announce(now_ms(), announcement, stop_ms) {
+                    if lock(&self.watched).announce(now_ms(), announcement) {
                         log::info!("event=worker_announced worker={life} draining={draining}");
                         self.news.notify_one();
                         self.look.notify_one();
@@ -147,22 +150,27 @@
         }
     }
 
+    /// Keeps one report waiting at the planner, and sends another at once when there is news.
     async fn run_reports(self: Arc<Self>) {
-        let slots = Arc::new(Semaphore::new(REPORTS_AT_A_TIME));
-        let answered = Arc::new(Notify::new());
+        let mut under_way = JoinSet::new();
         let mut seq = 0;
         loop {
-            let Ok(permit) = slots.clone().acquire_owned().await else { return };
             seq += 1;
-            let (agent, answered_by) = (self.clone(), answered.clone());
-            tokio::spawn(async move {
-                agent.report_once(seq).await;
-                answered_by.notify_one();
-                drop(permit);
-            });
-            tokio::select! {
-                () = answered.notified() => (),
-                () = self.news.notified() => (),
+            let agent = self.clone();
+            under_way.spawn(async move { agent.report_once(seq).await });
+            loop {
+                let may_send = under_way.len() < REPORTS_AT_A_TIME;
+                tokio::select! {
+                    Some(done) = under_way.join_next() => {
+                        if let Err(e) = done {
+                            log::error!("event=report_task_failed cause=\"{e}\"");
+                        }
+                        if under_way.is_empty() {
+                            break;
+                        }
+                    }
+                    () = self.news.notified(), if may_send => break,
+                }
             }
         }
     }
@@ -222,11 +230,13 @@
             let (life, starts, stops, paces, clocked) = {
                 let watched = lock(&self.watched);
                 let life = watched.life().map(str::to_owned);
-                (life, watched.starts(now_ms()), watched.stops(), watched.paces(), watched.has_clock())
+                let now = now_ms();
+                (life, watched.starts(now), watched.stops(now), watched.paces(), watched.has_clock())
             };
             let Some(life) = life.filter(|_| !starts.is_empty() || !stops.is_empty() || !paces.is_empty())
             else {
-                self.orders.notified().await;
+                // Orders, or the time to repeat one that was answered and shows no effect.
+                let _ = tokio::time::timeout(ORDERS_EVERY, self.orders.notified()).await;
                 continue;
             };
             if !clocked && !starts.is_empty() {
@@ -309,7 +319,9 @@
         match self.worker.stop(life, task, run, token).await {
             Ok(()) => {
                 log::info!("event=stop_ordered job={job} task={task} run={run} worker={life} token={token}");
-                lock(&self.watched).note_final(life, task, run, "stopped before it was there", now_ms());
+                let mut watched = lock(&self.watched);
+                watched.note_stopped(life, stop, now_ms());
+                watched.note_final(life, task, run, "stopped before it was there", now_ms());
                 true
             }
             Err(e) => {
@@ -351,10 +363,9 @@
 
     async fn run_looks(self: Arc<Self>) {
         loop {
-            let grant_ms = self.settings.bounds.longest_lease_ms;
             let (life, needed, resolves) = {
                 let mut watched = lock(&self.watched);
-                if watched.lapse(now_ms(), grant_ms, self.settings.bounds.stop_ms) {
+                if watched.lapse(now_ms()) {
                     log::warn!("event=leases_lapsed worker={}", watched.life().unwrap_or_default());
                     self.news.notify_one();
                 }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -13,6 +13,10 @@
 /// Parts in a hundred by which a worker's clock may be slow.
 const SLOW_PERCENT: u64 = 2;
 
+/// Time after which a stop that was answered is ordered again if the run is still listed, in milliseconds: beyond
+/// the longest `stop_ms` of the users' sheets.
+const STOP_AGAIN_MS: u64 = 1_500;
+
 /// Time beyond every bound after which a lease counts as run out, in milliseconds.
 const LAPSE_SLACK_MS: u64 = 300;
 
@@ -21,6 +25,10 @@
 /// State of one worker as its agent knows it.
 #[derive(Debug, Default)]
 pub struct Watched {
+    /// Longest time that a lease on the worker may have left, in milliseconds.
+    longest_lease_ms: u64,
+    /// Longest time that a stop takes, in milliseconds.
+    stop_ms: u64,
     announced: Option<Announcement>,
     left: bool,
     past_lives: BTreeSet<String>,
@@ -41,14 +49,21 @@
     /// Runs that can't arrive any more, unless a look sent from then on shows them.
     resolving: BTreeMap<RunKey, (String, u64)>,
     gone: BTreeMap<RunKey, String>,
+    /// Stops that the worker has answered, with the time of the answer.
+    stopped: BTreeMap<RunKey, u64>,
     /// Speed shares that the worker has confirmed.
     paced: BTreeMap<RunKey, u64>,
     listed_clock: u64,
 }
 
 impl Watched {
+    /// Creates the state of a worker that has not announced itself yet; times are in milliseconds.
+    pub fn new(longest_lease_ms: u64, stop_ms: u64) -> Self {
+        Self { longest_lease_ms, stop_ms, ..Self::default() }
+    }
+
     /// Takes in an announcement; returns whether anything changed that the planner should hear at once.
-    pub fn announce(&mut self, now: u64, announcement: Announcement, stop_ms: u64) -> bool {
+    pub fn announce(&mut self, now: u64, announcement: Announcement) -> bool {
         let life = &announcement.info.life;
         if self.past_lives.contains(life) {
             return false;
@@ -69,7 +84,7 @@
             }
             None => {
                 // A former life of this agent may have extended leases that this one knows nothing of.
-                self.leased_until = self.leased_until.max(now + stop_ms);
+                self.leased_until = self.leased_until.max(now + self.longest_lease_ms);
                 self.announced = Some(announcement);
                 true
             }
@@ -88,7 +103,12 @@
             self.past_lives.insert(known.info.life);
         }
         let past_lives = std::mem::take(&mut self.past_lives);
-        *self = Self { past_lives, epoch: self.epoch, granted_until: self.granted_until, ..Self::default() };
+        *self = Self {
+            past_lives,
+            epoch: self.epoch,
+            granted_until: self.granted_until,
+            ..Self::new(self.longest_lease_ms, self.stop_ms)
+        };
     }
 
     /// Notes that the worker has said that it is gone: whatever ran there has ended.
@@ -149,6 +169,7 @@
                 || orders.stops.iter().any(|stop| stop.task == run.0 && stop.run == run.1)
         };
         self.gone.retain(|run, _| wanted(run));
+        self.stopped.retain(|run, _| wanted(run));
         self.orders = Some(orders);
         true
     }
@@ -190,10 +211,14 @@
     }
 
     /// Returns the stops to order now.
-    pub fn stops(&self) -> Vec<Stop> {
+    pub fn stops(&self, now: u64) -> Vec<Stop> {
         let open = |stop: &&Stop| {
             let run = (stop.task.clone(), stop.run);
-            !self.gone.contains_key(&run) && !self.resolving.contains_key(&run) && !self.is_ended(&run)
+            let repeat = self.stopped.get(&run).is_none_or(|at| now >= at + STOP_AGAIN_MS);
+            repeat
+                && !self.gone.contains_key(&run)
+                && !self.resolving.contains_key(&run)
+                && !self.is_ended(&run)
         };
         self.orders.iter().flat_map(|orders| &orders.stops).filter(open).cloned().collect()
     }
@@ -231,6 +256,13 @@
         }
     }
 
+    /// Notes that the worker has answered a stop.
+    pub fn note_stopped(&mut self, life: &str, stop: &Stop, now: u64) {
+        if self.life() == Some(life) {
+            self.stopped.insert((stop.task.clone(), stop.run), now);
+        }
+    }
+
     /// Notes that a run can't arrive any more; a look sent at or after `now` tells whether it was there.
     pub fn note_final(&mut self, life: &str, task: &Task, run: u64, why: &str, now: u64) {
         if self.life() == Some(life) {
@@ -269,8 +301,9 @@
     }
 
     /// Gives up what ran once every lease has certainly run out; returns whether anything was given up.
-    pub fn lapse(&mut self, now: u64, grant_ms: u64, stop_ms: u64) -> bool {
-        let over = self.leased_until + grant_ms * SLOW_PERCENT / 100 + stop_ms + LAPSE_SLACK_MS;
+    pub fn lapse(&mut self, now: u64) -> bool {
+        let slow_ms = self.longest_lease_ms * SLOW_PERCENT / 100;
+        let over = self.leased_until + slow_ms + self.stop_ms + LAPSE_SLACK_MS;
         let any = !self.running.is_empty() || !self.tried.is_empty() || !self.started.is_empty();
         if now <= over || !any {
             return false;
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -65,8 +65,11 @@
 }
 
 /// What an agent was told, and how to wake its waiting call.
+#[derive(Default)]
 struct AgentSlot {
     wake: Arc<Notify>,
+    /// Life and number of the newest report.
+    newest: (u64, u64),
     told: Option<(u64, Orders)>,
 }
 
@@ -163,7 +166,7 @@
         let slots = lock(&self.agents);
         for agent in agents {
             if let Some(slot) = slots.get(&agent) {
-                slot.wake.notify_one();
+                slot.wake.notify_waiters();
             }
         }
     }
@@ -354,7 +357,7 @@
     /// Takes an agent's report and returns the wish for its worker once it differs from what the agent was told,
     /// or after a while.
     pub async fn report(&self, report: Report) -> Option<Option<Orders>> {
-        let (agent, life) = (report.agent.clone(), report.agent_life);
+        let (agent, life, seq) = (report.agent.clone(), report.agent_life, report.seq);
         let news = !report.ended.is_empty() || !report.gone.is_empty();
         let joined = {
             let mut planner = lock(&self.planner);
@@ -364,8 +367,13 @@
         };
         let wake = {
             let mut slots = lock(&self.agents);
-            let slot = slots.entry(agent.clone());
-            slot.or_insert_with(|| AgentSlot { wake: Arc::new(Notify::new()), told: None }).wake.clone()
+            let slot = slots.entry(agent.clone()).or_default();
+            if slot.newest.0 != life || slot.newest.1 < seq {
+                slot.newest = (life, seq);
+                // An older report of this agent has nothing to wait for any more.
+                slot.wake.notify_waiters();
+            }
+            slot.wake.clone()
         };
         if news || joined {
             self.pass.notify_one();
@@ -375,16 +383,25 @@
             if self.is_over() {
                 return None;
             }
+            // Listens before it looks: a change between the two wakes it.
+            let woken = wake.notified();
+            tokio::pin!(woken);
+            woken.as_mut().enable();
             let orders = lock(&self.planner).orders(now_ms(), &agent);
             let late = tokio::time::Instant::now() >= until;
-            if late || self.differs(&agent, life, orders.as_ref()) {
+            if late || self.differs(&agent, life, orders.as_ref()) || self.is_superseded(&agent, life, seq) {
                 return Some(orders);
             }
             // Woken by a change for this agent, or by the end of the wait.
-            let _ = tokio::time::timeout_at(until, wake.notified()).await;
+            let _ = tokio::time::timeout_at(until, woken).await;
         }
     }
 
+    /// Returns whether a newer report of the agent has come.
+    fn is_superseded(&self, agent: &str, life: u64, seq: u64) -> bool {
+        lock(&self.agents).get(agent).is_some_and(|slot| slot.newest.0 != life || slot.newest.1 > seq)
+    }
+
     /// Returns whether a wish differs from what a life of an agent was told last, and notes it as told.
     fn differs(&self, agent: &str, life: u64, orders: Option<&Orders>) -> bool {
         let mut slots = lock(&self.agents);
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -53,6 +53,25 @@
     }
 }
 
+#[tokio::test]
+async fn path_tells_ends_at_once() {
+    // An end counts as known 100 ms after a worker lists it, and storing it takes a few more.
+    const KNOWN_WITHIN: Duration = Duration::from_millis(100 + 50);
+    let platform = Platform::start(1, 1).await;
+    let mut beyond = Duration::ZERO;
+    let jobs = 10;
+    for number in 1..=jobs {
+        // Odd lengths, so that no period of the control hides a delay.
+        let length = Duration::from_millis(330 + 37 * u64::from(number));
+        let began = Instant::now();
+        let spec = format!("run_ms={}", length.as_millis());
+        assert_eq!(platform.submit(1, &job(number), json!([step(1)]), &spec).await, 200);
+        platform.await_state(&job(number), "completed", Duration::from_secs(5)).await;
+        beyond += began.elapsed().saturating_sub(length);
+    }
+    assert!(beyond / jobs < KNOWN_WITHIN, "{:?} beyond the work", beyond / jobs);
+}
+
 #[tokio::test]
 async fn path_gives_up_a_job_after_its_attempts() {
     let platform = Platform::start(1, 2).await;
