Take the office over at once where the holder is known to be gone

Cause: after every loss of the planner the office stood empty for 1.8 s of silence in the store, also where more was known: the process that restarts on the holder's own instance is its successor, and an instance that refuses connections runs no planner.

Now the next life claims at once; others claim after 0.9 s of silence when the holder's address refuses connections. The store's order of claims and the epochs fence a holder that lives nevertheless, as before.

Ruled out: shorter renewals for all (each is a priced call, and a slow store would depose planners that live).

Tests: wait_for_silence_ends_at_once_for_the_next_life, is_over_needs_less_silence_of_a_holder_that_refuses.

--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -3,6 +3,8 @@
 //! The store orders the claims: a claim is appended only if no other came first, and its offset is the fencing
 //! token. Renewals lie in a topic of their own, so that only entries are woken by them.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -29,6 +31,10 @@
 /// Silence in the store after which the office may be claimed, in milliseconds: three renewals.
 pub const SILENT_MS: u64 = 1_800;
 
+/// Silence after which the office may be claimed when the holder's instance also refuses connections, in
+/// milliseconds: a holder that lives renews within this time.
+pub const SILENT_AND_REFUSING_MS: u64 = 900;
+
 /// Time for which a planner goes on without the store, in milliseconds; a new one waits for what such a planner
 /// may have granted.
 pub const ALONE_MS: u64 = 6_000;
@@ -36,6 +42,9 @@
 /// Wait of one read of the renewals.
 const READ_WAIT: Duration = Duration::from_millis(700);
 
+/// Wait of one read of the renewals while the holder refuses connections.
+const REFUSING_READ_WAIT: Duration = Duration::from_millis(200);
+
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -59,11 +68,13 @@
 #[derive(Clone, Debug)]
 pub struct Office {
     tx: watch::Sender<Option<Holder>>,
+    /// Highest epoch whose holder's address has refused a connection.
+    refused: Arc<AtomicU64>,
 }
 
 impl Default for Office {
     fn default() -> Self {
-        Self { tx: watch::Sender::new(None) }
+        Self { tx: watch::Sender::new(None), refused: Arc::default() }
     }
 }
 
@@ -96,6 +107,23 @@
         });
     }
 
+    /// Returns whether the holder is a former life of `me`: the process before on the same instance, which is gone.
+    pub fn is_former_life_of(&self, me: &Holder) -> bool {
+        let same = |holder: &Holder| holder.instance == me.instance && holder.address == me.address;
+        self.tx.borrow().as_ref().is_some_and(|holder| same(holder) && holder.life != me.life)
+    }
+
+    /// Notes that nobody listens at the address of the holder of `epoch`.
+    pub fn note_refused(&self, epoch: u64) {
+        self.refused.fetch_max(epoch, Ordering::Relaxed);
+    }
+
+    /// Returns whether nobody listens at the holder's address.
+    pub fn refuses(&self) -> bool {
+        let epoch = self.epoch();
+        epoch > 0 && self.refused.load(Ordering::Relaxed) >= epoch
+    }
+
     /// Takes in a claim as it lies in the store.
     pub fn take(&self, key: &str, value: &[u8], offset: u64) {
         if key != KEY {
@@ -144,22 +172,34 @@
         self.resigned = true;
     }
 
-    /// Returns whether the office may be claimed after the usual silence and a further `wait_ms`.
-    pub fn is_over(&self, now: u64, wait_ms: u64) -> bool {
-        self.resigned || self.since.is_some_and(|since| now >= since + SILENT_MS + wait_ms)
+    /// Returns whether the office may be claimed after the silence that is needed and a further `wait_ms`; less is
+    /// needed of a holder that refuses connections.
+    pub fn is_over(&self, now: u64, refuses: bool, wait_ms: u64) -> bool {
+        let needed = if refuses { SILENT_AND_REFUSING_MS } else { SILENT_MS };
+        self.resigned || self.since.is_some_and(|since| now >= since + needed + wait_ms)
     }
 }
 
-/// Follows the renewals and returns the epoch of the silent holder once the office may be claimed; `rank_ms` spreads
+/// Follows the renewals and returns the epoch of the silent holder once `me` may claim the office; `rank_ms` spreads
 /// the claimants.
-pub async fn wait_for_silence(store: &Store, office: &Office, rank_ms: u64) -> u64 {
+pub async fn wait_for_silence(store: &Store, office: &Office, me: &Holder, rank_ms: u64) -> u64 {
     let mut silence = Silence::default();
+    let mut holders = office.subscribe();
     let mut from = 0;
     let mut epoch = office.epoch();
     let mut vacant_since = None;
     loop {
+        if office.is_former_life_of(me) {
+            return office.epoch();
+        }
         let began = now_ms();
-        match store.read(RENEWALS, from, READ_WAIT).await {
+        let wait = if office.refuses() { REFUSING_READ_WAIT } else { READ_WAIT };
+        let read = tokio::select! {
+            read = store.read(RENEWALS, from, wait) => read,
+            // The sender lives as long as the office.
+            Ok(()) = holders.changed() => continue,
+        };
+        match read {
             Ok(read) => {
                 let renewals =
                     read.records.iter().filter_map(|raw| serde_json::from_slice::<Renewal>(raw).ok());
@@ -191,7 +231,7 @@
             vacant_since.get_or_insert(now_ms());
         }
         let vacant = epoch == 0 && vacant_since.is_some_and(|since| now_ms() >= since + rank_ms);
-        if vacant || silence.is_over(now_ms(), rank_ms) {
+        if vacant || silence.is_over(now_ms(), office.refuses(), rank_ms) {
             return epoch;
         }
     }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use sorrelland_fleet::planner::Timing;
 use sorrelland_platform::serve::{self, Answer};
 use sorrelland_platform::{Policy, Settings, Store, desired};
-use sorrelland_wire::connect;
+use sorrelland_wire::connect::{self, CallError};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -40,6 +41,9 @@
 /// Time between two pings to the planner.
 const PING_EVERY: Duration = Duration::from_millis(500);
 
+/// Pause after a ping of the planner that failed: a second try tells a lost connection from a lost process.
+const PING_AGAIN: Duration = Duration::from_millis(100);
+
 /// Time for a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -263,21 +267,28 @@
     }
 
     async fn run_pings(self: Arc<Self>) {
+        let mut pause = PING_EVERY;
         loop {
-            tokio::time::sleep(PING_EVERY).await;
-            if let Some(holder) = self.office.holder().filter(|holder| holder.life != self.me.life) {
-                self.ping(&holder.address, true).await;
+            tokio::time::sleep(pause).await;
+            pause = PING_EVERY;
+            let planner = self.office.holder().filter(|holder| holder.life != self.me.life);
+            if let Some(holder) = planner
+                && !self.ping(&holder.address, Some(holder.epoch)).await
+            {
+                pause = PING_AGAIN;
             }
         }
     }
 
-    async fn ping(&self, address: &str, is_planner: bool) {
+    /// Exchanges what is known with another entry; `planner` is its epoch if it holds the office. Returns whether it
+    /// answered.
+    async fn ping(&self, address: &str, planner: Option<u64>) -> bool {
         let version = self.desired.borrow().version;
         let ping = Ping { address: self.me.address.clone(), holder: self.office.holder(), version };
         let pong = call(&self.links, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await;
         match pong {
             Ok(pong) => {
-                if is_planner {
+                if planner.is_some() {
                     *lock(&self.planner_heard) = now_ms();
                 }
                 let now = now_ms();
@@ -291,8 +302,17 @@
                 if let Some(raw) = pong.desired {
                     self.take_desired(&raw, address);
                 }
+                true
+            }
+            Err(e) => {
+                log::debug!("event=ping_failed address={address} cause=\"{e}\"");
+                if let (Some(epoch), CallError::Connect(e)) = (planner, &e)
+                    && e.kind() == io::ErrorKind::ConnectionRefused
+                {
+                    self.office.note_refused(epoch);
+                }
+                false
             }
-            Err(e) => log::debug!("event=ping_failed address={address} cause=\"{e}\""),
         }
     }
 
@@ -308,7 +328,7 @@
             let holder = match mine {
                 Some(holder) => Some(holder),
                 None => {
-                    let silent = duty::wait_for_silence(&store, &self.office, rank_ms).await;
+                    let silent = duty::wait_for_silence(&store, &self.office, &self.me, rank_ms).await;
                     if *self.leaving.borrow() || self.desired.borrow().version == 0 {
                         tokio::time::sleep(CLAIM_PAUSE).await;
                         continue;
@@ -335,7 +355,7 @@
     /// Tells the other entries who plans now, so that even those that the store turns away know.
     async fn tell_entries(&self) {
         let entries: Vec<String> = lock(&self.entries).keys().cloned().collect();
-        futures::future::join_all(entries.iter().map(|address| self.ping(address, false))).await;
+        futures::future::join_all(entries.iter().map(|address| self.ping(address, None))).await;
     }
 
     /// Waits until the office is over, or a holder with a higher epoch is heard of.
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -103,12 +103,39 @@
     let mut silence = Silence::default();
     silence.note_renewed(1_000);
     silence.note_lost();
-    assert!(!silence.is_over(60_000, 0), "an outage of the store supersedes nobody");
+    assert!(!silence.is_over(60_000, false, 0), "an outage of the store supersedes nobody");
     silence.note_quiet(60_000);
-    assert!(!silence.is_over(60_000 + duty::SILENT_MS - 1, 0));
-    assert!(silence.is_over(60_000 + duty::SILENT_MS, 0));
+    assert!(!silence.is_over(60_000 + duty::SILENT_MS - 1, false, 0));
+    assert!(silence.is_over(60_000 + duty::SILENT_MS, false, 0));
     silence.note_renewed(70_000);
-    assert!(!silence.is_over(70_000, 0));
+    assert!(!silence.is_over(70_000, false, 0));
     silence.note_resigned();
-    assert!(silence.is_over(70_000, 300));
+    assert!(silence.is_over(70_000, false, 300));
+}
+
+#[test]
+fn is_over_needs_less_silence_of_a_holder_that_refuses() {
+    let mut silence = Silence::default();
+    silence.note_renewed(1_000);
+    assert!(!silence.is_over(1_000 + duty::SILENT_AND_REFUSING_MS - 1, true, 0));
+    assert!(silence.is_over(1_000 + duty::SILENT_AND_REFUSING_MS, true, 0));
+    assert!(!silence.is_over(1_000 + duty::SILENT_AND_REFUSING_MS, false, 0));
+    silence.note_lost();
+    assert!(!silence.is_over(60_000, true, 0), "an outage of the store supersedes nobody");
+}
+
+#[tokio::test]
+async fn wait_for_silence_ends_at_once_for_the_next_life_of_the_holder() {
+    let (_, store) = store().await;
+    let office = Office::default();
+    let held = duty::claim(&store, &office, &holder(0, 1), 0).await.unwrap();
+    duty::renew(&store, held.epoch, false).await.unwrap();
+    let next_life = Holder { epoch: 0, life: 2, ..held.clone() };
+    let waited = duty::wait_for_silence(&store, &office, &next_life, 0);
+    let epoch = tokio::time::timeout(Duration::from_millis(duty::SILENT_MS / 2), waited).await;
+    assert_eq!(epoch, Ok(held.epoch));
+    // Another instance waits for the silence.
+    let other = holder(0, 3);
+    let waited = duty::wait_for_silence(&store, &office, &other, 0);
+    assert!(tokio::time::timeout(Duration::from_millis(duty::SILENT_MS / 2), waited).await.is_err());
 }
