Make room for just the subtasks of a step that wait

Cause: room for one subtask of a broad step was sought for the step's whole count, so a step of which some subtasks ran already found room only where all of them would have fitted once more, and each waiting subtask claimed places for all.

Now room is made for exactly the waiting subtasks, for all of them or none, and its cost is weighed once against the job's worth.

Ruled out: one subtask at a time, each with the whole worth as its gain, which can throw away several times the worth of the job.

Test: make_room_for_all_waiting_subtasks_of_a_step_or_none.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -51,10 +51,17 @@
 }
 
 impl Claims {
-    /// Keeps room on `workers`, one entry a member, for a unit.
-    pub fn insert(&mut self, candidate: &Candidate, workers: Vec<String>, each: Room, now: u64) {
+    /// Keeps room on `workers`, one entry a member, for a unit of a candidate's step.
+    pub fn insert(
+        &mut self,
+        candidate: &Candidate,
+        key: UnitKey,
+        workers: Vec<String>,
+        each: Room,
+        now: u64,
+    ) {
         let claim = Claim { workers, each, guaranteed: candidate.guaranteed, until: now + CLAIM_MS };
-        self.by_unit.insert((candidate.job.clone(), candidate.key), claim);
+        self.by_unit.insert((candidate.job.clone(), key), claim);
     }
 
     /// Returns whether a unit has a claim.
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::job::Step;
 use crate::place::{Candidate, fill};
 use crate::planner::Planner;
 use crate::room::Room;
@@ -28,11 +29,19 @@
     on: BTreeMap<String, Room>,
 }
 
-/// Ends runs that are less urgent than a unit until it fits, and keeps the room for it.
+/// Ends runs that are less urgent than a unit until it fits, and keeps the room for it. A job is in time only with
+/// all its subtasks, so room is made for all units of a step that wait, or for none; only a guarantee that is due
+/// takes what it can get.
 pub fn make_room(planner: &mut Planner, now: u64, wall: u64, candidate: &Candidate) {
     let Some(gain) = gain(planner, wall, candidate) else { return };
     let Some(job) = planner.jobs.get(&candidate.job) else { return };
     let Some(step) = job.sub.steps.get(candidate.key.step as usize).cloned() else { return };
+    let units = match step.gang || candidate.must_begin {
+        true => vec![candidate.key],
+        false => waiting_beside(planner, candidate),
+    };
+    let members = if step.gang { step.count } else { units.len() as u32 };
+    let wanted = Step { count: members, ..step.clone() };
     let victims = victims(planner, now, wall, candidate);
     let offer = planner.offer(now, candidate, &step);
     let mut groups: BTreeMap<&str, Vec<(&Worker, Room)>> = BTreeMap::new();
@@ -40,12 +49,12 @@
         let group = if step.one_rack { worker.rack() } else { "" };
         groups.entry(group).or_default().push((worker, *room));
     }
-    let plans = groups.values().filter_map(|workers| choose(workers, &victims, &step));
+    let plans = groups.values().filter_map(|workers| choose(workers, &victims, &wanted));
     let mut best = plans.min_by(|one, other| one.0.total_cmp(&other.0));
     if best.is_none() && candidate.must_begin {
         // No rack can be vacated for it: better slow over several racks than not within the bound.
         let all: Vec<(&Worker, Room)> = offer.left.values().copied().collect();
-        best = choose(&all, &victims, &step);
+        best = choose(&all, &victims, &wanted);
     }
     let Some((cost, chosen, lives)) = best else { return };
     if cost > gain {
@@ -53,13 +62,30 @@
     }
     let ends: Vec<(String, UnitKey)> =
         chosen.iter().map(|at| (victims[*at].job.clone(), victims[*at].key)).collect();
-    planner.claims.insert(candidate, lives, step.counted(), now);
+    if step.gang {
+        planner.claims.insert(candidate, candidate.key, lives, step.counted(), now);
+    } else {
+        for (key, life) in units.into_iter().zip(lives) {
+            planner.claims.insert(candidate, key, vec![life], step.counted(), now);
+        }
+    }
     let why = format!("room for {}", candidate.job);
     for (name, key) in ends {
         planner.vacate(now, &name, key, &why);
     }
 }
 
+/// Returns the units of a candidate's step that wait and have no claim, itself among them.
+fn waiting_beside(planner: &Planner, candidate: &Candidate) -> Vec<UnitKey> {
+    let Some(job) = planner.jobs.get(&candidate.job) else { return Vec::new() };
+    let same = |key: &UnitKey| {
+        (key.occurrence, key.step) == (candidate.key.occurrence, candidate.key.step)
+            && !planner.claims.has(&candidate.job, *key)
+    };
+    let waiting = job.units.iter().filter(|(key, unit)| unit.at == Where::Waiting && same(key));
+    waiting.map(|(key, _)| *key).collect()
+}
+
 /// Returns the most that room for a unit may cost now, in worth; `None` while it can wait.
 fn gain(planner: &Planner, wall: u64, candidate: &Candidate) -> Option<f64> {
     if candidate.must_begin {
@@ -118,7 +144,7 @@
 fn choose(
     workers: &[(&Worker, Room)],
     victims: &[Victim],
-    step: &crate::job::Step,
+    step: &Step,
 ) -> Option<(f64, Vec<usize>, Vec<String>)> {
     let names: BTreeSet<&str> = workers.iter().map(|(worker, _)| worker.info.life.as_str()).collect();
     let mut order: Vec<usize> = (0..victims.len())
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -354,6 +354,31 @@
     }
 }
 
+#[yare::parameterized(
+    one_runs_at_once = { false, 2 },
+    one_has_no_place = { true, 0 },
+)]
+fn make_room_for_all_waiting_subtasks_of_a_step_or_none(held: bool, expected: usize) {
+    let mut bench = Bench::new(3);
+    let submit = |bench: &mut Bench, job: &str, queue: &str, step: Step| {
+        let (account, steps) = ("guest".to_owned(), vec![step]);
+        let (job, queue) = (job.to_owned(), queue.to_owned());
+        let sub = Submission { job, queue, account, steps, ..Submission::default() };
+        let verdict = bench.planner.submit(bench.now, bench.now, &sub);
+        assert!(matches!(verdict, Verdict::Accepted { .. }), "{verdict:?}");
+        let orders = bench.pass(10);
+        bench.run(&orders);
+    };
+    submit(&mut bench, "low", "low", Step { estimate_ms: 60_000, ..step(2, 8) });
+    if held {
+        submit(&mut bench, "holds", "urgent", Step { estimate_ms: 20_000, ..step(1, 8) });
+    }
+    submit(&mut bench, "urgent", "urgent", step(3, 8));
+    let stops = |orders: &[Orders]| orders.iter().map(|orders| orders.stops.len()).sum::<usize>();
+    let most = (0..100).map(|_| stops(&bench.pass(100))).max();
+    assert_eq!(most, Some(expected));
+}
+
 #[test]
 fn place_spreads_a_guaranteed_gang_when_no_rack_can_be_vacated() {
     // Two racks of three workers; other guaranteed work holds one worker of each.
