Show operators what the planner knows, from any entry

Cause: on the platform an operator had only logs and metrics; who waits, for what, and how much of the error budget is used had to be put together by hand.

The metrics address of an entry answers views (jobs, workers, accounts, refusals, service levels, and why a job is where it is) by asking the planner the way callers' questions go; `sorrellandctl platform` prints them as tables or JSON and draws the burn as SVG.

Ruled out: views on the callers' address, where one account would see another's jobs; views from an entry's own copy, which has none.

Before: none of it. Now: tool_shows_from_any_entry_why_a_job_waits and tool_reports_the_burn_of_what_ended over real processes; the picture was looked at.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -19,7 +19,7 @@
 use crate::duty::{CLAIMS, Office};
 use crate::lease::Watched;
 use crate::signals::{self, stopped};
-use crate::{Error as RunError, Result, follow, lock, reload};
+use crate::{Error as RunError, Result, follow, lock, metrics, reload};
 
 /// Wait of a read of the claims: agents hear of planners from entries as well, and there are many agents.
 const FOLLOW_WAIT: Duration = Duration::from_secs(10);
@@ -80,7 +80,8 @@
     let worker = settings.worker.ok_or(RunError::Missing("the address of the worker"))?;
     let asked = signals::listen();
     tokio::spawn(reload::watch(path, settings.clone(), asked.clone()));
-    crate::entry::serve_metrics(&settings, metrics_port)?;
+    let show = Arc::new(|_| async { metrics::text() }.boxed());
+    crate::entry::serve_metrics(&settings, metrics_port, show)?;
     let store = Store::new(&settings.store);
     let agent = Arc::new(Agent {
         life: rand::random(),
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -127,7 +127,7 @@
     }
 
     /// Asks the planner until it answers or the caller's time is nearly up.
-    async fn ask(&self, ask: Ask, call: &Call) -> Asked {
+    pub(crate) async fn ask(&self, ask: Ask, call: &Call) -> Asked {
         let wait = Duration::from_millis(wait_for_planner_ms(call.wait_ms));
         let until = tokio::time::Instant::now() + wait;
         let mut delivered = false;
@@ -178,7 +178,7 @@
 
 /// What became of a question to the planner.
 #[derive(Debug)]
-enum Asked {
+pub(crate) enum Asked {
     /// The planner has answered.
     Told(Told),
     /// No planner was ever reached.
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -7,6 +7,7 @@
 use sorrelland_fleet::job::{JobState, Submission};
 use sorrelland_fleet::orders::Orders;
 use sorrelland_fleet::report::Report;
+use sorrelland_fleet::view::Query;
 use sorrelland_wire::connect::{CallError, Connect, Pool, open, within};
 use tarpc::client::{Config, RpcError};
 use tarpc::serde_transport;
@@ -36,6 +37,8 @@
     Cancel(String),
     /// The number of jobs of a queue that nothing has started of.
     Pending(String),
+    /// What an operator wants to see.
+    Show(Query),
 }
 
 /// The planner's answer.
@@ -58,6 +61,8 @@
     Cancelled(bool),
     /// Number of jobs.
     Pending(u64),
+    /// What the operator asked for, as JSON.
+    Shown(String),
     /// The change could not be stored in time; it may be stored yet.
     Unresolved,
 }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use sorrelland_fleet::desired::Desired;
 use sorrelland_fleet::planner::Timing;
-use sorrelland_platform::serve::{self, Answer};
+use sorrelland_platform::serve::{self, Answer, Handler};
 use sorrelland_platform::{Policy, Settings, Store, desired};
 use sorrelland_wire::connect::{self, CallError};
 use tarpc::context::Context;
@@ -88,7 +88,6 @@
     let readiness = settings.readiness.ok_or(Error::Missing("the address for readiness checks"))?;
     let asked = signals::listen();
     tokio::spawn(reload::watch(path, settings.clone(), asked.clone()));
-    serve_metrics(&settings, metrics_port)?;
     let store = Store::new(&settings.store);
     let address = settings.peer_address();
     let listener = TcpListener::bind(&address).await?;
@@ -105,6 +104,9 @@
         planner_heard: Mutex::default(),
         leaving: watch::Sender::new(false),
     });
+    let operators = entry.clone();
+    let show = Arc::new(move |call| operators.clone().show(call).boxed());
+    serve_metrics(&entry.settings, metrics_port, show)?;
     let ready = {
         let entry = entry.clone();
         serve::start(
@@ -149,10 +151,10 @@
 /// # Errors
 ///
 /// Returns why the address could not be used.
-pub(crate) fn serve_metrics(settings: &Settings, port: Option<u16>) -> Result<()> {
+pub(crate) fn serve_metrics(settings: &Settings, port: Option<u16>, handler: Handler) -> Result<()> {
     let Some(port) = port else { return Ok(()) };
     let ip = settings.ip.parse().map_err(|_| Error::Missing("an address of the instance"))?;
-    metrics::serve(std::net::SocketAddr::new(ip, port))?;
+    metrics::serve(std::net::SocketAddr::new(ip, port), handler)?;
     Ok(())
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lease;
 pub mod logging;
 pub mod metrics;
+pub mod operators;
 pub mod patience;
 pub mod reload;
 pub mod seat;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -1,16 +1,15 @@
 //! Counters and latency histograms of a process, served as text.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::OnceLock;
 use std::time::Instant;
 
-use futures::FutureExt;
 use http::StatusCode;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
-use sorrelland_platform::serve::{self, Answer};
+use sorrelland_platform::serve::{self, Answer, Handler};
 
 /// Result of serving metrics.
 pub type Result<T> = serve::Result<T>;
@@ -29,12 +28,12 @@
 
 static METRICS: OnceLock<Metrics> = OnceLock::new();
 
-/// Sets the instruments of this process up and serves them at `address`.
+/// Sets the instruments of this process up and serves them at `address`, by `handler`.
 ///
 /// # Errors
 ///
 /// Returns why the address could not be bound.
-pub fn serve(address: SocketAddr) -> Result<()> {
+pub fn serve(address: SocketAddr, handler: Handler) -> Result<()> {
     let registry = Registry::new();
     let exporter = match opentelemetry_prometheus::exporter().with_registry(registry.clone()).build() {
         Ok(exporter) => exporter,
@@ -58,7 +57,7 @@
     };
     // A second call would be a fault of the caller; the first instruments stay.
     let _ = METRICS.set(metrics);
-    let server = serve::start(address, Arc::new(|_| async { text() }.boxed()))?;
+    let server = serve::start(address, handler)?;
     tokio::spawn(async move {
         if let Err(e) = server.await {
             log::warn!("event=server_failed cause=\"{e}\"");
@@ -67,7 +66,8 @@
     Ok(())
 }
 
-fn text() -> Answer {
+/// Returns the metrics of this process as text.
+pub(crate) fn text() -> Answer {
     let Some(metrics) = METRICS.get() else { return Answer::new(StatusCode::SERVICE_UNAVAILABLE) };
     match TextEncoder::new().encode_to_string(&metrics.registry.gather()) {
         Ok(text) => Answer { body: text, ..Answer::new(StatusCode::OK) },
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -342,6 +342,9 @@
             }
             Ask::State(job) => Told::State(lock(&self.planner).state(&job)),
             Ask::Pending(queue) => Told::Pending(lock(&self.planner).pending(&queue) as u64),
+            Ask::Show(query) => {
+                Told::Shown(lock(&self.planner).view(&query, now_ms(), wall_ms()).to_string())
+            }
             Ask::Cancel(job) => {
                 let change = lock(&self.planner).cancel(now_ms(), wall_ms(), &job);
                 let Some(change) = change else { return Told::Cancelled(false) };
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -21,11 +21,14 @@
                           [--work JSON] [--attached] [--pinned] [--once]
   sorrellandctl [options] job NAME
   sorrellandctl [options] cancel-job NAME
+  sorrellandctl [options] platform VIEW
+  sorrellandctl [options] platform why JOB
   sorrellandctl [options] STATEMENT...
   sorrellandctl [options] --file FILE
   sorrellandctl [options]
 
-The first four are for callers and need an account's key. A STATEMENT is one of the operators' language
+The first four are for callers and need an account's key. On the users' platform, --entry is the metrics address
+of any entry, and a VIEW is one of jobs, workers, accounts, refused and burn. A STATEMENT is one of the operators' language
 (docs/LANGUAGE.md) and needs an operator's key. Without a command, statements are read from standard input,
 with a prompt and history on a terminal.
 
@@ -48,6 +51,9 @@
   --pinned            never checkpoint or stop the job for others
   --once              never start the job again after a failure
 
+Option of platform burn:
+  --svg FILE          draw the use of the error budget over time as well
+
 Exit status: 0 done, 1 refused or not run, 2 wrong usage, 3 outcome unknown or not known yet, 4 no entry answers
 ";
 
@@ -82,6 +88,13 @@
         /// Name of the job.
         name: String,
     },
+    /// Show what an entry on the platform knows.
+    Platform {
+        /// Path of the view.
+        view: String,
+        /// File for a picture.
+        svg: Option<String>,
+    },
     /// Send one statement.
     Statement {
         /// Text of the statement.
@@ -139,6 +152,7 @@
     pinned: bool,
     once: bool,
     file: Option<String>,
+    svg: Option<String>,
 }
 
 /// Reads the command line; `key` is the key from the environment.
@@ -169,6 +183,7 @@
             Arg::Long("key") => args.key = parser.value()?.string()?,
             Arg::Long("timeout-ms") => args.timeout = Duration::from_millis(parser.value()?.parse()?),
             Arg::Long("json") => args.json = true,
+            Arg::Long("svg") => raw.svg = Some(parser.value()?.string()?),
             Arg::Long("file") => raw.file = Some(parser.value()?.string()?),
             Arg::Long("idempotent") => raw.idempotent = true,
             Arg::Long("deadline-ms") => raw.deadline_ms = Some(parser.value()?.parse()?),
@@ -205,7 +220,9 @@
         ["submit", name] => Ok(Command::Submit { body: submission(name, &raw)? }),
         ["job", name] => Ok(Command::Job { name: (*name).to_owned() }),
         ["cancel-job", name] => Ok(Command::CancelJob { name: (*name).to_owned() }),
-        ["request" | "submit" | "job" | "cancel-job", ..] => {
+        ["platform", "why", job] => Ok(Command::Platform { view: format!("why/{job}"), svg: None }),
+        ["platform", view] => Ok(Command::Platform { view: (*view).to_owned(), svg: raw.svg }),
+        ["request" | "submit" | "job" | "cancel-job" | "platform", ..] => {
             Err(lexopt::Error::Custom(format!("{} takes one argument", words[0]).into()).into())
         }
         _ => Ok(Command::Statement { text: words.join(" ") }),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod args;
 pub mod call;
+pub mod plot;
 pub mod run;
 pub mod show;
--- /dev/null
+++ b/crates/ctl/src/plot.rs
@@ -0,0 +1,59 @@
+//! The use of the error budget over time, as an SVG picture.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+/// Size of the picture in pixels, and of the margin around the plot.
+const SIZE: (f64, f64) = (720.0, 320.0);
+const MARGIN: f64 = 48.0;
+
+/// Least height of the burn axis, so that the line of a budget just used up is always seen.
+const LEAST_TOP: f64 = 2.0;
+
+/// Returns the picture of a burn report's points.
+pub fn burn(report: &Value) -> String {
+    let points: Vec<(f64, f64)> = report["points"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|point| Some((point["ms_ago"].as_f64()? / 1_000.0, point["burn"].as_f64()?)))
+        .collect();
+    let oldest = points.iter().map(|(ago, _)| *ago).fold(10.0, f64::max);
+    let top = points.iter().map(|(_, burn)| *burn).fold(LEAST_TOP, f64::max);
+    let x = |ago: f64| MARGIN + (1.0 - ago / oldest) * (SIZE.0 - 2.0 * MARGIN);
+    let y = |burn: f64| SIZE.1 - MARGIN - burn / top * (SIZE.1 - 2.0 * MARGIN);
+    let (left, right, bottom) = (x(oldest), x(0.0), y(0.0));
+    let mut svg = String::new();
+    // Writing to a string does not fail.
+    let mut line = |text: String| _ = writeln!(svg, "{text}");
+    line(format!(r#"<svg xmlns="http://www.w3.org/2000/svg" width="{}" height="{}">"#, SIZE.0, SIZE.1));
+    line(r#"<rect width="100%" height="100%" fill="white"/>"#.to_owned());
+    let objective = report["objective"].as_f64().unwrap_or_default() * 100.0;
+    line(label(MARGIN, 24.0, "start", &format!("budget burn, objective {objective:.0}% of jobs in time")));
+    for burn in [0.0, 1.0, top] {
+        line(format!(
+            r##"<line x1="{left}" x2="{right}" y1="{0}" y2="{0}" stroke="{1}"/>"##,
+            y(burn),
+            if burn == 1.0 { "#c00" } else { "#bbb" }
+        ));
+        line(label(left - 6.0, y(burn) + 4.0, "end", &format!("{burn:.1}")));
+    }
+    line(label(left, bottom + 20.0, "start", &format!("{oldest:.0} s ago")));
+    line(label(right, bottom + 20.0, "end", "now"));
+    let path: Vec<String> =
+        points.iter().map(|(ago, burn)| format!("{:.1},{:.1}", x(*ago), y(*burn))).collect();
+    line(format!(r##"<polyline points="{}" fill="none" stroke="#06c" stroke-width="2"/>"##, path.join(" ")));
+    for point in &path {
+        let (cx, cy) = point.split_once(',').unwrap_or_default();
+        line(format!(r##"<circle cx="{cx}" cy="{cy}" r="3" fill="#06c"/>"##));
+    }
+    line("</svg>".to_owned());
+    svg
+}
+
+fn label(x: f64, y: f64, anchor: &str, text: &str) -> String {
+    format!(
+        r#"<text x="{x}" y="{y}" font-family="sans-serif" font-size="13" text-anchor="{anchor}">{text}</text>"#
+    )
+}
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -8,7 +8,7 @@
 
 use crate::args::{Args, Command, HELP};
 use crate::call::{Answer, Entries, Error};
-use crate::show;
+use crate::{plot, show};
 
 /// Exit status when it is done.
 pub const DONE: u8 = 0;
@@ -47,6 +47,16 @@
         Command::CancelJob { name } => {
             finish(args, entries.call(Method::DELETE, &format!("/v1/jobs/{name}"), None).await)
         }
+        Command::Platform { view, svg } => {
+            let answer = entries.call(Method::GET, &format!("/show/{view}"), None).await;
+            if let (Ok(answer), Some(path)) = (&answer, svg)
+                && let Err(e) = std::fs::write(path, plot::burn(&answer.body))
+            {
+                eprintln!("{path}: {e}");
+                return USAGE;
+            }
+            finish(args, answer)
+        }
         Command::Statement { text } => statement(args, &entries, text).await,
         Command::File { path } => match std::fs::read_to_string(path) {
             Ok(text) => statements(args, &entries, text.lines().map(str::to_owned)).await,
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -5,10 +5,13 @@
 /// Characters of one cell at most.
 const CELL_LIMIT: usize = 48;
 
+/// Column of reasons, which are shown in full.
+const REASONS: &str = "why";
+
 /// Returns an answer as text: a table where it has rows, otherwise one line a field.
 pub fn text(body: &Value) -> String {
     match (&body["columns"], &body["rows"]) {
-        (Value::Array(columns), Value::Array(rows)) => table(columns, rows, body),
+        (Value::Array(columns), Value::Array(rows)) => table(columns, rows, body) + &rest(body),
         _ => fields(body, 0),
     }
 }
@@ -16,7 +19,7 @@
 fn table(columns: &[Value], rows: &[Value], body: &Value) -> String {
     let names: Vec<&str> = columns.iter().filter_map(Value::as_str).collect();
     let mut lines: Vec<Vec<String>> = vec![names.iter().map(ToString::to_string).collect()];
-    lines.extend(rows.iter().map(|row| names.iter().map(|name| cell(&row[name])).collect()));
+    lines.extend(rows.iter().map(|row| names.iter().map(|name| cell(name, &row[name])).collect()));
     let widths: Vec<usize> = (0..names.len())
         .map(|at| lines.iter().map(|line| line[at].chars().count()).max().unwrap_or_default())
         .collect();
@@ -28,28 +31,47 @@
         text.push('\n');
     }
     text.push_str(&format!("{} rows", rows.len()));
+    if body["more"] == true {
+        text.push_str(" and more");
+    }
     if let Some(missing) = body["missing"].as_array().filter(|missing| !missing.is_empty()) {
         let names: Vec<&str> = missing.iter().filter_map(Value::as_str).collect();
         text.push_str(&format!("; the part of {} is missing", names.join(", ")));
     }
-    match body["config_age_ms"].as_u64() {
-        Some(age_ms) if age_ms > 3_000 => {
+    match body.get("config_age_ms").map(Value::as_u64) {
+        // Views of the platform don't name it.
+        None => {}
+        Some(Some(age_ms)) if age_ms > 3_000 => {
             text.push_str(&format!("; the log has not answered for {} s", age_ms / 1_000));
         }
-        Some(_) => {}
-        None => text.push_str("; the log has not confirmed this configuration"),
+        Some(Some(_)) => {}
+        Some(None) => text.push_str("; the log has not confirmed this configuration"),
     }
     text.push('\n');
     text
 }
 
-fn cell(value: &Value) -> String {
+/// Returns the plain fields beside a table.
+fn rest(body: &Value) -> String {
+    let known = ["columns", "rows", "missing", "config_age_ms", "more", "points"];
+    let plain = |(name, _): &(&String, &Value)| !known.contains(&name.as_str());
+    let plain: serde_json::Map<String, Value> = body
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(plain)
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect();
+    fields(&Value::Object(plain), 0)
+}
+
+fn cell(name: &str, value: &Value) -> String {
     let text = match value {
         Value::Null => String::new(),
         Value::String(text) => text.clone(),
         other => other.to_string(),
     };
-    if text.chars().count() <= CELL_LIMIT {
+    if name == REASONS || text.chars().count() <= CELL_LIMIT {
         return text;
     }
     let head: String = text.chars().take(CELL_LIMIT - 1).collect();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod task;
 pub mod unit;
 pub mod value;
+pub mod view;
 pub mod wish;
 pub mod worker;
 
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -255,7 +255,7 @@
     }
 
     /// Returns whether a unit that can still wait would take accelerators that are kept free for urgent jobs.
-    fn leaves_no_reserve(&self, now: u64, wall: u64, candidate: &Candidate, step: &Step) -> bool {
+    pub(crate) fn leaves_no_reserve(&self, now: u64, wall: u64, candidate: &Candidate, step: &Step) -> bool {
         let urgent = self.urgent_at.is_some_and(|at| now <= at + URGENT_WITHIN_MS);
         if !urgent || candidate.priority == 0 || wall + RESERVE_SLACK_MS >= candidate.start_by {
             return false;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -12,6 +12,7 @@
 use crate::room::Room;
 use crate::unit::{Unit, UnitKey, Where};
 use crate::value::{MeanWork, work_core_s};
+use crate::view::Refusals;
 use crate::worker::Worker;
 
 /// Time within which an agent must have been heard for new placements on its worker, in milliseconds.
@@ -86,6 +87,7 @@
     /// Agents whose wish changes once a change is stored.
     pub(crate) poked_by: BTreeSet<(u64, String)>,
     pub(crate) log: Vec<String>,
+    pub(crate) refusals: Refusals,
 }
 
 impl Planner {
@@ -127,6 +129,7 @@
             poked: BTreeSet::new(),
             poked_by: BTreeSet::new(),
             log: Vec::new(),
+            refusals: Refusals::new(),
         }
     }
 
@@ -211,6 +214,7 @@
             return Verdict::Accepted { change: job.accepted_in };
         }
         if let Err(refusal) = admit::admit(self, now, sub) {
+            self.remember_refusal(wall, sub, &refusal.why, refusal.retry_after_ms);
             return Verdict::Refused { why: refusal.why, retry_after_ms: refusal.retry_after_ms };
         }
         if self.desired.queue(&sub.queue).is_some_and(|queue| queue.priority == 0) {
--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 pub const KEY: &str = "key-1";
 pub const PREFIX: &str = "/orders/";
 
+const METRICS_PORT: u16 = 9_464;
+
 /// Bound of a cancel on the platform, and of a stop there.
 pub const CANCEL_BOUND: Duration = Duration::from_millis(3_000 + 400);
 
@@ -98,7 +101,9 @@
         fs::write(&path, settings.to_string()).unwrap();
         let path = path.display().to_string();
         let variables = [("SORRELLANDING_SETTINGS", path.as_str())];
-        self.site.spawn_with(name, env!("CARGO_BIN_EXE_sorrellandd"), &["--platform", role], &variables);
+        let port = METRICS_PORT.to_string();
+        let args = ["--platform", role, "--metrics-port", &port];
+        self.site.spawn_with(name, env!("CARGO_BIN_EXE_sorrellandd"), &args, &variables);
     }
 
     pub fn start_entry(&mut self, at: usize) {
@@ -117,6 +122,14 @@
         self.spawn_role(&format!("agent-{at}"), "agent", &settings);
     }
 
+    /// Runs the operators' tool against an entry; returns its exit status and what it printed.
+    pub fn operate(&self, at: usize, words: &[&str]) -> (i32, String) {
+        let entry = self.site.address(10 + at, METRICS_PORT);
+        let mut tool = Command::new(env!("CARGO_BIN_EXE_sorrellandctl"));
+        let output = tool.args(["--entry", &entry, "platform"]).args(words).output().unwrap();
+        (output.status.code().unwrap_or(-1), String::from_utf8(output.stdout).unwrap())
+    }
+
     pub async fn await_ready(&self, at: usize) {
         let url = format!("http://{}/readiness", self.site.address(10 + at, 8_523));
         let client = Client::new(Duration::from_secs(1));
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -325,3 +325,55 @@
     let lines = assert_walk(&platform, &job(1), &["unanswered", "accepted", "job_ended"]);
     assert!(lines[0].contains("asked=Unresolved"), "{}", lines[0]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_shows_from_any_entry_why_a_job_waits() {
+    let platform = Platform::start(2, 1).await;
+    let mut whole = step(1);
+    whole["gpu"] = json!(8);
+    assert_eq!(platform.submit(1, &job(1), json!([whole]), "run_ms=60000").await, 200);
+    assert_eq!(platform.submit(1, &job(2), json!([whole]), "run_ms=50").await, 200);
+    let mut huge = step(1);
+    huge["gpu"] = json!(64);
+    assert_eq!(platform.submit(1, &job(3), json!([huge]), "").await, 429);
+    platform.await_state(&job(1), "running", Duration::from_secs(5)).await;
+    for at in 1..=2 {
+        let (status, text) = platform.operate(at, &["why", &job(2)]);
+        assert_eq!(status, 0, "{text}");
+        assert!(text.contains("workers: 1 without room"), "{text}");
+        let (_, text) = platform.operate(at, &["why", &job(3)]);
+        assert!(text.contains("state: refused") && text.contains("the fleet has 0"), "{text}");
+        let (_, text) = platform.operate(at, &["why", &job(9)]);
+        assert!(text.contains("state: unknown"), "{text}");
+        let (_, text) = platform.operate(at, &["workers"]);
+        assert!(text.contains("8/8") && text.contains("usable"), "{text}");
+    }
+    let (status, text) = platform.operate(1, &["jobs", "--json"]);
+    let jobs: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!((status, jobs["rows"].as_array().unwrap().len()), (0, 2), "{text}");
+    assert_eq!(platform.operate(1, &["accounts"]).0, 0);
+    assert_eq!(platform.operate(1, &["refused"]).0, 0);
+    assert_eq!(platform.operate(1, &["elsewhere"]).0, 1);
+    assert_eq!(platform.operate(1, &[]).0, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_reports_the_burn_of_what_ended() {
+    let platform = Platform::start(1, 1).await;
+    assert_eq!(platform.submit(1, &job(1), json!([step(1)]), "run_ms=50").await, 200);
+    assert_eq!(platform.submit(1, &job(2), json!([step(1)]), "fails run_ms=50").await, 200);
+    platform.await_state(&job(1), "completed", Duration::from_secs(5)).await;
+    platform.await_state(&job(2), "failed", Duration::from_secs(5)).await;
+    let picture = platform.site.dir().join("burn.svg");
+    let (status, text) = platform.operate(1, &["burn", "--json", "--svg", &picture.display().to_string()]);
+    let report: Value = serde_json::from_str(&text).unwrap();
+    let row = &report["rows"][0];
+    // The job of the start-up is among those that ended.
+    assert_eq!((status, &row["failed"]), (0, &json!(1)), "{text}");
+    let (ended, in_time) = (row["ended"].as_u64().unwrap(), row["in_time"].as_u64().unwrap());
+    assert_eq!(ended - in_time, 1, "{text}");
+    let burn = row["burn"].as_f64().unwrap();
+    assert!((burn - 10.0 / ended as f64).abs() < 0.01, "{text}");
+    let drawn = std::fs::read_to_string(picture).unwrap();
+    assert!(drawn.starts_with("<svg") && drawn.contains("polyline"), "{drawn}");
+}
