--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -54,6 +54,14 @@
         platform
     }
 
+    pub fn entries(&self) -> usize {
+        self.entries
+    }
+
+    pub fn workers(&self) -> usize {
+        self.workers
+    }
+
     pub fn store(&self) -> String {
         self.site.address(1, 7_100)
     }
