Weigh room for a job by how often such room has paid

Cause: room was made as if its job would then certainly end in time.

Now the gain is multiplied by the share of such jobs of the queue that ended in time, learned while the planner is in office, beginning at a half.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -123,6 +123,8 @@
     pub ended_in: u64,
     /// Change of the planner with which the job was accepted.
     pub accepted_in: u64,
+    /// Whether runs of others were ended for it.
+    pub room_made: bool,
 }
 
 impl Job {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -11,7 +11,7 @@
 use crate::record::{self, Record, new_job};
 use crate::room::Room;
 use crate::unit::{Unit, UnitKey, Where};
-use crate::value::{MeanWork, work_core_s};
+use crate::value::{MeanWork, Successes, work_core_s};
 use crate::view::Refusals;
 use crate::worker::Worker;
 
@@ -67,6 +67,8 @@
     pub(crate) claims: Claims,
     pub(crate) approvals: Approvals,
     pub(crate) mean_work: BTreeMap<String, MeanWork>,
+    /// By queue.
+    pub(crate) successes: BTreeMap<String, Successes>,
     pub(crate) agents: BTreeMap<String, Agent>,
     pub(crate) past_agents: BTreeSet<u64>,
     pub(crate) past_workers: BTreeSet<String>,
@@ -114,6 +116,7 @@
             claims: Claims::default(),
             approvals: Approvals::default(),
             mean_work: BTreeMap::new(),
+            successes: BTreeMap::new(),
             agents: BTreeMap::new(),
             past_agents: BTreeSet::new(),
             past_workers: BTreeSet::new(),
@@ -292,9 +295,19 @@
         self.note(format!("event=job_ended job={name} outcome={outcome:?} age_ms={age}"));
         self.touch(name);
         self.approvals.forget(name);
+        self.learn_from(name);
         self.retire(name);
     }
 
+    /// Notes whether a job that room was made for has ended in time.
+    fn learn_from(&mut self, name: &str) {
+        let Some(job) = self.jobs.get(name).filter(|job| job.room_made) else { return };
+        if let Some(in_time) = self.ended_in_time(job) {
+            let queue = job.sub.queue.clone();
+            self.successes.entry(queue).or_default().note(in_time);
+        }
+    }
+
     pub(crate) fn complete_if_done(&mut self, now: u64, wall: u64, name: &str) {
         let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { return };
         let all = job.units.values().all(|unit| unit.at == Where::Done);
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -69,6 +69,9 @@
             planner.claims.insert(candidate, key, vec![life], step.counted(), now);
         }
     }
+    if let Some(job) = planner.jobs.get_mut(&candidate.job).filter(|_| !ends.is_empty()) {
+        job.room_made = true;
+    }
     let why = format!("room for {}", candidate.job);
     for (name, key) in ends {
         planner.vacate(now, &name, key, &why);
@@ -98,7 +101,9 @@
         Prospect::InTime => earnable(candidate.worth, Prospect::Late),
         Prospect::Late | Prospect::Worthless => 0.0,
     };
-    (near && now_worth > later).then_some(now_worth - later)
+    let queue = planner.jobs.get(&candidate.job).map(|job| &job.sub.queue);
+    let success = queue.and_then(|queue| planner.successes.get(queue)).copied().unwrap_or_default();
+    (near && now_worth > later).then_some((now_worth - later) * success.share())
 }
 
 fn victims(planner: &Planner, now: u64, wall: u64, candidate: &Candidate) -> Vec<Victim> {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -125,5 +125,6 @@
         begun: false,
         ended_in: 0,
         accepted_in: 0,
+        room_made: false,
     }
 }
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -56,6 +56,30 @@
     }
 }
 
+/// Jobs that count as known before any has ended: half of them in time.
+const PRIOR_JOBS: u32 = 4;
+
+/// How often jobs of a queue that room was made for ended in time. Room that is made costs for certain what it may
+/// earn: estimates are off, and workers fail.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Successes {
+    made: u32,
+    in_time: u32,
+}
+
+impl Successes {
+    /// Counts an ended job that room was made for.
+    pub fn note(&mut self, in_time: bool) {
+        self.made += 1;
+        self.in_time += u32::from(in_time);
+    }
+
+    /// Returns the share to expect of the next one.
+    pub fn share(&self) -> f64 {
+        f64::from(self.in_time + PRIOR_JOBS / 2) / f64::from(self.made + PRIOR_JOBS)
+    }
+}
+
 /// Returns the work of one occurrence of a submission by its estimates, in core-seconds; an accelerator counts as
 /// several cores.
 pub fn work_core_s(sub: &Submission) -> f64 {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -231,7 +231,7 @@
     }
 
     /// Returns whether an ended job ended within its target; `None` for one that is not judged.
-    fn ended_in_time(&self, job: &Job) -> Option<bool> {
+    pub(crate) fn ended_in_time(&self, job: &Job) -> Option<bool> {
         let outcome = job.outcome.filter(|outcome| *outcome != Outcome::Cancelled)?;
         if job.sub.schedule.is_some() || job.lasts() {
             return None;
