Forget that the holder refused once it answers; move the stored jobs out

Cause: read as a newcomer, the mark "this instance refuses connections" stayed for the whole reign: after one refusal on the way (a cut that resets) 0.9 s of silence would have been enough for a takeover ever after, where a slow store alone can delay renewals by that much. A ping that is answered takes the mark back now.

Ruled out: an expiry of the mark, one more time-out to justify.

Before: refuses() after an answer was true by construction. Now refuses_only_until_the_holder_answers.

--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -118,6 +118,12 @@
         self.refused.fetch_max(epoch, Ordering::Relaxed);
     }
 
+    /// Notes that the holder of `epoch` has answered after all: what refused was on the way.
+    pub fn note_answered(&self, epoch: u64) {
+        // Another epoch may have been noted since, which stays.
+        let _ = self.refused.compare_exchange(epoch, 0, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
     /// Returns whether nobody listens at the holder's address.
     pub fn refuses(&self) -> bool {
         let epoch = self.epoch();
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -290,7 +290,8 @@
         let pong = call(&self.links, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await;
         match pong {
             Ok(pong) => {
-                if planner.is_some() {
+                if let Some(epoch) = planner {
+                    self.office.note_answered(epoch);
                     *lock(&self.planner_heard) = now_ms();
                 }
                 let now = now_ms();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reload;
 pub mod seat;
 pub mod signals;
+mod stored;
 
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -9,9 +9,8 @@
 use sorrelland_fleet::job::{Step, Submission};
 use sorrelland_fleet::orders::Orders;
 use sorrelland_fleet::planner::{Planner, Timing, Verdict};
-use sorrelland_fleet::record;
 use sorrelland_fleet::report::Report;
-use sorrelland_platform::store::{CALL_TIMEOUT, Error, Writer, keyed};
+use sorrelland_platform::store::{Error, Writer, keyed};
 use sorrelland_platform::{Policy, Store};
 use tokio::sync::{Notify, watch};
 
@@ -19,35 +18,21 @@
 use crate::clock::{now_ms, wall_ms};
 use crate::duty::{ALONE_MS, RENEW_EVERY, renew};
 use crate::patience::Patience;
+use crate::stored::{APPEND_PAUSE, JOBS, PRODUCER, load, outcome, parts};
 use crate::{lock, metrics};
 
-/// Topic of the jobs.
-const JOBS: &str = "keyed.jobs";
-
-/// Name under which planners write the jobs; epochs order them.
-const PRODUCER: &str = "planner";
-
 /// Time between two passes when nothing else causes one; occurrences start no later than this after their time.
 const PASS_EVERY: Duration = Duration::from_millis(100);
 
 /// Time for which an agent's call waits when there is nothing new.
 const AGENT_WAIT: Duration = Duration::from_millis(500);
 
-/// Pause after an append that was refused.
-const APPEND_PAUSE: Duration = Duration::from_millis(100);
-
 /// Tries of an append between two lines about it, about a second.
 const LOG_TRIES: u32 = 10;
 
-/// Bytes of one append at most, below the store's limit of a call.
-const APPEND_BYTES: usize = 1_500_000;
-
 /// Wait for a question for the policy service before the office is looked at again.
 const QUESTION_WAIT: Duration = Duration::from_secs(2);
 
-/// Tries to read the jobs before the office is given back.
-const LOAD_TRIES: u32 = 20;
-
 /// A planner in office.
 pub struct Seat {
     /// The office as this process holds it.
@@ -449,63 +434,3 @@
     let plain = |orders: &Orders| Orders { number: 0, grant_ms: 0, ..orders.clone() };
     plain(one) == plain(other)
 }
-
-fn outcome<T>(result: &sorrelland_platform::store::Result<T>) -> &'static str {
-    match result {
-        Ok(_) => "stored",
-        Err(Error::Fenced) => "fenced",
-        Err(e) if e.nothing_done() => "refused",
-        Err(_) => "unanswered",
-    }
-}
-
-/// Splits records into appends that the store takes in one call.
-fn parts(raw: Vec<Vec<u8>>) -> Vec<Vec<Vec<u8>>> {
-    let mut parts: Vec<Vec<Vec<u8>>> = Vec::new();
-    let mut bytes = usize::MAX;
-    for record in raw {
-        if bytes.saturating_add(record.len()) > APPEND_BYTES {
-            parts.push(Vec::new());
-            bytes = 0;
-        }
-        bytes += record.len() + 4;
-        if let Some(part) = parts.last_mut() {
-            part.push(record);
-        }
-    }
-    parts
-}
-
-/// Sets the epoch of the jobs, which refuses every earlier writer from then on, and reads them.
-async fn load(store: &Store, writer: &mut Writer) -> Option<Vec<sorrelland_fleet::Job>> {
-    let mut fenced = false;
-    for _ in 0..LOAD_TRIES {
-        if !fenced {
-            match store.append_as(JOBS, writer, &[], CALL_TIMEOUT).await {
-                Ok(_) => fenced = true,
-                Err(Error::Fenced) => {
-                    log::warn!("event=office_lost epoch={} why=\"fenced while loading\"", writer.epoch);
-                    return None;
-                }
-                Err(e) => log::warn!("event=load_retried cause=\"{e}\""),
-            }
-        }
-        if fenced {
-            match store.newest(JOBS).await {
-                Ok((items, _)) => {
-                    writer.sequence = 1;
-                    let records = items.iter().map(|item| (item.key.as_str(), item.value.as_slice()));
-                    let (jobs, findings) = record::read(records);
-                    for finding in findings {
-                        log::error!("event=record_skipped topic={JOBS} cause=\"{finding}\"");
-                    }
-                    log::info!("event=jobs_loaded epoch={} jobs={}", writer.epoch, jobs.len());
-                    return Some(jobs);
-                }
-                Err(e) => log::warn!("event=load_retried cause=\"{e}\""),
-            }
-        }
-        tokio::time::sleep(APPEND_PAUSE).await;
-    }
-    None
-}
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -139,3 +139,16 @@
     let waited = duty::wait_for_silence(&store, &office, &other, 0);
     assert!(tokio::time::timeout(Duration::from_millis(duty::SILENT_MS / 2), waited).await.is_err());
 }
+
+#[test]
+fn refuses_only_until_the_holder_answers() {
+    let office = Office::default();
+    office.note_refused(1);
+    assert!(!office.refuses(), "there is no holder yet");
+    office.learn(Some(holder(2, 1)));
+    assert!(!office.refuses(), "an older holder refused");
+    office.note_refused(2);
+    assert!(office.refuses());
+    office.note_answered(2);
+    assert!(!office.refuses());
+}
