Number the looks at a worker instead of timing them

A run whose start and stop were both answered within the millisecond in which a look had begun was called gone on that look's answer, which showed the worker before the start: times in milliseconds can't tell which came first. The planner would have started the run elsewhere beside it.

Looks are numbered as they begin now, and an order's final answer notes the newest number; only a later look settles the run.

Ruled out: load as the cause (the case has no time in it; it fails every time when played); "later than" instead of "not before" by the clock, which puts off every settling by a pause.

The failing history is kept as a test of its own; it failed on the code before, and fails with the comparison the other way.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -293,7 +293,7 @@
             }
             Ok((Started::Never(why), _)) => {
                 log::warn!("event=start_refused job={job} task={task} run={run} worker={life} why={why}");
-                lock(&self.watched).note_final(life, task, run, &why, now_ms());
+                lock(&self.watched).note_final(life, task, run, &why);
                 true
             }
             Ok((Started::NotNow(why), clock_ms)) => {
@@ -322,7 +322,7 @@
                 log::info!("event=stop_ordered job={job} task={task} run={run} worker={life} token={token}");
                 let mut watched = lock(&self.watched);
                 watched.note_stopped(life, stop, now_ms());
-                watched.note_final(life, task, run, "stopped before it was there", now_ms());
+                watched.note_final(life, task, run, "stopped before it was there");
                 true
             }
             Err(e) => {
@@ -393,14 +393,13 @@
 
     /// Looks at the worker and extends its leases; returns whether it answered.
     async fn look_once(&self, life: &str, wait: Duration) -> bool {
-        let (token, seen, lease_end_ms) = {
+        let (look, token, seen, lease_end_ms) = {
             let mut watched = lock(&self.watched);
-            (watched.epoch(), watched.seen(), watched.extend(now_ms()))
+            (watched.begin_look(), watched.epoch(), watched.seen(), watched.extend(now_ms()))
         };
-        let sent = now_ms();
         match self.worker.look(life, token, seen, lease_end_ms, wait).await {
             Ok(listing) => {
-                if lock(&self.watched).take_listing(now_ms(), sent, life, listing) {
+                if lock(&self.watched).take_listing(now_ms(), look, life, listing) {
                     self.news.notify_one();
                     self.orders.notify_one();
                 }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -46,8 +46,10 @@
     /// Runs whose start was ordered and not yet answered for good.
     tried: BTreeSet<RunKey>,
     ended: Vec<End>,
-    /// Runs that can't arrive any more, unless a look sent from then on shows them.
+    /// Runs that can't arrive any more unless a look begun later shows them, with the looks begun before.
     resolving: BTreeMap<RunKey, (String, u64)>,
+    /// Looks begun; clocks are too coarse to tell whether a look began before an answer.
+    looks: u64,
     gone: BTreeMap<RunKey, String>,
     /// Stops that the worker has answered, with the time of the answer.
     stopped: BTreeMap<RunKey, u64>,
@@ -107,6 +109,7 @@
             past_lives,
             epoch: self.epoch,
             granted_until: self.granted_until,
+            looks: self.looks,
             ..Self::new(self.longest_lease_ms, self.stop_ms)
         };
     }
@@ -263,15 +266,21 @@
         }
     }
 
-    /// Notes that a run can't arrive any more; a look sent at or after `now` tells whether it was there.
-    pub fn note_final(&mut self, life: &str, task: &Task, run: u64, why: &str, now: u64) {
+    /// Begins a look and returns its number.
+    pub fn begin_look(&mut self) -> u64 {
+        self.looks += 1;
+        self.looks
+    }
+
+    /// Notes that a run can't arrive any more; a look begun from now on tells whether it was there.
+    pub fn note_final(&mut self, life: &str, task: &Task, run: u64, why: &str) {
         if self.life() == Some(life) {
-            self.resolving.insert((task.clone(), run), (why.to_owned(), now));
+            self.resolving.insert((task.clone(), run), (why.to_owned(), self.looks));
         }
     }
 
-    /// Takes in the lists of a look sent at `sent`; returns whether the planner should hear of it at once.
-    pub fn take_listing(&mut self, now: u64, sent: u64, life: &str, listing: Listing) -> bool {
+    /// Takes in the lists of a look with its number; returns whether the planner should hear of it at once.
+    pub fn take_listing(&mut self, now: u64, look: u64, life: &str, listing: Listing) -> bool {
         if self.life() != Some(life) || listing.clock_ms < self.listed_clock {
             return false;
         }
@@ -286,8 +295,12 @@
         self.started.retain(|run, at| *at >= listing.clock_ms && !self.running.contains_key(run));
         self.paced.retain(|run, _| self.running.contains_key(run));
         let ended = |run: &RunKey| self.ended.iter().any(|end| end.task == run.0 && end.run == run.1);
-        let settled: Vec<RunKey> =
-            self.resolving.iter().filter(|(_, (_, at))| sent >= *at).map(|(run, _)| run.clone()).collect();
+        let settled: Vec<RunKey> = self
+            .resolving
+            .iter()
+            .filter(|(_, (_, before))| look > *before)
+            .map(|(run, _)| run.clone())
+            .collect();
         for run in &settled {
             if let Some((why, _)) = self.resolving.remove(run)
                 && !self.running.contains_key(run)
