Log why an agent or the planner gave up a worker

After a subtask had run twice at once, the logs couldn't tell its possible causes apart. An agent logged `worker_announced` for any change, without the incarnation that it replaced or what the check-in said; ignored check-ins left no line, and a departure of an unknown worker looked like a real one. The planner logged `worker_lost` without the report that it was based on, and nothing for reports that it ignored.

- Agent: `worker_announced` has its effect (adopted, replaced, updated), the replaced incarnation, service, address, sequence number and sender, and the state at that time: runs, remaining lease and grant, past incarnations.
`announcement_ignored` has the reason.
`worker_left` says whether it was the current incarnation.
`worker_replaced` has the call and its token, `leases_lapsed` the bounds.
`incarnation_ended` is one line for every cause on which an agent gives up runs.
- Planner: `worker_joined`, `worker_lost` and `run_gone` name the agent, its incarnation, the sequence number of the report and the replacing incarnation.
New: `agent_restarted` and `report_ignored` with the reason.
- Counters: sorrelland_announcements by effect, sorrelland_incarnations_ended by cause, sorrelland_reports_ignored by reason.

Lines on messages without effect are limited to the first of a kind and then one every 5 s with a count; this also holds for `announcement_skipped` now. Existing events and keys are unchanged, and so is every decision: a check-in's address is decoded only for the log, and one of another type is no error.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -138,6 +138,9 @@
             if planner.has_approval_requests() {
                 self.approval_requests.notify_one();
             }
+            for (reason, count) in planner.take_ignored_reports() {
+                metrics::count_ignored_reports(reason, count);
+            }
             (planner.take_log(), planner.take_agents_to_wake())
         };
         for line in lines {
--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -1,5 +1,6 @@
 //! The agent beside a worker: the only process that sends it starts, stops and speed shares.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -7,9 +8,10 @@
 use futures::FutureExt;
 use futures::future::join_all;
 use http::{Method, StatusCode};
+use sorrelland_fleet::LineLimit;
 use sorrelland_fleet::assignments::{Pace, Start, Stop};
 use sorrelland_platform::serve::{self, Request, Response};
-use sorrelland_platform::worker::{Error, StartOutcome, StartRequest, decode_announcement};
+use sorrelland_platform::worker::{Announcement, Error, StartOutcome, StartRequest, decode_announcement};
 use sorrelland_platform::{Settings, Store, WorkerClient};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -17,7 +19,7 @@
 use crate::calls::{EntryPool, Ping, ReportReply, call};
 use crate::clock::now_ms;
 use crate::election::{CLAIMS, Leadership};
-use crate::lease::WorkerState;
+use crate::lease::{AnnouncementEffect, Summary, WorkerState};
 use crate::signals::{self, wait_for_stop};
 use crate::{Error as RunError, Result, follow, lock, metrics, reload};
 
@@ -52,6 +54,9 @@
 
 const ANNOUNCEMENT_PATH_PREFIX: &str = "/instances/";
 
+/// Longest part of an announced text that is logged, in characters.
+const MAX_LOGGED_CHARS: usize = 80;
+
 struct Agent {
     settings: Settings,
     incarnation: u64,
@@ -60,6 +65,8 @@
     worker: WorkerClient,
     worker_state: Mutex<WorkerState>,
     entries: Mutex<Vec<String>>,
+    /// Limits lines on messages that have no effect.
+    line_limit: Mutex<LineLimit>,
     /// Triggers a report.
     report_due: Notify,
     /// Triggers a check for due starts, stops and speed shares.
@@ -88,6 +95,7 @@
         worker: WorkerClient::new(&worker.to_string()),
         worker_state: Mutex::new(WorkerState::new(settings.bounds.max_lease_ms, settings.bounds.stop_ms)),
         entries: Mutex::default(),
+        line_limit: Mutex::default(),
         report_due: Notify::new(),
         dispatch_due: Notify::new(),
         poll_due: Notify::new(),
@@ -125,32 +133,88 @@
         else {
             return Response::new(StatusCode::NOT_FOUND);
         };
+        let peer = request.peer;
         match request.method {
             Method::PUT => match decode_announcement(incarnation, &request.body) {
                 Ok(announcement) => {
-                    let draining = announcement.info.draining;
-                    if lock(&self.worker_state).apply_announcement(now_ms(), announcement) {
-                        log::info!("event=worker_announced worker={incarnation} draining={draining}");
-                        self.report_due.notify_one();
-                        self.poll_due.notify_one();
-                    }
+                    self.apply_announcement(peer, announcement);
                     Response::new(StatusCode::OK).json(&serde_json::json!({}))
                 }
                 Err(e) => {
-                    log::warn!("event=announcement_skipped worker={incarnation} cause=\"{e}\"");
+                    metrics::count_announcement("malformed");
+                    if let Some(count) = self.due_line("malformed") {
+                        log::warn!(
+                            "event=announcement_skipped worker={incarnation} cause=\"{e}\" from={peer} count={count}"
+                        );
+                    }
                     Response::new(StatusCode::BAD_REQUEST)
                 }
             },
             Method::DELETE => {
-                lock(&self.worker_state).record_departure(incarnation);
-                log::info!("event=worker_left worker={incarnation}");
-                self.report_due.notify_one();
+                self.record_departure(peer, incarnation);
                 Response::new(StatusCode::OK)
             }
             _ => Response::new(StatusCode::METHOD_NOT_ALLOWED),
         }
     }
 
+    fn apply_announcement(&self, peer: SocketAddr, announcement: Announcement) {
+        let Announcement { info, sequence, address } = &announcement;
+        let (worker, draining) = (info.incarnation.clone(), info.draining);
+        let (service, address) = (excerpt(&info.service), excerpt(address));
+        let details = format!("service={service:?} address={address:?} seq={sequence} from={peer}");
+        let (before, effect, after) = {
+            let now = now_ms();
+            let mut state = lock(&self.worker_state);
+            let before = state.summary(now);
+            let effect = state.apply_announcement(now, announcement);
+            (before, effect, state.summary(now))
+        };
+        let name = effect.name();
+        metrics::count_announcement(name);
+        if effect.is_change() {
+            log::info!(
+                "event=worker_announced worker={worker} draining={draining} effect={name} {details} \
+                 replaced={:?} {after}",
+                if effect == AnnouncementEffect::Replaced { before.current.as_str() } else { "" }
+            );
+            if effect == AnnouncementEffect::Replaced {
+                record_end("announcement", &format!("replaced_by={worker:?} {details}"), &before);
+            }
+            self.report_due.notify_one();
+            self.poll_due.notify_one();
+        } else if effect != AnnouncementEffect::Unchanged
+            && let Some(count) = self.due_line(name)
+        {
+            log::warn!(
+                "event=announcement_ignored worker={worker} reason={name} {details} {before} count={count}"
+            );
+        }
+    }
+
+    fn record_departure(&self, peer: SocketAddr, incarnation: &str) {
+        let (before, is_current) = {
+            let mut state = lock(&self.worker_state);
+            (state.summary(now_ms()), state.record_departure(incarnation))
+        };
+        let has_effect = is_current && (!before.departed || before.runs > 0);
+        let count = if has_effect { Some(1) } else { self.due_line("departure") };
+        if let Some(count) = count {
+            log::info!(
+                "event=worker_left worker={incarnation} is_current={is_current} from={peer} {before} count={count}"
+            );
+        }
+        if has_effect {
+            record_end("departure", &format!("from={peer}"), &before);
+        }
+        self.report_due.notify_one();
+    }
+
+    /// Returns whether a line on a message without effect is due, as the number of messages that it stands for.
+    fn due_line(&self, kind: &'static str) -> Option<u64> {
+        lock(&self.line_limit).record(now_ms(), kind)
+    }
+
     /// Keeps one report waiting at the planner, and sends another at once when one is triggered.
     async fn run_reports(self: Arc<Self>) {
         let mut in_flight = JoinSet::new();
@@ -320,7 +384,7 @@
                 log::warn!(
                     "event=start_unanswered job={job} task={task} run={run} worker={incarnation} cause=\"{e}\""
                 );
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "start", token, &e);
                 false
             }
         }
@@ -344,7 +408,7 @@
                 log::warn!(
                     "event=stop_unanswered job={job} task={task} run={run} worker={incarnation} cause=\"{e}\""
                 );
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "stop", token, &e);
                 false
             }
         }
@@ -364,16 +428,24 @@
                     "event=pace_unanswered job={} task={task} run={run} worker={incarnation} cause=\"{e}\"",
                     task.job
                 );
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "pace", token, &e);
                 false
             }
         }
     }
 
-    fn record_call_error(&self, incarnation: &str, error: &Error) {
+    fn record_call_error(&self, incarnation: &str, call: &'static str, token: u64, error: &Error) {
         if matches!(error, Error::OtherIncarnation) {
-            log::warn!("event=worker_replaced worker={incarnation}");
-            lock(&self.worker_state).end_incarnation(incarnation);
+            let (before, is_current) = {
+                let mut state = lock(&self.worker_state);
+                (state.summary(now_ms()), state.end_incarnation(incarnation))
+            };
+            log::warn!(
+                "event=worker_replaced worker={incarnation} call={call} token={token} is_current={is_current} {before}"
+            );
+            if is_current {
+                record_end("call", &format!("call={call} token={token}"), &before);
+            }
         }
     }
 
@@ -381,8 +453,13 @@
         loop {
             let (incarnation, needed, checks_absence) = {
                 let mut state = lock(&self.worker_state);
-                if state.expire_leases(now_ms()) {
-                    log::warn!("event=leases_lapsed worker={}", state.incarnation().unwrap_or_default());
+                let now = now_ms();
+                let before = state.summary(now);
+                if state.expire_leases(now) {
+                    let (over_ms, margin_ms) = state.lapse_bounds_ms(now);
+                    let details = format!("lease_over_ms={over_ms} margin_ms={margin_ms}");
+                    log::warn!("event=leases_lapsed worker={} {details} {before}", before.current);
+                    record_end("lease_expiry", &details, &before);
                     self.report_due.notify_one();
                 }
                 (state.incarnation().map(str::to_owned), state.needs_poll(), state.has_absence_checks())
@@ -422,9 +499,20 @@
             }
             Err(e) => {
                 log::warn!("event=look_failed worker={incarnation} token={token} cause=\"{e}\"");
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "poll", token, &e);
                 false
             }
         }
     }
 }
+
+/// Logs and counts that an agent gave up the runs of an incarnation; `before` is what it knew until then.
+fn record_end(cause: &'static str, details: &str, before: &Summary) {
+    metrics::count_incarnation_end(cause);
+    log::warn!("event=incarnation_ended worker={} cause={cause} {details} {before}", before.current);
+}
+
+/// Returns the beginning of a text from another process.
+fn excerpt(text: &str) -> &str {
+    text.char_indices().nth(MAX_LOGGED_CHARS).map_or(text, |(end, _)| &text[..end])
+}
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -1,8 +1,10 @@
 //! State of a worker as its agent knows it: announcements, leases, runs and their ends. Does no I/O; the caller
 //! passes the time in.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
+use derive_more::Display;
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, NotStarted, Report, Running, WorkerInfo};
@@ -23,6 +25,67 @@
 
 type RunKey = (Task, u64);
 
+/// Effect of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnouncementEffect {
+    /// There was no current incarnation.
+    Adopted,
+    /// The current incarnation was ended.
+    Replaced,
+    /// The current incarnation announced a change.
+    Updated,
+    Unchanged,
+    /// Ignored: the incarnation has ended.
+    PastIncarnation,
+    /// Ignored: a newer announcement of the incarnation is known.
+    OlderSequence,
+    /// Ignored: the same announcement is known.
+    RepeatedSequence,
+}
+
+impl AnnouncementEffect {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Adopted => "adopted",
+            Self::Replaced => "replaced",
+            Self::Updated => "updated",
+            Self::Unchanged => "unchanged",
+            Self::PastIncarnation => "past_incarnation",
+            Self::OlderSequence => "older_sequence",
+            Self::RepeatedSequence => "repeated_sequence",
+        }
+    }
+
+    /// Returns whether it should be reported to the planner at once.
+    pub fn is_change(self) -> bool {
+        matches!(self, Self::Adopted | Self::Replaced | Self::Updated)
+    }
+}
+
+/// What an agent knows of its worker at one time, displayed as keys of a log line. Durations are in milliseconds.
+#[derive(Clone, Debug, Default, Display, PartialEq, Eq)]
+#[display(
+    "current={current:?} current_seq={sequence} runs={runs} lease_left_ms={lease_left_ms} \
+     grant_left_ms={grant_left_ms} departed={departed} past_incarnations={past_incarnations}"
+)]
+pub struct Summary {
+    /// Name of the current incarnation; empty if there is none.
+    pub current: String,
+    /// Sequence number of its newest announcement.
+    pub sequence: u64,
+    /// Runs that it has or may have.
+    pub runs: usize,
+    /// Time until the latest end that any of its leases may have.
+    pub lease_left_ms: u64,
+    /// Time until the newest grant ends.
+    pub grant_left_ms: u64,
+    /// Whether it has announced its departure.
+    pub departed: bool,
+    /// Number of incarnations that have ended since the agent started.
+    pub past_incarnations: usize,
+}
+
 /// State of one worker as its agent knows it. All times are in milliseconds.
 #[derive(Debug, Default)]
 pub struct WorkerState {
@@ -66,40 +129,44 @@
         Self { max_lease_ms, stop_ms, ..Self::default() }
     }
 
-    /// Applies an announcement; returns whether a change should be reported to the planner at once.
-    pub fn apply_announcement(&mut self, now: u64, announcement: Announcement) -> bool {
+    /// Applies an announcement and returns its effect.
+    pub fn apply_announcement(&mut self, now: u64, announcement: Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
         if self.past_incarnations.contains(incarnation) {
-            return false;
+            return AnnouncementEffect::PastIncarnation;
         }
         match &self.announced {
             Some(known) if known.info.incarnation == *incarnation => {
-                if announcement.sequence <= known.sequence {
-                    return false;
+                match announcement.sequence.cmp(&known.sequence) {
+                    Ordering::Less => return AnnouncementEffect::OlderSequence,
+                    Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
+                    Ordering::Greater => (),
                 }
                 let changed = known.info != announcement.info;
                 self.announced = Some(announcement);
-                changed
+                if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
             }
             Some(_) => {
                 self.end_current_incarnation();
                 self.announced = Some(announcement);
-                true
+                AnnouncementEffect::Replaced
             }
             None => {
                 // An earlier incarnation of this agent may have extended leases that are unknown to this one.
                 self.leased_until = self.leased_until.max(now + self.max_lease_ms);
                 self.announced = Some(announcement);
-                true
+                AnnouncementEffect::Adopted
             }
         }
     }
 
-    /// Records that an incarnation of the worker has ended.
-    pub fn end_incarnation(&mut self, incarnation: &str) {
-        if self.incarnation() == Some(incarnation) {
+    /// Records that an incarnation of the worker has ended; returns whether it was the current one.
+    pub fn end_incarnation(&mut self, incarnation: &str) -> bool {
+        let is_current = self.incarnation() == Some(incarnation);
+        if is_current {
             self.end_current_incarnation();
         }
+        is_current
     }
 
     fn end_current_incarnation(&mut self) {
@@ -116,13 +183,15 @@
         };
     }
 
-    /// Records that the worker has announced its departure: everything that ran there has ended.
-    pub fn record_departure(&mut self, incarnation: &str) {
+    /// Records that the worker has announced its departure: everything that ran there has ended. Returns
+    /// whether it was the current incarnation.
+    pub fn record_departure(&mut self, incarnation: &str) -> bool {
         if self.incarnation() != Some(incarnation) {
-            return;
+            return false;
         }
         self.departed = true;
         self.mark_runs_not_started("the worker has left");
+        true
     }
 
     fn mark_runs_not_started(&mut self, why: &str) {
@@ -146,6 +215,21 @@
         self.ended.iter().any(|end| end.task == *task && end.run == *run)
     }
 
+    /// Returns what is known of the worker, for the logs.
+    pub fn summary(&self, now: u64) -> Summary {
+        let runs = self.running.keys().chain(&self.start_attempts).chain(self.started.keys());
+        let known = self.announced.as_ref();
+        Summary {
+            current: known.map(|known| known.info.incarnation.clone()).unwrap_or_default(),
+            sequence: known.map_or(0, |known| known.sequence),
+            runs: runs.collect::<BTreeSet<_>>().len(),
+            lease_left_ms: self.leased_until.saturating_sub(now),
+            grant_left_ms: self.granted_until.saturating_sub(now),
+            departed: self.departed,
+            past_incarnations: self.past_incarnations.len(),
+        }
+    }
+
     pub fn incarnation(&self) -> Option<&str> {
         self.announced.as_ref().map(|known| known.info.incarnation.as_str())
     }
@@ -322,8 +406,7 @@
 
     /// Marks all runs as not started once every lease has certainly expired; returns whether there were any.
     pub fn expire_leases(&mut self, now: u64) -> bool {
-        let clock_lag_ms = self.max_lease_ms * CLOCK_LAG_PERCENT / 100;
-        let expired_at = self.leased_until + clock_lag_ms + self.stop_ms + LAPSE_MARGIN_MS;
+        let expired_at = self.leased_until + self.lapse_margin_ms();
         let has_runs =
             !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty();
         if now <= expired_at || !has_runs {
@@ -333,6 +416,17 @@
         true
     }
 
+    /// Returns the time after the latest possible lease end until every lease has certainly expired.
+    fn lapse_margin_ms(&self) -> u64 {
+        self.max_lease_ms * CLOCK_LAG_PERCENT / 100 + self.stop_ms + LAPSE_MARGIN_MS
+    }
+
+    /// Returns the times on which [`Self::expire_leases`] decides: since the latest possible lease end, and the margin
+    /// after it.
+    pub fn lapse_bounds_ms(&self, now: u64) -> (u64, u64) {
+        (now.saturating_sub(self.leased_until), self.lapse_margin_ms())
+    }
+
     pub fn needs_poll(&self) -> bool {
         !self.running.is_empty()
             || !self.started.is_empty()
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -21,6 +21,9 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     events: Counter<u64>,
+    announcements: Counter<u64>,
+    incarnations_ended: Counter<u64>,
+    reports_ignored: Counter<u64>,
     request_seconds: Histogram<f64>,
     append_seconds: Histogram<f64>,
     gauges: Gauge<u64>,
@@ -49,6 +52,9 @@
     };
     let metrics = Metrics {
         events: meter.u64_counter("sorrelland_events").build(),
+        announcements: meter.u64_counter("sorrelland_announcements").build(),
+        incarnations_ended: meter.u64_counter("sorrelland_incarnations_ended").build(),
+        reports_ignored: meter.u64_counter("sorrelland_reports_ignored").build(),
         request_seconds: latency("sorrelland_request_seconds"),
         append_seconds: latency("sorrelland_append_seconds"),
         gauges: meter.u64_gauge("sorrelland_level").build(),
@@ -85,6 +91,27 @@
     }
 }
 
+/// Counts an announcement that an agent received, by its effect.
+pub fn count_announcement(effect: &'static str) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.announcements.add(1, &[KeyValue::new("effect", effect)]);
+    }
+}
+
+/// Counts a worker incarnation whose runs an agent gave up, by the cause.
+pub fn count_incarnation_end(cause: &'static str) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.incarnations_ended.add(1, &[KeyValue::new("cause", cause)]);
+    }
+}
+
+/// Counts agents' reports that the planner ignored, by the reason.
+pub fn count_ignored_reports(reason: &'static str, count: u64) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.reports_ignored.add(count, &[KeyValue::new("reason", reason)]);
+    }
+}
+
 /// Records how long the answer to a request took.
 pub fn record_request(operation: &'static str, status: StatusCode, started_at: Instant) {
     if let Some(metrics) = METRICS.get() {
--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -202,7 +202,10 @@
 
     fn announce(&mut self) {
         let info = WorkerInfo { incarnation: INCARNATION.to_owned(), ..WorkerInfo::default() };
-        self.agent.apply_announcement(self.now, Announcement { info, sequence: 1 + self.now });
+        self.agent.apply_announcement(
+            self.now,
+            Announcement { info, sequence: 1 + self.now, ..Announcement::default() },
+        );
     }
 
     fn task(index: u32) -> Task {
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -1,6 +1,6 @@
 //! Tests an agent's state of its worker, without a network.
 
-use sorrelland_control::lease::WorkerState;
+use sorrelland_control::lease::{AnnouncementEffect, WorkerState};
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Stop};
 use sorrelland_fleet::report::{Running, WorkerInfo};
@@ -16,7 +16,7 @@
         service: "svc".to_owned(),
         ..WorkerInfo::default()
     };
-    Announcement { info, sequence }
+    Announcement { info, sequence, ..Announcement::default() }
 }
 
 fn task() -> Task {
@@ -72,3 +72,37 @@
     // The stop is repeated in case the worker has lost it.
     assert_eq!(state.due_stops(5_000), stops);
 }
+
+#[test]
+fn apply_announcement_names_its_effect() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    assert_eq!(state.apply_announcement(0, announcement(2)), AnnouncementEffect::Adopted);
+    assert_eq!(state.apply_announcement(0, announcement(3)), AnnouncementEffect::Unchanged);
+    assert_eq!(state.apply_announcement(0, announcement(3)), AnnouncementEffect::RepeatedSequence);
+    assert_eq!(state.apply_announcement(0, announcement(2)), AnnouncementEffect::OlderSequence);
+    let mut draining = announcement(4);
+    draining.info.draining = true;
+    assert_eq!(state.apply_announcement(0, draining), AnnouncementEffect::Updated);
+    assert!(state.end_incarnation(INCARNATION));
+    assert!(!state.end_incarnation(INCARNATION));
+    assert_eq!(state.apply_announcement(0, announcement(5)), AnnouncementEffect::PastIncarnation);
+}
+
+#[test]
+fn summary_shows_what_an_agent_gives_up() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    assert_eq!(
+        state.summary(0).to_string(),
+        "current=\"\" current_seq=0 runs=0 lease_left_ms=0 grant_left_ms=0 departed=false past_incarnations=0"
+    );
+    state.apply_announcement(1_000, announcement(7));
+    let poll = state.begin_poll();
+    state.apply_listing(1_000, poll, INCARNATION, listing(500));
+    state.apply_assignments(1_000, 1, Some(stop_assignments(1)));
+    let summary = state.summary(2_000);
+    assert_eq!((summary.current.as_str(), summary.sequence, summary.runs), (INCARNATION, 7, 1));
+    assert_eq!((summary.lease_left_ms, summary.grant_left_ms), (MAX_LEASE_MS - 1_000, 4_000));
+    assert!(state.record_departure(INCARNATION));
+    assert!(!state.record_departure("w-2"));
+    assert_eq!((state.summary(2_000).runs, state.summary(2_000).departed), (0, true));
+}
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use derive_more::Display;
+
 use crate::job::{Job, Outcome, Step};
 use crate::planner::{Agent, Planner, mark_ending, set_state};
 use crate::report::{End, EndReason, NotStarted, Report};
@@ -16,33 +18,84 @@
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
+/// The report that a change is based on, displayed as keys of a log line.
+#[derive(Clone, Debug, Default, Display)]
+#[display("agent={agent} agent_incarnation={agent_incarnation} seq={seq} replaced_by={replaced_by:?}")]
+pub(crate) struct Source {
+    agent: String,
+    agent_incarnation: u64,
+    /// Sequence number of the report; of the newest one if it is the lack of reports that led to the change.
+    seq: u64,
+    /// The worker incarnation that it names instead; empty for none.
+    replaced_by: String,
+}
+
+/// Why an incarnation of a worker is removed.
+pub(crate) struct RemovalCause {
+    reason: &'static str,
+    source: Source,
+}
+
+impl Source {
+    fn new(report: &Report) -> Self {
+        Self {
+            agent: report.agent.clone(),
+            agent_incarnation: report.agent_incarnation,
+            seq: report.seq,
+            replaced_by: String::new(),
+        }
+    }
+}
+
+impl RemovalCause {
+    fn replacement(report: &Report, replaced_by: &str) -> Self {
+        Self {
+            reason: "its worker was replaced by a new incarnation",
+            source: Source { replaced_by: replaced_by.to_owned(), ..Source::new(report) },
+        }
+    }
+}
+
 impl Planner {
     /// Applies the report of an agent. Reports of ended incarnations and reports that arrive out of order are ignored.
     pub fn apply_report(&mut self, now: u64, wall: u64, report: &Report) {
         if self.past_agent_incarnations.contains(&report.agent_incarnation) {
+            self.record_ignored(now, report, "past_agent_incarnation");
             return;
         }
         let known = self.agents.get(&report.agent);
         if known.is_some_and(|agent| agent.incarnation == report.agent_incarnation && agent.seq >= report.seq)
         {
+            self.record_ignored(now, report, "older_seq");
             return;
         }
         let before = known.cloned();
         if let Some(agent) = &before
             && agent.incarnation != report.agent_incarnation
+            && !self.past_agent_incarnations.contains(&agent.incarnation)
         {
+            self.log_line(format!(
+                "event=agent_restarted agent={} agent_incarnation={} seq={} known_incarnation={} known_seq={} worker={:?}",
+                report.agent,
+                report.agent_incarnation,
+                report.seq,
+                agent.incarnation,
+                agent.seq,
+                reported_worker(report)
+            ));
             bounded_insert(&mut self.past_agent_incarnations, agent.incarnation);
         }
         let mut worker = before.and_then(|agent| agent.worker);
         if let Some(info) = &report.worker {
             if self.past_worker_incarnations.contains(&info.incarnation) {
+                self.record_ignored(now, report, "past_worker");
                 return;
             }
             if let Some(old) = worker.replace(info.incarnation.clone()).filter(|old| *old != info.incarnation)
             {
-                self.end_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
+                self.end_incarnation(now, wall, &old, &RemovalCause::replacement(report, &info.incarnation));
             }
-            self.end_older_incarnations(now, wall, &report.agent, &info.incarnation);
+            self.end_older_incarnations(now, wall, report, &info.incarnation);
             self.apply_worker_report(now, wall, report);
         }
         let agent = Agent { incarnation: report.agent_incarnation, seq: report.seq, worker };
@@ -50,7 +103,7 @@
     }
 
     /// Ends the runs that stored jobs still have on older incarnations of the same agent's worker.
-    fn end_older_incarnations(&mut self, now: u64, wall: u64, agent: &str, incarnation: &str) {
+    fn end_older_incarnations(&mut self, now: u64, wall: u64, report: &Report, incarnation: &str) {
         if self.unreported.is_empty() {
             return;
         }
@@ -58,21 +111,56 @@
         let members = self.live.iter().filter_map(|name| self.jobs.get(name));
         let members = members.flat_map(|job| job.units.values()).flat_map(|unit| &unit.members);
         let older: BTreeSet<String> = members
-            .filter(|member| !member.released && member.agent == agent && member.worker != incarnation)
+            .filter(|member| !member.released && member.agent == report.agent && member.worker != incarnation)
             .map(|member| member.worker.clone())
             .collect();
         for old in older {
-            self.end_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
+            self.end_incarnation(now, wall, &old, &RemovalCause::replacement(report, incarnation));
         }
     }
 
+    /// Counts a report that is ignored, and logs it if a line is due.
+    fn record_ignored(&mut self, now: u64, report: &Report, reason: &'static str) {
+        *self.ignored_reports.entry(reason).or_default() += 1;
+        let Some(count) = self.line_limit.record(now, reason) else { return };
+        let known = self.agents.get(&report.agent);
+        let (known_incarnation, known_seq) = known.map_or((0, 0), |agent| (agent.incarnation, agent.seq));
+        self.log_line(format!(
+            "event=report_ignored agent={} agent_incarnation={} seq={} reason={reason} worker={:?} \
+             known_incarnation={known_incarnation} known_seq={known_seq} known_worker={:?} count={count}",
+            report.agent,
+            report.agent_incarnation,
+            report.seq,
+            reported_worker(report),
+            known.and_then(|agent| agent.worker.as_deref()).unwrap_or_default(),
+        ));
+    }
+
+    /// Returns the cause of the removal of an incarnation whose agent hasn't reported in time.
+    pub(crate) fn expiry_cause(&self, reason: &'static str, incarnation: &str) -> RemovalCause {
+        let members = self.live.iter().filter_map(|name| self.jobs.get(name));
+        let mut members = members.flat_map(|job| job.units.values()).flat_map(|unit| &unit.members);
+        let agent = match self.workers.get(incarnation) {
+            Some(worker) => Some(&worker.agent),
+            None => members.find(|member| member.worker == incarnation).map(|member| &member.agent),
+        };
+        let agent = agent.cloned().unwrap_or_default();
+        let known = self.agents.get(&agent);
+        let (agent_incarnation, seq) = known.map_or((0, 0), |known| (known.incarnation, known.seq));
+        let source = Source { agent, agent_incarnation, seq, replaced_by: String::new() };
+        RemovalCause { reason, source }
+    }
+
     fn apply_worker_report(&mut self, now: u64, wall: u64, report: &Report) {
         let Some(info) = &report.worker else { return };
         let incarnation = info.incarnation.clone();
         if !self.workers.contains_key(&incarnation) {
             let mut worker = Worker::new(info.clone(), report.agent.clone(), now);
             self.adopt_members(&mut worker);
-            self.log_line(format!("event=worker_joined worker={incarnation} agent={}", report.agent));
+            self.log_line(format!(
+                "event=worker_joined worker={incarnation} agent={} agent_incarnation={} seq={}",
+                report.agent, report.agent_incarnation, report.seq
+            ));
             self.workers.insert(incarnation.clone(), worker);
         }
         let running = report.running.iter().map(|run| ((run.task.clone(), run.run), run.clone())).collect();
@@ -97,7 +185,7 @@
             }
         }
         for entry in &report.not_started {
-            self.record_not_started(now, wall, &incarnation, entry);
+            self.record_not_started(now, wall, &incarnation, entry, &Source::new(report));
         }
     }
 
@@ -200,7 +288,14 @@
         true
     }
 
-    fn record_not_started(&mut self, now: u64, wall: u64, incarnation: &str, entry: &NotStarted) {
+    fn record_not_started(
+        &mut self,
+        now: u64,
+        wall: u64,
+        incarnation: &str,
+        entry: &NotStarted,
+        source: &Source,
+    ) {
         let Some((job, key, _)) = self.member_mut(incarnation, &entry.task, entry.run) else { return };
         let mut ran_ms = 0;
         if let Some(unit) = job.units.get_mut(&key) {
@@ -212,7 +307,7 @@
         }
         let (task, run, reason) = (&entry.task, entry.run, &entry.reason);
         self.log_line(format!(
-            "event=run_gone job={} task={task} run={run} worker={incarnation} ran_ms={ran_ms} why={reason:?}",
+            "event=run_gone job={} task={task} run={run} worker={incarnation} ran_ms={ran_ms} why={reason:?} {source}",
             task.job
         ));
         self.release_member(now, incarnation, task, run);
@@ -257,12 +352,19 @@
     }
 
     /// Removes a worker incarnation permanently: its later reports are ignored.
-    fn end_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, reason: &str) {
-        self.remove_incarnation(now, wall, incarnation, reason);
+    fn end_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, cause: &RemovalCause) {
+        self.remove_incarnation(now, wall, incarnation, cause);
         bounded_insert(&mut self.past_worker_incarnations, incarnation.to_owned());
     }
 
-    pub(crate) fn remove_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, reason: &str) {
+    pub(crate) fn remove_incarnation(
+        &mut self,
+        now: u64,
+        wall: u64,
+        incarnation: &str,
+        cause: &RemovalCause,
+    ) {
+        let RemovalCause { reason, source } = cause;
         self.unreported.remove(incarnation);
         let mut lost = Vec::new();
         for name in &self.live {
@@ -273,23 +375,28 @@
                         lost.push(NotStarted {
                             task: key.task(name, offset),
                             run: unit.run,
-                            reason: reason.to_owned(),
+                            reason: (*reason).to_owned(),
                         });
                     }
                 }
             }
         }
         for entry in &lost {
-            self.record_not_started(now, wall, incarnation, entry);
+            self.record_not_started(now, wall, incarnation, entry, source);
         }
         self.workers.remove(incarnation);
         self.log_line(format!(
-            "event=worker_lost worker={incarnation} runs_lost={} why={reason:?}",
+            "event=worker_lost worker={incarnation} runs_lost={} why={reason:?} {source}",
             lost.len()
         ));
     }
 }
 
+/// Returns the worker incarnation in a report; empty if there is none.
+fn reported_worker(report: &Report) -> &str {
+    report.worker.as_ref().map_or("", |info| &info.incarnation)
+}
+
 fn bounded_insert<T: Ord>(set: &mut BTreeSet<T>, item: T) {
     if set.len() >= MAX_PAST_INCARNATIONS {
         set.pop_first();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod assignments;
 pub mod desired;
 pub mod job;
+pub mod line_limit;
 pub mod pace;
 pub mod place;
 pub mod planner;
@@ -26,6 +27,7 @@
 
 pub use desired::Desired;
 pub use job::{Job, JobState, Step, Submission};
+pub use line_limit::LineLimit;
 pub use planner::{Planner, Timing};
 pub use resources::Resources;
 pub use task::Task;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -7,6 +7,7 @@
 use crate::approvals::Approvals;
 use crate::desired::{Desired, Queue};
 use crate::job::{Job, JobState, Outcome, Step, Submission};
+use crate::line_limit::LineLimit;
 use crate::place::Claims;
 use crate::record::{self, Record, new_job};
 use crate::resources::Resources;
@@ -93,6 +94,9 @@
     /// Agents whose assignments change once the given change is stored.
     pub(crate) agents_to_wake_by_change: BTreeSet<(u64, String)>,
     pub(crate) log: Vec<String>,
+    pub(crate) line_limit: LineLimit,
+    /// Ignored reports since the last call of [`Self::take_ignored_reports`], by reason.
+    pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
     pub(crate) refusals: Refusals,
 }
 
@@ -136,6 +140,8 @@
             agents_to_wake: BTreeSet::new(),
             agents_to_wake_by_change: BTreeSet::new(),
             log: Vec::new(),
+            line_limit: LineLimit::default(),
+            ignored_reports: BTreeMap::new(),
             refusals: Refusals::new(),
         }
     }
@@ -152,6 +158,11 @@
         std::mem::take(&mut self.log)
     }
 
+    /// Drains the numbers of ignored reports, by reason.
+    pub fn take_ignored_reports(&mut self) -> BTreeMap<&'static str, u64> {
+        std::mem::take(&mut self.ignored_reports)
+    }
+
     /// Drains the agents whose assignments changed, independent of what is stored.
     pub fn take_agents_to_wake(&mut self) -> Vec<String> {
         std::mem::take(&mut self.agents_to_wake).into_iter().collect()
@@ -367,12 +378,8 @@
         let incarnations: Vec<String> =
             self.workers.values().filter(expired).map(|w| w.info.incarnation.clone()).collect();
         for incarnation in incarnations {
-            self.remove_incarnation(
-                now,
-                wall,
-                &incarnation,
-                "no report from its agent before the grant expired",
-            );
+            let cause = self.expiry_cause("no report from its agent before the grant expired", &incarnation);
+            self.remove_incarnation(now, wall, &incarnation, &cause);
         }
         let overdue: Vec<String> = self
             .unreported
@@ -381,7 +388,8 @@
             .map(|(incarnation, _)| incarnation.clone())
             .collect();
         for incarnation in overdue {
-            self.remove_incarnation(now, wall, &incarnation, "no report since this planner started");
+            let cause = self.expiry_cause("no report since this planner started", &incarnation);
+            self.remove_incarnation(now, wall, &incarnation, &cause);
         }
     }
 
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -567,3 +567,92 @@
     assert!(matches!(fleet.submit("a", "plain", vec![step]), Admission::Refused { .. }));
     assert_eq!(fleet.planner.state("a"), None);
 }
+
+/// Returns the logged lines of an event.
+fn logged(fleet: &mut Fleet, event: &str) -> Vec<String> {
+    let prefix = format!("event={event} ");
+    fleet.planner.take_log().into_iter().filter(|line| line.starts_with(&prefix)).collect()
+}
+
+#[test]
+fn report_logs_source_of_lost_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(10);
+    let joined = logged(&mut fleet, "worker_joined");
+    assert!(joined[0].ends_with("worker=w0 agent=agent-0 agent_incarnation=0 seq=1"), "{joined:?}");
+    fleet.reports[0].running.clear();
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w9".to_owned();
+    fleet.advance(10);
+    let lines = fleet.planner.take_log();
+    let source = "agent=agent-0 agent_incarnation=0 seq=4 replaced_by=\"w9\"";
+    for event in ["event=run_gone ", "event=worker_lost worker=w0 runs_lost=1 "] {
+        let line = lines.iter().find(|line| line.starts_with(event)).unwrap_or_else(|| panic!("{lines:?}"));
+        assert!(line.ends_with(source), "{line}");
+    }
+}
+
+#[test]
+fn tick_logs_newest_report_of_expired_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(10);
+    fleet.planner.tick(fleet.now + 60_000, fleet.now);
+    let lost = logged(&mut fleet, "worker_lost");
+    let source = "why=\"no report from its agent before the grant expired\" agent=agent-0 agent_incarnation=0 \
+                  seq=2 replaced_by=\"\"";
+    assert!(lost[0].ends_with(source), "{lost:?}");
+}
+
+#[test]
+fn report_logs_why_it_is_ignored() {
+    let mut fleet = Fleet::new(1);
+    let old = fleet.reports[0].clone();
+    fleet.reports[0].agent_incarnation = 77;
+    fleet.advance(10);
+    let restarted = logged(&mut fleet, "agent_restarted");
+    let expected = "event=agent_restarted agent=agent-0 agent_incarnation=77 seq=2 known_incarnation=0 \
+                    known_seq=1 worker=\"w0\"";
+    assert_eq!(restarted, [expected]);
+    for seq in 3..100 {
+        fleet.planner.apply_report(fleet.now, fleet.now, &Report { seq, ..old.clone() });
+    }
+    let same = fleet.reports[0].clone();
+    fleet.planner.apply_report(fleet.now, fleet.now, &same);
+    let mut replaced = Report { seq: 3, ..same.clone() };
+    replaced.worker.as_mut().unwrap().incarnation = "w9".to_owned();
+    fleet.planner.apply_report(fleet.now, fleet.now, &replaced);
+    fleet.planner.apply_report(fleet.now, fleet.now, &Report { seq: 4, ..same });
+    let ignored = logged(&mut fleet, "report_ignored");
+    let reasons: Vec<&str> =
+        ignored.iter().filter_map(|line| line.split(" reason=").nth(1)?.split(' ').next()).collect();
+    assert_eq!(reasons, ["past_agent_incarnation", "older_seq", "past_worker"], "{ignored:?}");
+    assert!(ignored[0].contains("agent_incarnation=0 seq=3 "), "{ignored:?}");
+    assert!(
+        ignored[2].contains("worker=\"w0\"") && ignored[2].contains("known_worker=\"w9\""),
+        "{ignored:?}"
+    );
+    let counts = fleet.planner.take_ignored_reports();
+    assert_eq!(
+        counts,
+        BTreeMap::from([("older_seq", 1), ("past_agent_incarnation", 97), ("past_worker", 1)])
+    );
+    assert!(fleet.planner.take_ignored_reports().is_empty());
+}
+
+#[test]
+fn report_logs_restarted_agent_once() {
+    let mut fleet = Fleet::new(1);
+    let old_worker = fleet.reports[0].worker.clone();
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w9".to_owned();
+    fleet.advance(10);
+    // The next incarnation of the agent reports a worker that has ended.
+    fleet.reports[0].agent_incarnation = 77;
+    fleet.reports[0].worker = old_worker;
+    for _ in 0..100 {
+        fleet.advance(10);
+    }
+    assert_eq!(logged(&mut fleet, "agent_restarted").len(), 1);
+    assert_eq!(fleet.planner.take_ignored_reports(), BTreeMap::from([("past_worker", 100)]));
+}
