Report overlapping runs of a subtask, from the logs of all processes

Whether two runs of a subtask overlapped, and what the earlier one was given up for, had to be pieced together by hand from the logs of the planner and of two agents, whose lines on a worker don't name the subtask.

`sorrellandctl runs SUBTASK FILE...` collects the lines on the subtask, its workers and their agents in order of time, and lists the runs with their placement, start and end, and whether the end is confirmed: by the worker's answer, by another incarnation that replied at its address, or by the end of its lease. An unconfirmed end before which a later run started is an overlap; the report then names the message that the agent acted on, with its sender, the latest end of the lease, and whether the worker announced itself afterwards. `--json` for programs; exit status 1 if no log names a run of the subtask.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -24,6 +24,7 @@
   sorrellandctl [options] platform VIEW
   sorrellandctl [options] platform why JOB
   sorrellandctl [--json] late FILE... [--since TIME]
+  sorrellandctl [--json] runs SUBTASK FILE...
   sorrellandctl [options] STATEMENT...
   sorrellandctl [options] --file FILE
   sorrellandctl [options]
@@ -31,8 +32,9 @@
 The first four are for callers and need an account's key. On the users' platform, --entry is the metrics
 address of any entry, and a VIEW is one of jobs, workers, accounts, refused and burn. A STATEMENT is in the
 operators' language (docs/LANGUAGE.md) and needs an operator's key. `late` reads the log lines of all processes
-on the users' platform and shows where the time of each late job went. Without a command, statements are read
-from standard input, with a prompt and history on a terminal.
+on the users' platform and shows where the time of each late job went; `runs` shows which runs of a subtask may
+have overlapped, and why. Without a command, statements are read from standard input, with a prompt and history
+on a terminal.
 
 Options:
   --entry IP:PORT     entry to talk to; may be given more than once [127.0.0.1:8080]
@@ -107,6 +109,13 @@
         /// Time before which submitted jobs are left out, in milliseconds since 1970.
         since_ms: i64,
     },
+    /// Report on the runs of a subtask from log files.
+    Runs {
+        /// The subtask, such as `JOB.0.0.17`.
+        task: String,
+        /// Log files, one for each process.
+        files: Vec<String>,
+    },
     /// Send one statement.
     Statement { text: String },
     /// Send the statements of a file, one per line.
@@ -238,6 +247,13 @@
             since_ms: raw.since.as_deref().map_or(Ok(i64::MIN), parse_time)?,
         }),
         ["late"] => Err(lexopt::Error::Custom("late takes at least one log file".into()).into()),
+        ["runs", task, first, others @ ..] => Ok(Command::Runs {
+            task: (*task).to_owned(),
+            files: [*first].iter().chain(others).map(ToString::to_string).collect(),
+        }),
+        ["runs", ..] => {
+            Err(lexopt::Error::Custom("runs takes a subtask and at least one log file".into()).into())
+        }
         ["request" | "submit" | "job" | "cancel-job" | "platform", ..] => {
             Err(lexopt::Error::Custom(format!("{} takes one argument", positional[0]).into()).into())
         }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod log_line;
 pub mod plot;
 pub mod run;
+pub mod runs;
 pub mod show;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -8,7 +8,7 @@
 
 use crate::args::{Args, Command, HELP};
 use crate::call::{EntryClient, Error, Response};
-use crate::{late, plot, show};
+use crate::{late, plot, runs, show};
 
 /// Exit status of a command that succeeded.
 pub const EXIT_DONE: u8 = 0;
@@ -58,6 +58,7 @@
             report(args, response)
         }
         Command::Late { files, since_ms } => report_late_jobs(args, files, *since_ms),
+        Command::Runs { task, files } => report_runs(args, task, files),
         Command::Statement { text } => run_statement(args, &client, text).await,
         Command::File { path } => match std::fs::read_to_string(path) {
             Ok(text) => run_statements(args, &client, text.lines().map(str::to_owned)).await,
@@ -75,18 +76,8 @@
 }
 
 fn report_late_jobs(args: &Args, files: &[String], since_ms: i64) -> u8 {
-    let mut text = String::new();
-    for path in files {
-        match std::fs::read(path) {
-            Ok(bytes) => text.push_str(&String::from_utf8_lossy(&bytes)),
-            Err(e) => {
-                eprintln!("{path}: {e}");
-                return EXIT_USAGE;
-            }
-        }
-        text.push('\n');
-    }
-    let report = late::report(text.lines(), since_ms);
+    let Some(texts) = read_files(files) else { return EXIT_USAGE };
+    let report = late::report(texts.iter().flat_map(|text| text.lines()), since_ms);
     match args.json {
         true => println!("{}", json!({"causes": report.causes_json(), "late": report.jobs_json()})),
         false => {
@@ -97,6 +88,45 @@
     EXIT_DONE
 }
 
+fn report_runs(args: &Args, task: &str, files: &[String]) -> u8 {
+    let Some(texts) = read_files(files) else { return EXIT_USAGE };
+    let logs: Vec<runs::Log<'_>> =
+        files.iter().zip(&texts).map(|(path, text)| runs::Log { path, text }).collect();
+    let report = runs::report(&logs, task);
+    if report.runs.is_empty() {
+        eprintln!("{task}: no log names a run of it");
+        return EXIT_REFUSED;
+    }
+    match args.json {
+        true => println!(
+            "{}",
+            json!({
+                "runs": report.runs_json(),
+                "overlaps": report.overlaps_json(),
+                "lines": report.lines_json(),
+            })
+        ),
+        false => {
+            println!("{}", report.lines_text());
+            println!("{}", show::to_text(&report.runs_json()));
+            print!("{}", report.overlaps_text());
+        }
+    }
+    EXIT_DONE
+}
+
+/// Reads files; `None` if one can't be read, which is reported on standard error.
+fn read_files(paths: &[String]) -> Option<Vec<String>> {
+    let read = |path: &String| match std::fs::read(path) {
+        Ok(bytes) => Some(String::from_utf8_lossy(&bytes).into_owned()),
+        Err(e) => {
+            eprintln!("{path}: {e}");
+            None
+        }
+    };
+    paths.iter().map(read).collect()
+}
+
 async fn run_statement(args: &Args, client: &EntryClient, text: &str) -> u8 {
     // The statement is parsed locally first, so that syntax errors are reported without contacting an entry.
     if let Err(e) = sorrelland_lang::parse(text) {
--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -145,10 +145,19 @@
 
     /// Runs the report on late jobs over the logs of all processes; returns its exit status and output.
     pub fn run_late_report(&self, options: &[&str]) -> (i32, String) {
+        self.run_log_report(&["late"], options)
+    }
+
+    /// Runs the report on the runs of a subtask over the logs of all processes; returns its exit status and output.
+    pub fn run_runs_report(&self, task: &str, options: &[&str]) -> (i32, String) {
+        self.run_log_report(&["runs", task], options)
+    }
+
+    fn run_log_report(&self, command: &[&str], options: &[&str]) -> (i32, String) {
         let files = fs::read_dir(self.env.dir()).unwrap().flatten().map(|entry| entry.path());
         let logs = files.filter(|path| path.extension().is_some_and(|suffix| suffix == "log"));
         let mut tool = Command::new(env!("CARGO_BIN_EXE_sorrellandctl"));
-        let output = tool.arg("late").args(logs).args(options).output().unwrap();
+        let output = tool.args(command).args(logs).args(options).output().unwrap();
         (output.status.code().unwrap_or(-1), String::from_utf8(output.stdout).unwrap())
     }
 
--- a/crates/sorrelland/tests/incarnations.rs
+++ b/crates/sorrelland/tests/incarnations.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use common::eventually;
-use common::platform::Platform;
+use common::platform::{Platform, step};
 use http::Method;
 use serde_json::{Value, json};
 use sorrelland_ctl::log_line::LogLine;
@@ -132,3 +132,31 @@
     let worker_lost = lines(&platform, "entry-1").into_iter().filter(|line| line.event() == "worker_lost");
     assert_eq!(worker_lost.map(|line| line.field("worker").to_owned()).collect::<Vec<_>>(), ["w-1-1"]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_reports_runs_around_restart_of_worker() {
+    const JOB: &str = "0000000000000001";
+    let mut platform = Platform::start(1, 1).await;
+    assert_eq!(platform.submit(1, JOB, json!([step(1)]), "run_ms=1500").await, 200);
+    let task = format!("{JOB}.0.0.0");
+    await_line(&platform, "agent-1", "started", &[("task", &task)]).await;
+    platform.env.kill("worker-1");
+    platform.start_worker(1, 2);
+    platform.await_state(JOB, "completed", Duration::from_secs(20)).await;
+    let ended = [("task", task.as_str()), ("how", "Done")];
+    await_line(&platform, "entry-1", "run_ended", &ended).await;
+    let (status, text) = platform.run_runs_report(&task, &["--json"]);
+    let report: Value = serde_json::from_str(&text).unwrap();
+    let rows = report["runs"]["rows"].as_array().unwrap();
+    let runs: Vec<_> = rows.iter().map(|row| (&row["run"], &row["worker"], &row["agent"])).collect();
+    let (agent, numbers, workers) =
+        (json!("agent-1"), [json!(1), json!(2)], [json!("w-1-1"), json!("w-1-2")]);
+    let expected = [(&numbers[0], &workers[0], &agent), (&numbers[1], &workers[1], &agent)];
+    assert_eq!((status, runs), (0, expected.to_vec()), "{text}");
+    assert_eq!((&rows[1]["confirmed"], &rows[1]["why"]), (&json!(true), &json!("Done")), "{text}");
+    let (_, text) = platform.run_runs_report(&task, &[]);
+    for part in ["agent-1/agent", "event=incarnation_ended worker=w-1-1", "event=worker_lost worker=w-1-1"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    assert_eq!(platform.run_runs_report("0000000000000009.0.0.0", &[]).0, 1);
+}
