Reproduce the double starts with messages that aren't the worker's own

Four process tests send an agent what any writer may send or the network may delay: a readable check-in with an unknown id and service, one with an unknown id and the known service, the first of these at an agent that has just been restarted while its worker is paused, and a departure of a worker that runs on.

--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -28,6 +29,8 @@
     pub env: TestEnv,
     entries: usize,
     workers: usize,
+    /// Number of jobs submitted to find out whether all workers are known.
+    gangs: AtomicU64,
 }
 
 /// Returns a step of `count` subtasks with one core and one accelerator each.
@@ -37,7 +40,7 @@
 
 impl Platform {
     pub async fn start(entries: usize, workers: usize) -> Self {
-        let mut platform = Self { env: TestEnv::new(entries), entries, workers };
+        let mut platform = Self { env: TestEnv::new(entries), entries, workers, gangs: AtomicU64::new(0) };
         platform.start_store().await;
         platform.publish(1, &[KEY]).await;
         for index in 1..=entries {
@@ -135,6 +138,40 @@
         self.spawn_role(&format!("agent-{index}"), "agent", &settings);
     }
 
+    fn instance_url(&self, index: usize, incarnation: &str) -> String {
+        format!("http://{}/instances/{incarnation}", self.env.address(100 + index, 8_526))
+    }
+
+    /// Sends a check-in to an agent, as any writer may; returns the HTTP status, 0 if there is no response.
+    pub async fn check_in(&self, index: usize, incarnation: &str, body: &Value) -> u16 {
+        let client = Client::new(Duration::from_secs(2));
+        let url = self.instance_url(index, incarnation);
+        let reply = client.send(Method::PUT, &url, &[], Bytes::from(body.to_string())).await;
+        reply.map_or(0, |reply| reply.status.as_u16())
+    }
+
+    /// Sends a check-in to an agent as soon as it listens.
+    pub async fn check_in_once_up(&self, index: usize, incarnation: &str, body: &Value) {
+        let deadline = Instant::now() + Duration::from_secs(5);
+        while self.check_in(index, incarnation, body).await == 0 {
+            assert!(Instant::now() < deadline, "agent {index} listens");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    /// Tells an agent that a worker incarnation leaves.
+    pub async fn depart(&self, index: usize, incarnation: &str) {
+        let client = Client::new(Duration::from_secs(2));
+        let url = self.instance_url(index, incarnation);
+        let reply = client.send(Method::DELETE, &url, &[], Bytes::new()).await.unwrap();
+        assert!(reply.status.is_success());
+    }
+
+    /// Waits until a process has logged an event of a job.
+    pub async fn await_event(&self, event: &str, job: &str, within: Duration) {
+        eventually(within, event, async || self.job_events(job).iter().any(|(name, _)| name == event)).await;
+    }
+
     /// Runs `sorrellandctl` against an entry; returns its exit status and standard output.
     pub fn run_ctl(&self, index: usize, command: &[&str]) -> (i32, String) {
         let entry = self.env.address(10 + index, METRICS_PORT);
@@ -172,14 +209,15 @@
     }
 
     /// Waits until the planner knows all workers: until it completes a job with one subtask on each.
-    async fn await_workers(&self) {
+    pub async fn await_workers(&self) {
         let gang = json!([{"count": self.workers, "cpu": 1, "gpu": 0, "anti_affinity": 1, "gang_scheduled": true,
             "estimate_ms": 10}]);
+        let job = format!("{:016x}", 0xff00 + self.gangs.fetch_add(1, Ordering::Relaxed));
         eventually(Duration::from_secs(20), "all workers are known", async || {
-            self.submit(1, "00000000000000ff", gang.clone(), "run_ms=10").await == 200
+            self.submit(1, &job, gang.clone(), "run_ms=10").await == 200
         })
         .await;
-        self.await_state("00000000000000ff", "completed", Duration::from_secs(10)).await;
+        self.await_state(&job, "completed", Duration::from_secs(10)).await;
     }
 
     /// Appends a desired state with these account keys to the store, as an operator does.
