Adopt a worker's incarnation only when the worker confirms it

Callers saw a subtask run on two workers at once, or a job that stayed unfinished. An agent took any readable check-in with an id that it didn't know for its worker's next incarnation: it gave up the current one, extended its leases no more and ignored its check-ins from then on, and the planner placed its runs again while they went on under their leases. But a check-in may come from another writer, or late.

The worker itself knows: it answers 421 to a call that names another incarnation. So the agent calls the announced incarnation, one announcement at a time, and adopts it on an answer; a fencing refusal counts as one, since only the named incarnation compares tokens. Everything else leaves the current incarnation as it is. No set of past incarnations is needed any more, so a worker that was given up by mistake comes back with its next check-in.

The handling of announcements moves to a module of its own.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -1,25 +1,26 @@
 //! The agent beside a worker: the only process that sends it starts, stops and speed shares.
 
-use std::net::SocketAddr;
+mod announcements;
+
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::join_all;
-use http::{Method, StatusCode};
 use sorrelland_fleet::LineLimit;
 use sorrelland_fleet::assignments::{Pace, Start, Stop};
-use sorrelland_platform::serve::{self, Request, Response};
-use sorrelland_platform::worker::{Announcement, Error, StartOutcome, StartRequest, decode_announcement};
+use sorrelland_platform::serve::{self, Request};
+use sorrelland_platform::worker::{Error, StartOutcome, StartRequest};
 use sorrelland_platform::{Settings, Store, WorkerClient};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 
+use self::announcements::Received;
 use crate::calls::{EntryPool, Ping, ReportReply, call};
 use crate::clock::now_ms;
 use crate::election::{CLAIMS, Leadership};
-use crate::lease::{AnnouncementEffect, Summary, WorkerState};
+use crate::lease::{Summary, WorkerState};
 use crate::signals::{self, wait_for_stop};
 use crate::{Error as RunError, Result, follow, lock, metrics, reload};
 
@@ -52,11 +53,6 @@
 
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 
-const ANNOUNCEMENT_PATH_PREFIX: &str = "/instances/";
-
-/// Longest part of an announced text that is logged, in characters.
-const MAX_LOGGED_CHARS: usize = 80;
-
 struct Agent {
     settings: Settings,
     incarnation: u64,
@@ -65,6 +61,8 @@
     worker: WorkerClient,
     worker_state: Mutex<WorkerState>,
     entries: Mutex<Vec<String>>,
+    /// Announcements that the worker has to confirm.
+    unconfirmed: mpsc::Sender<Received>,
     /// Limits lines on messages that have no effect.
     line_limit: Mutex<LineLimit>,
     /// Triggers a report.
@@ -88,6 +86,7 @@
     let handle_metrics = Arc::new(|_| async { metrics::render() }.boxed());
     crate::entry::serve_metrics(&settings, metrics_port, handle_metrics)?;
     let store = Store::new(&settings.store_address);
+    let (unconfirmed, waiting) = mpsc::channel(announcements::MAX_WAITING);
     let agent = Arc::new(Agent {
         incarnation: rand::random(),
         leadership: Leadership::default(),
@@ -95,6 +94,7 @@
         worker: WorkerClient::new(&worker.to_string()),
         worker_state: Mutex::new(WorkerState::new(settings.bounds.max_lease_ms, settings.bounds.stop_ms)),
         entries: Mutex::default(),
+        unconfirmed,
         line_limit: Mutex::default(),
         report_due: Notify::new(),
         dispatch_due: Notify::new(),
@@ -113,6 +113,7 @@
     let leadership = agent.leadership.clone();
     let apply_claim = move |key: &str, value: &[u8], offset: u64| leadership.apply_claim(key, value, offset);
     tokio::spawn(async move { follow::follow(&store, CLAIMS, CLAIMS_READ_WAIT, apply_claim).await });
+    tokio::spawn(agent.clone().run_confirmations(waiting));
     tokio::spawn(agent.clone().run_dispatch());
     tokio::spawn(agent.clone().run_polls());
     tokio::spawn(agent.clone().run_reports());
@@ -126,95 +127,6 @@
 }
 
 impl Agent {
-    /// Handles an announcement of the worker, or its notice that it leaves.
-    fn handle_announcement(&self, request: &Request) -> Response {
-        let Some(incarnation) =
-            request.path.strip_prefix(ANNOUNCEMENT_PATH_PREFIX).filter(|incarnation| !incarnation.is_empty())
-        else {
-            return Response::new(StatusCode::NOT_FOUND);
-        };
-        let peer = request.peer;
-        match request.method {
-            Method::PUT => match decode_announcement(incarnation, &request.body) {
-                Ok(announcement) => {
-                    self.apply_announcement(peer, announcement);
-                    Response::new(StatusCode::OK).json(&serde_json::json!({}))
-                }
-                Err(e) => {
-                    metrics::count_announcement("malformed");
-                    if let Some(count) = self.due_line("malformed") {
-                        log::warn!(
-                            "event=announcement_skipped worker={incarnation} cause=\"{e}\" from={peer} count={count}"
-                        );
-                    }
-                    Response::new(StatusCode::BAD_REQUEST)
-                }
-            },
-            Method::DELETE => {
-                self.record_departure(peer, incarnation);
-                Response::new(StatusCode::OK)
-            }
-            _ => Response::new(StatusCode::METHOD_NOT_ALLOWED),
-        }
-    }
-
-    fn apply_announcement(&self, peer: SocketAddr, announcement: Announcement) {
-        let Announcement { info, sequence, address } = &announcement;
-        let (worker, draining) = (info.incarnation.clone(), info.draining);
-        let (service, address) = (excerpt(&info.service), excerpt(address));
-        let details = format!("service={service:?} address={address:?} seq={sequence} from={peer}");
-        let (before, effect, after) = {
-            let now = now_ms();
-            let mut state = lock(&self.worker_state);
-            let before = state.summary(now);
-            let effect = state.apply_announcement(now, announcement);
-            (before, effect, state.summary(now))
-        };
-        let name = effect.name();
-        metrics::count_announcement(name);
-        if effect.is_change() {
-            log::info!(
-                "event=worker_announced worker={worker} draining={draining} effect={name} {details} \
-                 replaced={:?} {after}",
-                if effect == AnnouncementEffect::Replaced { before.current.as_str() } else { "" }
-            );
-            if effect == AnnouncementEffect::Replaced {
-                record_end("announcement", &format!("replaced_by={worker:?} {details}"), &before);
-            }
-            self.report_due.notify_one();
-            self.poll_due.notify_one();
-        } else if effect != AnnouncementEffect::Unchanged
-            && let Some(count) = self.due_line(name)
-        {
-            log::warn!(
-                "event=announcement_ignored worker={worker} reason={name} {details} {before} count={count}"
-            );
-        }
-    }
-
-    fn record_departure(&self, peer: SocketAddr, incarnation: &str) {
-        let (before, is_current) = {
-            let mut state = lock(&self.worker_state);
-            (state.summary(now_ms()), state.record_departure(incarnation))
-        };
-        let has_effect = is_current && (!before.departed || before.runs > 0);
-        let count = if has_effect { Some(1) } else { self.due_line("departure") };
-        if let Some(count) = count {
-            log::info!(
-                "event=worker_left worker={incarnation} is_current={is_current} from={peer} {before} count={count}"
-            );
-        }
-        if has_effect {
-            record_end("departure", &format!("from={peer}"), &before);
-        }
-        self.report_due.notify_one();
-    }
-
-    /// Returns whether a line on a message without effect is due, as the number of messages that it stands for.
-    fn due_line(&self, kind: &'static str) -> Option<u64> {
-        lock(&self.line_limit).record(now_ms(), kind)
-    }
-
     /// Keeps one report waiting at the planner, and sends another at once when one is triggered.
     async fn run_reports(self: Arc<Self>) {
         let mut in_flight = JoinSet::new();
@@ -511,8 +423,3 @@
     metrics::count_incarnation_end(cause);
     log::warn!("event=incarnation_ended worker={} cause={cause} {details} {before}", before.current);
 }
-
-/// Returns the beginning of a text from another process.
-fn excerpt(text: &str) -> &str {
-    text.char_indices().nth(MAX_LOGGED_CHARS).map_or(text, |(end, _)| &text[..end])
-}
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -28,15 +28,11 @@
 /// Effect of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnouncementEffect {
-    /// There was no current incarnation.
-    Adopted,
-    /// The current incarnation was ended.
-    Replaced,
+    /// None: the worker has to confirm the incarnation first.
+    Unconfirmed,
     /// The current incarnation announced a change.
     Updated,
     Unchanged,
-    /// Ignored: the incarnation has ended.
-    PastIncarnation,
     /// Ignored: a newer announcement of the incarnation is known.
     OlderSequence,
     /// Ignored: the same announcement is known.
@@ -47,27 +43,20 @@
     /// Returns the name for logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::Adopted => "adopted",
-            Self::Replaced => "replaced",
+            Self::Unconfirmed => "unconfirmed",
             Self::Updated => "updated",
             Self::Unchanged => "unchanged",
-            Self::PastIncarnation => "past_incarnation",
             Self::OlderSequence => "older_sequence",
             Self::RepeatedSequence => "repeated_sequence",
         }
     }
-
-    /// Returns whether it should be reported to the planner at once.
-    pub fn is_change(self) -> bool {
-        matches!(self, Self::Adopted | Self::Replaced | Self::Updated)
-    }
 }
 
 /// What an agent knows of its worker at one time, displayed as keys of a log line. Durations are in milliseconds.
 #[derive(Clone, Debug, Default, Display, PartialEq, Eq)]
 #[display(
     "current={current:?} current_seq={sequence} runs={runs} lease_left_ms={lease_left_ms} \
-     grant_left_ms={grant_left_ms} departed={departed} past_incarnations={past_incarnations}"
+     grant_left_ms={grant_left_ms} departed={departed}"
 )]
 pub struct Summary {
     /// Name of the current incarnation; empty if there is none.
@@ -82,8 +71,6 @@
     pub grant_left_ms: u64,
     /// Whether it has announced its departure.
     pub departed: bool,
-    /// Number of incarnations that have ended since the agent started.
-    pub past_incarnations: usize,
 }
 
 /// State of one worker as its agent knows it. All times are in milliseconds.
@@ -95,7 +82,6 @@
     stop_ms: u64,
     announced: Option<Announcement>,
     departed: bool,
-    past_incarnations: BTreeSet<String>,
     epoch: u64,
     assignments: Option<Assignments>,
     /// When the newest grant ends, on the agent's clock.
@@ -129,35 +115,28 @@
         Self { max_lease_ms, stop_ms, ..Self::default() }
     }
 
-    /// Applies an announcement and returns its effect.
-    pub fn apply_announcement(&mut self, now: u64, announcement: Announcement) -> AnnouncementEffect {
+    /// Applies an announcement and returns its effect. Only the current incarnation can change: an announcement may
+    /// arrive late or come from another writer, so the worker has to confirm any other one.
+    pub fn apply_announcement(&mut self, announcement: &Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
-        if self.past_incarnations.contains(incarnation) {
-            return AnnouncementEffect::PastIncarnation;
-        }
-        match &self.announced {
-            Some(known) if known.info.incarnation == *incarnation => {
-                match announcement.sequence.cmp(&known.sequence) {
-                    Ordering::Less => return AnnouncementEffect::OlderSequence,
-                    Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
-                    Ordering::Greater => (),
-                }
-                let changed = known.info != announcement.info;
-                self.announced = Some(announcement);
-                if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
-            }
-            Some(_) => {
-                self.end_current_incarnation();
-                self.announced = Some(announcement);
-                AnnouncementEffect::Replaced
-            }
-            None => {
-                // An earlier incarnation of this agent may have extended leases that are unknown to this one.
-                self.leased_until = self.leased_until.max(now + self.max_lease_ms);
-                self.announced = Some(announcement);
-                AnnouncementEffect::Adopted
-            }
+        let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
+        let Some(known) = current else { return AnnouncementEffect::Unconfirmed };
+        match announcement.sequence.cmp(&known.sequence) {
+            Ordering::Less => return AnnouncementEffect::OlderSequence,
+            Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
+            Ordering::Greater => (),
         }
+        let changed = known.info != announcement.info;
+        *known = announcement.clone();
+        if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
+    }
+
+    /// Makes an incarnation the current one and ends the one before. The worker has answered a call that names it.
+    pub fn adopt_incarnation(&mut self, now: u64, announcement: Announcement) {
+        self.end_current_incarnation();
+        // An earlier incarnation of this agent may have extended leases that are unknown to this one.
+        self.leased_until = now + self.max_lease_ms;
+        self.announced = Some(announcement);
     }
 
     /// Records that an incarnation of the worker has ended; returns whether it was the current one.
@@ -170,12 +149,7 @@
     }
 
     fn end_current_incarnation(&mut self) {
-        if let Some(known) = self.announced.take() {
-            self.past_incarnations.insert(known.info.incarnation);
-        }
-        let past_incarnations = std::mem::take(&mut self.past_incarnations);
         *self = Self {
-            past_incarnations,
             epoch: self.epoch,
             granted_until: self.granted_until,
             polls_begun: self.polls_begun,
@@ -226,7 +200,6 @@
             lease_left_ms: self.leased_until.saturating_sub(now),
             grant_left_ms: self.granted_until.saturating_sub(now),
             departed: self.departed,
-            past_incarnations: self.past_incarnations.len(),
         }
     }
 
