Give a leaving worker's runs up when it has ended, not at its notice

Callers could see a subtask run on two workers at once: on DELETE of its worker's incarnation, from whatever sender, the agent reported all runs there as not started, and the planner placed them again at once. But a notice may come from another writer, and a worker that does leave sends it before it ends.

The users' record doesn't fit this cause: there the leases lapsed, here the runs are stopped and noted.

A notice now only keeps new work and lease extensions from the worker.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -347,6 +347,9 @@
     }
 
     fn record_call_error(&self, incarnation: &str, call: &'static str, token: u64, error: &Error) {
+        if error.is_connection_refused() {
+            self.record_refused_connection(incarnation);
+        }
         if matches!(error, Error::OtherIncarnation) {
             let (before, is_current) = {
                 let mut state = lock(&self.worker_state);
--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -14,7 +14,7 @@
 
 use super::{Agent, CALL_RETRY_DELAY, record_end};
 use crate::clock::now_ms;
-use crate::lease::{AnnouncementEffect, Summary};
+use crate::lease::{AnnouncementEffect, Presence, Summary};
 use crate::{lock, metrics};
 
 const PATH_PREFIX: &str = "/instances/";
@@ -162,12 +162,13 @@
         self.poll_due.notify_one();
     }
 
+    /// Records a departure notice, which takes effect once nothing listens at the worker's address.
     fn record_departure(&self, peer: SocketAddr, incarnation: &str) {
         let (before, is_current) = {
             let mut state = lock(&self.worker_state);
-            (state.summary(now_ms()), state.record_departure(incarnation))
+            (state.summary(now_ms()), state.record_departure_notice(incarnation))
         };
-        let has_effect = is_current && (!before.departed || before.runs > 0);
+        let has_effect = is_current && before.presence == Presence::Present;
         let count = if has_effect { Some(1) } else { self.due_line("departure") };
         if let Some(count) = count {
             log::info!(
@@ -175,9 +176,21 @@
             );
         }
         if has_effect {
-            record_end("departure", &format!("from={peer}"), &before);
+            self.report_due.notify_one();
+            self.poll_due.notify_one();
+        }
+    }
+
+    /// Records that the connection of a call to the worker was refused.
+    pub(super) fn record_refused_connection(&self, incarnation: &str) {
+        let (before, has_left) = {
+            let mut state = lock(&self.worker_state);
+            (state.summary(now_ms()), state.record_refused_connection(incarnation))
+        };
+        if has_left {
+            record_end("departure", "", &before);
+            self.report_due.notify_one();
         }
-        self.report_due.notify_one();
     }
 
     /// Logs an announcement without effect, unless lines with the same reason are too frequent.
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -52,11 +52,25 @@
     }
 }
 
+/// Whether the current incarnation of the worker is there.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Presence {
+    #[default]
+    #[display("present")]
+    Present,
+    /// It has announced its departure and may still run.
+    #[display("leaving")]
+    Leaving,
+    /// It has ended.
+    #[display("left")]
+    Left,
+}
+
 /// What an agent knows of its worker at one time, displayed as keys of a log line. Durations are in milliseconds.
 #[derive(Clone, Debug, Default, Display, PartialEq, Eq)]
 #[display(
     "current={current:?} current_seq={sequence} runs={runs} lease_left_ms={lease_left_ms} \
-     grant_left_ms={grant_left_ms} departed={departed}"
+     grant_left_ms={grant_left_ms} presence={presence}"
 )]
 pub struct Summary {
     /// Name of the current incarnation; empty if there is none.
@@ -69,8 +83,7 @@
     pub lease_left_ms: u64,
     /// Time until the newest grant ends.
     pub grant_left_ms: u64,
-    /// Whether it has announced its departure.
-    pub departed: bool,
+    pub presence: Presence,
 }
 
 /// State of one worker as its agent knows it. All times are in milliseconds.
@@ -81,7 +94,7 @@
     /// Longest time that a stop takes.
     stop_ms: u64,
     announced: Option<Announcement>,
-    departed: bool,
+    presence: Presence,
     epoch: u64,
     assignments: Option<Assignments>,
     /// When the newest grant ends, on the agent's clock.
@@ -126,8 +139,9 @@
             Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
             Ordering::Greater => (),
         }
-        let changed = known.info != announcement.info;
+        let changed = known.info != announcement.info || self.presence != Presence::Present;
         *known = announcement.clone();
+        self.presence = Presence::Present;
         if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
     }
 
@@ -157,13 +171,23 @@
         };
     }
 
-    /// Records that the worker has announced its departure: everything that ran there has ended. Returns
-    /// whether it was the current incarnation.
-    pub fn record_departure(&mut self, incarnation: &str) -> bool {
-        if self.incarnation() != Some(incarnation) {
+    /// Records a departure notice; returns whether it names the current incarnation. Its runs count until its end is
+    /// confirmed, but nothing is started and no lease extended. A later announcement revokes the notice.
+    pub fn record_departure_notice(&mut self, incarnation: &str) -> bool {
+        let is_current = self.incarnation() == Some(incarnation);
+        if is_current && self.presence == Presence::Present {
+            self.presence = Presence::Leaving;
+        }
+        is_current
+    }
+
+    /// Records that nothing listens at the worker's address; returns whether this confirms a departure, so that
+    /// everything that ran there has ended.
+    pub fn record_refused_connection(&mut self, incarnation: &str) -> bool {
+        if self.incarnation() != Some(incarnation) || self.presence != Presence::Leaving {
             return false;
         }
-        self.departed = true;
+        self.presence = Presence::Left;
         self.mark_runs_not_started("the worker has left");
         true
     }
@@ -199,7 +223,7 @@
             runs: runs.collect::<BTreeSet<_>>().len(),
             lease_left_ms: self.leased_until.saturating_sub(now),
             grant_left_ms: self.granted_until.saturating_sub(now),
-            departed: self.departed,
+            presence: self.presence,
         }
     }
 
@@ -241,7 +265,7 @@
 
     /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended.
     pub fn extend_lease(&mut self, now: u64) -> Option<u64> {
-        let (clock, read_at) = self.clock_reading?;
+        let (clock, read_at) = self.clock_reading.filter(|_| self.presence == Presence::Present)?;
         let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
         self.leased_until = self.leased_until.max(self.granted_until);
         let on_slow_clock = |ms: u64| ms * (100 - CLOCK_LAG_PERCENT) / 100;
@@ -259,8 +283,8 @@
 
     /// Returns the starts to send now.
     pub fn due_starts(&self, now: u64) -> Vec<Start> {
-        let draining = self.departed || self.announced.as_ref().is_none_or(|known| known.info.draining);
-        if draining || now + MIN_START_GRANT_MS > self.granted_until {
+        let draining = self.announced.as_ref().is_none_or(|known| known.info.draining);
+        if draining || self.presence != Presence::Present || now + MIN_START_GRANT_MS > self.granted_until {
             return Vec::new();
         }
         let is_due = |start: &&Start| {
@@ -401,6 +425,11 @@
     }
 
     pub fn needs_poll(&self) -> bool {
+        self.presence != Presence::Left && self.expects_changes()
+    }
+
+    /// Returns whether a poll may show a change.
+    fn expects_changes(&self) -> bool {
         !self.running.is_empty()
             || !self.started.is_empty()
             || !self.start_attempts.is_empty()
@@ -442,7 +471,7 @@
             agent_incarnation,
             seq,
             worker: self.announced.as_ref().map(|known| WorkerInfo {
-                draining: known.info.draining || self.departed,
+                draining: known.info.draining || self.presence != Presence::Present,
                 ..known.info.clone()
             }),
             running,
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -1,6 +1,6 @@
 //! Tests an agent's state of its worker, without a network.
 
-use sorrelland_control::lease::{AnnouncementEffect, WorkerState};
+use sorrelland_control::lease::{AnnouncementEffect, Presence, WorkerState};
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Stop};
 use sorrelland_fleet::report::{Running, WorkerInfo};
@@ -112,7 +112,7 @@
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
     assert_eq!(
         state.summary(0).to_string(),
-        "current=\"\" current_seq=0 runs=0 lease_left_ms=0 grant_left_ms=0 departed=false"
+        "current=\"\" current_seq=0 runs=0 lease_left_ms=0 grant_left_ms=0 presence=present"
     );
     state.adopt_incarnation(1_000, announcement(7));
     let poll = state.begin_poll();
@@ -121,7 +121,30 @@
     let summary = state.summary(2_000);
     assert_eq!((summary.current.as_str(), summary.sequence, summary.runs), (INCARNATION, 7, 1));
     assert_eq!((summary.lease_left_ms, summary.grant_left_ms), (MAX_LEASE_MS - 1_000, 4_000));
-    assert!(state.record_departure(INCARNATION));
-    assert!(!state.record_departure("w-2"));
-    assert_eq!((state.summary(2_000).runs, state.summary(2_000).departed), (0, true));
+    assert!(state.record_departure_notice(INCARNATION));
+    assert!(!state.record_departure_notice("w-2"));
+    assert_eq!((state.summary(2_000).runs, state.summary(2_000).presence), (1, Presence::Leaving));
+    assert!(state.record_refused_connection(INCARNATION));
+    assert_eq!((state.summary(2_000).runs, state.summary(2_000).presence), (0, Presence::Left));
+}
+
+#[test]
+fn record_departure_notice_keeps_runs_until_the_worker_ends() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    state.apply_assignments(20, 1, Some(stop_assignments(1)));
+    // A refused connection alone doesn't show that the worker has ended.
+    assert!(!state.record_refused_connection(INCARNATION));
+    assert!(state.record_departure_notice(INCARNATION));
+    assert_eq!(state.build_report("agent", 1, 1).not_started, Vec::new());
+    assert_eq!(state.extend_lease(30), None);
+    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Updated);
+    assert!(state.extend_lease(40).is_some());
+    assert!(!state.record_refused_connection(INCARNATION));
+    state.record_departure_notice(INCARNATION);
+    assert!(state.record_refused_connection(INCARNATION));
+    assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
+    assert!(!state.needs_poll());
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for JSON with a connection pool.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -57,6 +58,14 @@
     pub fn never_sent(&self) -> bool {
         matches!(self, Self::Request(_) | Self::Connect(_))
     }
+
+    /// Returns whether the server's host refused the connection: no process listens at the address.
+    pub fn is_connection_refused(&self) -> bool {
+        let Self::Connect(e) = self else { return false };
+        let sources = std::iter::successors(std::error::Error::source(e), |e| e.source());
+        let mut causes = sources.filter_map(|e| e.downcast_ref::<io::Error>());
+        causes.any(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+    }
 }
 
 /// Complete response.
