fleet: order an agent's processes by their connections

Callers saw subtasks start a second time while their first run went on, or jobs that never ended, after an agent and its worker had been replaced around a takeover.

Cause: the numbers of agent incarnations are random and carry no order, so the planner took any number that it had not seen for the newer process. A report that an ended process had left in flight, and that a new planner received after the first report of its successor, ended the successor's worker, whose runs were placed again at once, and put the successor among the past incarnations: every later report of it was ignored, while its grants were still extended. As the first report to a new planner, such a report ended the runs that the previous planner had stored for the newer worker.

Change: the entry notes when it accepts a connection. The handshake that follows proves that the peer was alive after that moment, so of two processes of an agent the one that has ended always has the older connection. A report of another incarnation than the known one counts only over a newer connection, and one that names another worker than the stored runs only over a connection that is newer than the planner. An outdated report gets no reply: a live sender times out, connects anew and is believed. The wire, the number of calls and the time to learn of a restarted agent stay as they are; only the planner's monotonic clock is read. The set of past agent incarnations, which dropped its smallest number and not its oldest, is gone.

report_ignores_older_incarnation passes the connection of the late report and also checks that the report counts as outdated.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -350,16 +350,22 @@
     }
 
     /// Applies an agent's report and returns the assignments of its worker once they differ from those last sent, or
-    /// after [`MAX_REPORT_WAIT`]. Returns `None` if this process no longer leads.
-    pub async fn report(&self, report: Report) -> Option<Option<Assignments>> {
+    /// after [`MAX_REPORT_WAIT`]. `connected_at` is when the connection that delivered the report was accepted, on the
+    /// monotonic clock. Returns `None` if this process no longer leads.
+    ///
+    /// An outdated report gets no reply: its sender has ended, or connects anew and reports again.
+    pub async fn report(&self, report: Report, connected_at: u64) -> Option<Option<Assignments>> {
         let (agent, incarnation, seq) = (report.agent.clone(), report.agent_incarnation, report.seq);
         let has_results = !report.ended.is_empty() || !report.not_started.is_empty();
-        let joined = {
+        let (current, joined) = {
             let mut planner = lock(&self.planner);
             let before = planner.reporting_workers(now_ms()).1;
-            planner.apply_report(now_ms(), wall_ms(), &report);
-            planner.reporting_workers(now_ms()).1 != before
+            let current = planner.apply_report(now_ms(), wall_ms(), connected_at, &report);
+            (current, planner.reporting_workers(now_ms()).1 != before)
         };
+        if !current {
+            return std::future::pending().await;
+        }
         let wake = {
             let mut slots = lock(&self.agents);
             let slot = slots.entry(agent.clone()).or_default();
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -15,6 +15,7 @@
 use sorrelland_platform::{PolicyClient, Settings, Store, desired};
 use sorrelland_wire::connect::{self, CallError};
 use tarpc::context::Context;
+use tarpc::server::InFlightRequest;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -161,14 +162,19 @@
     Ok(())
 }
 
+/// Service of one connection.
 #[derive(Clone)]
-struct Service(Arc<Entry>);
+struct Service {
+    entry: Arc<Entry>,
+    /// When the connection was accepted, on the monotonic clock.
+    connected_at: u64,
+}
 
 impl PlanRpc for Service {
     async fn report(self, _: Context, report: sorrelland_fleet::report::Report) -> ReportReply {
-        let entry = self.0;
+        let Self { entry, connected_at } = self;
         let Some(active) = entry.planner() else { return ReportReply::NotPlanner(entry.leadership.leader()) };
-        match active.report(report).await {
+        match active.report(report, connected_at).await {
             Some(assignments) => ReportReply::Assignments {
                 epoch: active.leader.epoch,
                 assignments,
@@ -179,7 +185,7 @@
     }
 
     async fn request(self, _: Context, req: PlannerRequest, wait_ms: u64) -> Reply {
-        let entry = self.0;
+        let entry = self.entry;
         let Some(active) = entry.planner() else { return Reply::NotPlanner(entry.leadership.leader()) };
         match active.handle_request(req, Duration::from_millis(wait_ms)).await {
             Reply::NotPlanner(None) => Reply::NotPlanner(entry.leadership.leader()),
@@ -188,7 +194,7 @@
     }
 
     async fn ping(self, _: Context, ping: Ping) -> Pong {
-        let entry = self.0;
+        let entry = self.entry;
         entry.leadership.update_leader(ping.leader);
         if !ping.address.is_empty() {
             lock(&entry.entries).insert(ping.address, now_ms());
@@ -205,11 +211,13 @@
 impl Entry {
     async fn serve_peers(self: Arc<Self>, listener: TcpListener) {
         let key = self.settings.store_address.as_str().into();
-        let service = Service(self);
-        connect::serve(listener, key, move |call| {
-            tokio::spawn(call.execute(service.clone().serve()));
-        })
-        .await;
+        let new_handler = || {
+            let service = Service { entry: self.clone(), connected_at: now_ms() };
+            move |call: InFlightRequest<_, _>| {
+                tokio::spawn(call.execute(service.clone().serve()));
+            }
+        };
+        connect::serve(listener, key, new_handler).await;
     }
 
     /// Returns the active planner if this entry leads.
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -10,9 +10,11 @@
 use sorrelland_control::active_planner::ActivePlanner;
 use sorrelland_control::calls::{Leader, PlannerReply, PlannerRequest};
 use sorrelland_control::election::{self, LeaderTimeout, Leadership};
+use sorrelland_fleet::assignments::Assignments;
 use sorrelland_fleet::desired::{Desired, Queue};
 use sorrelland_fleet::job::{Step, Submission};
 use sorrelland_fleet::planner::Timing;
+use sorrelland_fleet::report::{Report, WorkerInfo};
 use sorrelland_platform::Store;
 use sorrelland_platform::store::{CALL_TIMEOUT, Writer};
 use sorrelland_standin::platform_store;
@@ -168,3 +170,26 @@
     leadership.record_answered(2);
     assert!(!leadership.is_refusing());
 }
+
+#[tokio::test]
+async fn report_of_earlier_agent_process_gets_no_reply_before_it_reconnects() {
+    let (_, store) = start_store().await;
+    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired()).await.unwrap();
+    let report = |agent_incarnation: u64| Report {
+        agent: "agent".to_owned(),
+        agent_incarnation,
+        seq: 1,
+        worker: Some(WorkerInfo {
+            incarnation: format!("w-{agent_incarnation}"),
+            service: "svc".to_owned(),
+            ..WorkerInfo::default()
+        }),
+        ..Report::default()
+    };
+    let incarnation = |assignments: Option<Option<Assignments>>| assignments.unwrap().unwrap().incarnation;
+    let connected_at = 1_000_000;
+    assert_eq!(incarnation(planner.report(report(2), connected_at).await), "w-2");
+    let outdated = planner.report(report(1), connected_at - 1);
+    assert!(tokio::time::timeout(Duration::from_millis(800), outdated).await.is_err());
+    assert_eq!(incarnation(planner.report(report(1), connected_at + 1).await), "w-1");
+}
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -9,6 +9,7 @@
 };
 use sorrelland_wire::connect;
 use tarpc::context::Context;
+use tarpc::server::InFlightRequest;
 use tokio::net::TcpListener;
 
 use crate::agent::Agent;
@@ -21,10 +22,13 @@
     pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
         let key = self.settings.daemon.process_key.as_str().into();
         let service = Service(self);
-        connect::serve(listener, key, move |call| {
-            tokio::spawn(call.execute(service.clone().serve()));
-        })
-        .await;
+        let new_handler = || {
+            let service = service.clone();
+            move |call: InFlightRequest<_, _>| {
+                tokio::spawn(call.execute(service.clone().serve()));
+            }
+        };
+        connect::serve(listener, key, new_handler).await;
     }
 }
 
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -8,6 +8,7 @@
 use sorrelland_wire::connect::{self, call_context};
 use sorrelland_wire::entry::{EntryRpc, Heartbeat, HeartbeatReply, Ping};
 use tarpc::context::Context;
+use tarpc::server::InFlightRequest;
 use tokio::net::TcpListener;
 
 use crate::entry::Entry;
@@ -41,10 +42,13 @@
     pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
         let key = self.settings.daemon.process_key.as_str().into();
         let service = Service(self);
-        connect::serve(listener, key, move |call| {
-            tokio::spawn(call.execute(service.clone().serve()));
-        })
-        .await;
+        let new_handler = || {
+            let service = service.clone();
+            move |call: InFlightRequest<_, _>| {
+                tokio::spawn(call.execute(service.clone().serve()));
+            }
+        };
+        connect::serve(listener, key, new_handler).await;
     }
 
     /// Records an agent's heartbeat; the reply carries the configuration if the agent's is out of date.
--- a/crates/emul/src/run.rs
+++ b/crates/emul/src/run.rs
@@ -134,7 +134,7 @@
                 if (now_ms / STEP_MS + index as u64).is_multiple_of(REPORT_INTERVAL_MS / STEP_MS) {
                     let agent = cluster.nodes[index].agent.clone();
                     if let Some(report) = cluster.report(now_ms, index) {
-                        planner.apply_report(now_ms, now_ms, &report);
+                        planner.apply_report(now_ms, now_ms, now_ms, &report);
                         if let Some(assignments) = planner.assignments(now_ms, &agent) {
                             cluster.apply_assignments(now_ms, index, &assignments, &jobs, &mut history);
                         }
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -17,53 +17,66 @@
 pub const APPROVAL_REFUSED: &str = "ticket";
 
 impl Planner {
-    /// Applies the report of an agent. Reports of ended incarnations and reports that arrive out of order are ignored.
-    pub fn apply_report(&mut self, now: u64, wall: u64, report: &Report) {
-        if self.past_agent_incarnations.contains(&report.agent_incarnation) {
-            return;
-        }
-        let known = self.agents.get(&report.agent);
-        if known.is_some_and(|agent| agent.incarnation == report.agent_incarnation && agent.seq >= report.seq)
-        {
-            return;
-        }
-        let before = known.cloned();
-        if let Some(agent) = &before
-            && agent.incarnation != report.agent_incarnation
-        {
-            bounded_insert(&mut self.past_agent_incarnations, agent.incarnation);
+    /// Applies the report of an agent; returns whether it is current. `connected_at` is when the connection that
+    /// delivered it was accepted, on the monotonic clock.
+    ///
+    /// An agent was alive when its connection was accepted, so a report of another incarnation than the known one is
+    /// newer only if its connection is. Otherwise it changes nothing, like a report that arrives out of order.
+    pub fn apply_report(&mut self, now: u64, wall: u64, connected_at: u64, report: &Report) -> bool {
+        let known = self.agents.get(&report.agent).cloned();
+        if let Some(known) = &known {
+            if known.incarnation != report.agent_incarnation && connected_at <= known.connected_at {
+                return self.ignore_report(report, "a newer process of the agent has reported");
+            }
+            if known.incarnation == report.agent_incarnation && known.seq >= report.seq {
+                return true;
+            }
         }
-        let mut worker = before.and_then(|agent| agent.worker);
+        let newest_connection = known.as_ref().map_or(0, |known| known.connected_at).max(connected_at);
+        let mut worker = known.and_then(|known| known.worker);
         if let Some(info) = &report.worker {
             if self.past_worker_incarnations.contains(&info.incarnation) {
-                return;
+                return true;
+            }
+            let older = self.unreported_workers(&report.agent, &info.incarnation);
+            if !older.is_empty() && connected_at <= self.created_at {
+                return self.ignore_report(report, "an earlier planner may have heard of a newer worker");
             }
-            if let Some(old) = worker.replace(info.incarnation.clone()).filter(|old| *old != info.incarnation)
-            {
+            let replaced = worker.replace(info.incarnation.clone()).filter(|old| *old != info.incarnation);
+            for old in replaced.into_iter().chain(older) {
                 self.end_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
             }
-            self.end_older_incarnations(now, wall, &report.agent, &info.incarnation);
+            self.unreported.remove(&info.incarnation);
             self.apply_worker_report(now, wall, report);
         }
-        let agent = Agent { incarnation: report.agent_incarnation, seq: report.seq, worker };
+        let (incarnation, seq) = (report.agent_incarnation, report.seq);
+        let agent = Agent { incarnation, seq, connected_at: newest_connection, worker };
         self.agents.insert(report.agent.clone(), agent);
+        true
     }
 
-    /// Ends the runs that stored jobs still have on older incarnations of the same agent's worker.
-    fn end_older_incarnations(&mut self, now: u64, wall: u64, agent: &str, incarnation: &str) {
+    fn ignore_report(&mut self, report: &Report, reason: &str) -> bool {
+        let worker = report.worker.as_ref().map_or("", |info| &info.incarnation);
+        let (agent, life, seq) = (&report.agent, report.agent_incarnation, report.seq);
+        self.log_line(format!(
+            "event=report_ignored agent={agent} life={life} seq={seq} worker={worker} why={reason:?}"
+        ));
+        false
+    }
+
+    /// Returns the other workers than `incarnation` that an earlier planner placed runs on through the same agent, and
+    /// that have not reported to this planner.
+    fn unreported_workers(&self, agent: &str, incarnation: &str) -> BTreeSet<String> {
         if self.unreported.is_empty() {
-            return;
+            return BTreeSet::new();
         }
-        self.unreported.remove(incarnation);
         let members = self.live.iter().filter_map(|name| self.jobs.get(name));
         let members = members.flat_map(|job| job.units.values()).flat_map(|unit| &unit.members);
-        let older: BTreeSet<String> = members
+        members
             .filter(|member| !member.released && member.agent == agent && member.worker != incarnation)
+            .filter(|member| self.unreported.contains_key(&member.worker))
             .map(|member| member.worker.clone())
-            .collect();
-        for old in older {
-            self.end_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
-        }
+            .collect()
     }
 
     fn apply_worker_report(&mut self, now: u64, wall: u64, report: &Report) {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -56,12 +56,16 @@
 pub(crate) struct Agent {
     pub(crate) incarnation: u64,
     pub(crate) seq: u64,
+    /// When the newest connection that delivered a report was accepted, on the monotonic clock.
+    pub(crate) connected_at: u64,
     pub(crate) worker: Option<String>,
 }
 
 /// In-memory state of the planner.
 pub struct Planner {
     pub(crate) timing: Timing,
+    /// When this planner was created, on the monotonic clock.
+    pub(crate) created_at: u64,
     pub(crate) desired: Arc<Desired>,
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) workers: BTreeMap<String, Worker>,
@@ -71,7 +75,6 @@
     /// Outcomes of jobs that preempted others, by queue.
     pub(crate) preemption_outcomes: BTreeMap<String, PreemptionOutcomes>,
     pub(crate) agents: BTreeMap<String, Agent>,
-    pub(crate) past_agent_incarnations: BTreeSet<u64>,
     pub(crate) past_worker_incarnations: BTreeSet<String>,
     /// Worker incarnations that may still run members of stored jobs but have not reported to this planner, with the
     /// time at which their runs are considered lost.
@@ -114,6 +117,7 @@
         }
         Self {
             timing,
+            created_at: now,
             desired,
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             workers: BTreeMap::new(),
@@ -122,7 +126,6 @@
             mean_work: BTreeMap::new(),
             preemption_outcomes: BTreeMap::new(),
             agents: BTreeMap::new(),
-            past_agent_incarnations: BTreeSet::new(),
             past_worker_incarnations: BTreeSet::new(),
             unreported,
             live,
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -74,14 +74,14 @@
         fleet
     }
 
-    /// Advances the clock, passes on every agent's report, runs the planner, and stores its changes; returns the
-    /// assignments of every agent.
+    /// Advances the clock, passes on every agent's report over a new connection, runs the planner, and stores its
+    /// changes; returns the assignments of every agent.
     fn advance(&mut self, ms: u64) -> Vec<Assignments> {
         self.now += ms;
         self.seq += 1;
         for report in &mut self.reports {
             report.seq = self.seq;
-            self.planner.apply_report(self.now, self.now, report);
+            self.planner.apply_report(self.now, self.now, self.now, report);
         }
         self.planner.tick(self.now, self.now);
         self.store();
@@ -218,12 +218,12 @@
 #[test]
 fn report_ignores_older_incarnation() {
     let mut fleet = Fleet::new(1);
-    let old = fleet.reports[0].clone();
+    let (old, connected_at) = (fleet.reports[0].clone(), fleet.now);
     fleet.reports[0].worker.as_mut().unwrap().incarnation = "w0-again".to_owned();
     fleet.reports[0].agent_incarnation = 77;
     fleet.advance(10);
     let late = Report { seq: 99, ..old };
-    fleet.planner.apply_report(fleet.now, fleet.now, &late);
+    assert!(!fleet.planner.apply_report(fleet.now, fleet.now, connected_at, &late));
     assert_eq!(fleet.planner.assignments(fleet.now, "agent-0").unwrap().incarnation, "w0-again");
 }
 
@@ -567,3 +567,64 @@
     assert!(matches!(fleet.submit("a", "plain", vec![step]), Admission::Refused { .. }));
     assert_eq!(fleet.planner.state("a"), None);
 }
+
+/// Replaces an agent and its worker after a takeover, and lets the new worker run a subtask. Returns a report of the
+/// earlier agent process and when its connection was accepted.
+fn replace_agent_and_worker(fleet: &mut Fleet) -> (Report, u64) {
+    let (earlier, connected_at) = (Report { seq: 99, ..fleet.reports[0].clone() }, fleet.now);
+    fleet.planner = Planner::new(TIMING, Arc::new(desired()), Vec::new(), fleet.now);
+    fleet.reports[0].agent_incarnation = 77;
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w0-again".to_owned();
+    fleet.advance(10);
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(10);
+    (earlier, connected_at)
+}
+
+#[test]
+fn report_of_earlier_agent_process_keeps_runs_of_newer_worker() {
+    let mut fleet = Fleet::new(2);
+    fleet.reports[1].worker.as_mut().unwrap().draining = true;
+    let (earlier, connected_at) = replace_agent_and_worker(&mut fleet);
+    assert_eq!(fleet.reports[0].running.len(), 1);
+    fleet.planner.apply_report(fleet.now, fleet.now, connected_at, &earlier);
+    fleet.reports[1].worker.as_mut().unwrap().draining = false;
+    let assignments = fleet.advance(10);
+    assert_eq!(starts(&assignments), Vec::new(), "started a second time while its run is reported");
+    assert_eq!(fleet.planner.assignments(fleet.now, "agent-0").unwrap().incarnation, "w0-again");
+}
+
+#[test]
+fn report_of_earlier_agent_process_without_worker_keeps_newer_process() {
+    let mut fleet = Fleet::new(2);
+    let (earlier, connected_at) = replace_agent_and_worker(&mut fleet);
+    let earlier = Report { worker: None, running: Vec::new(), ..earlier };
+    fleet.planner.apply_report(fleet.now, fleet.now, connected_at, &earlier);
+    fleet.end_runs("a", EndReason::Done);
+    fleet.advance(10);
+    assert_eq!(fleet.planner.state("a"), Some(JobState::Ended(Outcome::Completed)));
+}
+
+#[test]
+fn report_of_earlier_agent_process_keeps_stored_runs_of_newer_worker() {
+    let mut fleet = Fleet::new(2);
+    fleet.reports[1].worker.as_mut().unwrap().draining = true;
+    fleet.advance(10);
+    let (earlier, connected_at) = (Report { seq: 99, ..fleet.reports[0].clone() }, fleet.now);
+    fleet.reports[0].agent_incarnation = 77;
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w0-again".to_owned();
+    fleet.advance(10);
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    fleet.planner.tick(fleet.now, fleet.now);
+    let (records, _) = fleet.planner.take_changes().unwrap();
+    let rows = records.iter().map(|record| (record.key.as_str(), record.value.as_slice()));
+    let (jobs, _) = record::read(rows);
+    fleet.planner = Planner::new(TIMING, Arc::new(desired()), jobs, fleet.now);
+    fleet.planner.apply_report(fleet.now, fleet.now, connected_at, &earlier);
+    fleet.reports[1].worker.as_mut().unwrap().draining = false;
+    let assignments = fleet.advance(10);
+    let placed = starts(&assignments).iter().map(|(worker, start)| (*worker, start.run)).collect::<Vec<_>>();
+    assert_eq!(placed, vec![("w0-again", 1)]);
+}
--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -40,14 +40,16 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec()
 }
 
-/// Accepts connections and passes each call to `handle_call`, until the future is dropped.
+/// Accepts connections and passes each call to the handler of its connection, until the future is dropped.
 ///
-/// `handle_call` should spawn a task per call, since the calls of a connection are dispatched one by one.
-pub async fn serve<Req, Resp, F>(listener: TcpListener, key: Arc<str>, handle_call: F)
+/// `new_handler` is called when a connection is accepted. Calls arrive only after the peer has authenticated itself on
+/// that connection, so their sender was alive after the handler was made. A handler should spawn a task per call, since
+/// the calls of a connection are dispatched one by one.
+pub async fn serve<Req, Resp, F>(listener: TcpListener, key: Arc<str>, new_handler: impl Fn() -> F)
 where
     Req: RequestName + DeserializeOwned + Send + 'static,
     Resp: Serialize + Send + 'static,
-    F: Fn(InFlightRequest<Req, Resp>) + Clone + Send + Sync + 'static,
+    F: Fn(InFlightRequest<Req, Resp>) + Send + Sync + 'static,
 {
     let connection_slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
@@ -57,7 +59,7 @@
             continue;
         };
         let Ok(permit) = connection_slots.clone().try_acquire_owned() else { continue };
-        let (key, handle_call) = (key.clone(), handle_call.clone());
+        let (key, handle_call) = (key.clone(), new_handler());
         tokio::spawn(async move {
             let _permit = permit;
             // A failed handshake or a disconnect affects only this connection.
