fleet: accept a worker again that its agent named before

Operators saw a worker without runs, although its agent reported it, until the agent or the planner was restarted.

Cause: once an agent's report had named another worker, the planner counted the former one as ended for good and ignored every later report that named it. An agent that had taken a stray announcement for its worker and came back to the real one was ignored with it, while its grants were still extended. Beyond 20,000 entries the set dropped its smallest name, not its oldest.

Change: the set is gone. It guarded against reports of an ended agent process, which are recognized by their connection now, and reports of one process are ordered by their numbers. The runs that such a worker still lists are no longer placed on it, so they are stopped.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -9,10 +9,6 @@
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::worker::Worker;
 
-/// Maximum number of ended agent or worker incarnations that are remembered: enough for years of restarts while one
-/// planner is active.
-const MAX_PAST_INCARNATIONS: usize = 20_000;
-
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
@@ -35,16 +31,13 @@
         let newest_connection = known.as_ref().map_or(0, |known| known.connected_at).max(connected_at);
         let mut worker = known.and_then(|known| known.worker);
         if let Some(info) = &report.worker {
-            if self.past_worker_incarnations.contains(&info.incarnation) {
-                return true;
-            }
             let older = self.unreported_workers(&report.agent, &info.incarnation);
             if !older.is_empty() && connected_at <= self.created_at {
                 return self.ignore_report(report, "an earlier planner may have heard of a newer worker");
             }
             let replaced = worker.replace(info.incarnation.clone()).filter(|old| *old != info.incarnation);
             for old in replaced.into_iter().chain(older) {
-                self.end_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
+                self.remove_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
             }
             self.unreported.remove(&info.incarnation);
             self.apply_worker_report(now, wall, report);
@@ -269,12 +262,6 @@
         }
     }
 
-    /// Removes a worker incarnation permanently: its later reports are ignored.
-    fn end_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, reason: &str) {
-        self.remove_incarnation(now, wall, incarnation, reason);
-        bounded_insert(&mut self.past_worker_incarnations, incarnation.to_owned());
-    }
-
     pub(crate) fn remove_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, reason: &str) {
         self.unreported.remove(incarnation);
         let mut lost = Vec::new();
@@ -302,10 +289,3 @@
         ));
     }
 }
-
-fn bounded_insert<T: Ord>(set: &mut BTreeSet<T>, item: T) {
-    if set.len() >= MAX_PAST_INCARNATIONS {
-        set.pop_first();
-    }
-    set.insert(item);
-}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -75,7 +75,6 @@
     /// Outcomes of jobs that preempted others, by queue.
     pub(crate) preemption_outcomes: BTreeMap<String, PreemptionOutcomes>,
     pub(crate) agents: BTreeMap<String, Agent>,
-    pub(crate) past_worker_incarnations: BTreeSet<String>,
     /// Worker incarnations that may still run members of stored jobs but have not reported to this planner, with the
     /// time at which their runs are considered lost.
     pub(crate) unreported: BTreeMap<String, u64>,
@@ -126,7 +125,6 @@
             mean_work: BTreeMap::new(),
             preemption_outcomes: BTreeMap::new(),
             agents: BTreeMap::new(),
-            past_worker_incarnations: BTreeSet::new(),
             unreported,
             live,
             last_urgent_at: None,
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -628,3 +628,14 @@
     let placed = starts(&assignments).iter().map(|(worker, start)| (*worker, start.run)).collect::<Vec<_>>();
     assert_eq!(placed, vec![("w0-again", 1)]);
 }
+
+#[test]
+fn report_readmits_worker_after_another_one() {
+    let mut fleet = Fleet::new(1);
+    let info = fleet.reports[0].worker.clone();
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w9".to_owned();
+    fleet.advance(10);
+    fleet.reports[0].worker = info;
+    fleet.advance(10);
+    assert_eq!(fleet.planner.assignments(fleet.now, "agent-0").unwrap().incarnation, "w0");
+}
