fleet: keep the runs of a worker that another agent reports

Callers would see a subtask started a second time beside its first run when a worker's agent gets another name and the former name goes to another machine.

Cause: the worker named by an agent's last report was ended as soon as the agent named another one, also if a second agent had reported it in the meantime. The worker also kept the name of the agent that had reported it first, so new assignments woke the wrong agent.

Change: a worker belongs to the agent that reported it last, and only that agent's report of another worker ends it.

Before, on the previous commit: report_of_two_agents_keeps_worker_of_the_newer_one, "started a second time while its run is reported", left: [("w9", run 2)], right: []

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -35,7 +35,10 @@
             if !older.is_empty() && connected_at <= self.created_at {
                 return self.ignore_report(report, "an earlier planner may have heard of a newer worker");
             }
-            let replaced = worker.replace(info.incarnation.clone()).filter(|old| *old != info.incarnation);
+            let replaced = worker.replace(info.incarnation.clone()).filter(|old| {
+                *old != info.incarnation
+                    && self.workers.get(old).is_some_and(|worker| worker.agent == report.agent)
+            });
             for old in replaced.into_iter().chain(older) {
                 self.remove_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
             }
@@ -88,6 +91,7 @@
             self.log.push(format!("event=worker_draining worker={incarnation} remaining_ms={remaining_ms}"));
         }
         worker.info = info.clone();
+        worker.agent.clone_from(&report.agent);
         worker.last_report_at = now;
         worker.running = running;
         let last_applied = worker.applied_end.0;
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -639,3 +639,23 @@
     fleet.advance(10);
     assert_eq!(fleet.planner.assignments(fleet.now, "agent-0").unwrap().incarnation, "w0");
 }
+
+#[test]
+fn report_of_two_agents_keeps_worker_of_the_newer_one() {
+    let mut fleet = Fleet::new(2);
+    fleet.reports[1].worker.as_mut().unwrap().draining = true;
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(10);
+    // The worker's machine gets an agent of another name, and the former name is used on another machine.
+    let moved = Report { agent: "agent-9".to_owned(), agent_incarnation: 9, ..fleet.reports[0].clone() };
+    fleet.reports[0].running.clear();
+    fleet.reports[0].agent_incarnation = 77;
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w9".to_owned();
+    fleet.reports.insert(0, moved);
+    let assignments = fleet.advance(10);
+    assert_eq!(starts(&assignments), Vec::new(), "started a second time while its run is reported");
+    let stops: usize = assignments.iter().map(|assigned| assigned.stops.len()).sum();
+    assert_eq!(stops, 0, "the run was stopped");
+}
