fleet: end the grant of a worker that its agent no longer names

Callers saw jobs that never ended when a worker was lost and its agent was restarted: the runs stayed placed on the worker for as long as the agent reported.

Cause: a report without a worker kept the worker of earlier reports, and every reply to it extended that worker's grant, although the agent can't use a grant for a worker that it doesn't know.

Change: only a report that names the worker extends its grant. Without one the grant ends, and the runs are placed again once every lease has ended. An agent that learns of its worker again before that keeps the runs, as before.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -46,7 +46,8 @@
             self.apply_worker_report(now, wall, report);
         }
         let (incarnation, seq) = (report.agent_incarnation, report.seq);
-        let agent = Agent { incarnation, seq, connected_at: newest_connection, worker };
+        let knows_worker = report.worker.is_some();
+        let agent = Agent { incarnation, seq, connected_at: newest_connection, worker, knows_worker };
         self.agents.insert(report.agent.clone(), agent);
         true
     }
--- a/crates/fleet/src/assign.rs
+++ b/crates/fleet/src/assign.rs
@@ -10,9 +10,10 @@
 const GANG_END_GRACE_MS: u64 = 2_000;
 
 impl Planner {
-    /// Returns the complete assignments of an agent's worker and extends its grant; `None` while it has no worker.
+    /// Returns the complete assignments of an agent's worker and extends its grant; `None` while the agent names no
+    /// worker.
     pub fn assignments(&mut self, now: u64, agent: &str) -> Option<Assignments> {
-        let incarnation = self.agents.get(agent)?.worker.clone()?;
+        let incarnation = self.agents.get(agent).filter(|agent| agent.knows_worker)?.worker.clone()?;
         let (stored, grant_ms) = (self.stored, self.timing.grant_ms);
         let worker = self.workers.get_mut(&incarnation)?;
         if worker.applied_end.1 <= stored {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -58,7 +58,10 @@
     pub(crate) seq: u64,
     /// When the newest connection that delivered a report was accepted, on the monotonic clock.
     pub(crate) connected_at: u64,
+    /// Worker that a report named last.
     pub(crate) worker: Option<String>,
+    /// Whether the newest report names the worker.
+    pub(crate) knows_worker: bool,
 }
 
 /// In-memory state of the planner.
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -659,3 +659,21 @@
     let stops: usize = assignments.iter().map(|assigned| assigned.stops.len()).sum();
     assert_eq!(stops, 0, "the run was stopped");
 }
+
+#[test]
+fn tick_restarts_elsewhere_if_restarted_agent_knows_no_worker() {
+    let mut fleet = Fleet::new(2);
+    fleet.reports[1].worker.as_mut().unwrap().draining = true;
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(10);
+    let granted_at = fleet.now;
+    fleet.reports[0] = Report { agent: "agent-0".to_owned(), agent_incarnation: 77, ..Report::default() };
+    fleet.reports[1].worker.as_mut().unwrap().draining = false;
+    let lease_duration_ms = TIMING.grant_ms + TIMING.grant_ms / 50 + TIMING.stop_ms;
+    while starts(&fleet.advance(100)).is_empty() {
+        assert!(fleet.now < granted_at + lease_duration_ms + 500, "not started elsewhere in time");
+    }
+    assert!(fleet.now > granted_at + lease_duration_ms);
+}
