Show that a worker lost for good keeps its runs (failing)

Callers see jobs that never end when a worker is lost without a successor and its agent goes on: every unanswered poll moves the end of the lease that the agent may have given, so expire_leases never finds it over, and the planner extends the grant with each report.

--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -52,6 +52,31 @@
     assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
 }
 
+#[test]
+fn expire_leases_ends_runs_of_a_worker_that_no_longer_answers() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.apply_announcement(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    let silent_from = 10;
+    let mut number = 0;
+    let expired = (silent_from..silent_from + 4 * MAX_LEASE_MS).step_by(150).any(|now| {
+        number += 1;
+        let grant = Assignments {
+            incarnation: INCARNATION.to_owned(),
+            number,
+            grant_ms: 5_000,
+            ..Assignments::default()
+        };
+        state.apply_assignments(now, 1, Some(grant));
+        // The poll that carries the lease is not answered.
+        state.begin_poll();
+        state.extend_lease(now);
+        state.expire_leases(now)
+    });
+    assert!(expired, "the run of a lost worker is never given up");
+}
+
 #[test]
 fn due_stops_leaves_out_a_stop_in_progress() {
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -402,3 +402,12 @@
     assert!(rows.iter().all(|row| row["job"] != job(1)), "{text}");
     assert!(platform.run_late_report(&[]).1.contains("resources"), "{text}");
 }
+
+#[tokio::test]
+async fn lose_worker_for_good_completes_its_job() {
+    let mut platform = Platform::start(2, 3).await;
+    platform.submit_until_accepted(&job(1), &json!([step(20)]), "run_ms=1500").await;
+    platform.await_state(&job(1), "running", Duration::from_secs(5)).await;
+    platform.env.kill("worker-1");
+    platform.await_state(&job(1), "completed", Duration::from_secs(20)).await;
+}
