daemon: order an agent's processes by their connections

Callers with a valid key were answered `unknown` without a try, and reservations were refused, for up to a heartbeat interval after a heartbeat of an ended agent process arrived late.

Cause: a heartbeat with a report replaced the known incarnation of the agent, its address, key window and gangs, whatever its age; the numbers of incarnations are random and carry no order.

Change: as for the planner, a heartbeat of another incarnation counts only over a newer connection than that of the known one, or once the known one is lost.

--- a/crates/daemon/src/entry/fleet.rs
+++ b/crates/daemon/src/entry/fleet.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Debug)]
 pub struct AgentRow {
     pub incarnation: u64,
+    /// When the newest connection of this incarnation was accepted.
+    pub connected_at: Instant,
     /// Number of the newest report.
     pub report_number: u64,
     pub report: Report,
@@ -78,11 +80,20 @@
         (agents * HEARTBEAT_BYTES * 1_000 / HEARTBEAT_BUDGET_BYTES_PER_S).max(MIN_HEARTBEAT_INTERVAL_MS)
     }
 
-    /// Records a heartbeat; returns the number of the newest report in the table.
+    /// Records a heartbeat; returns the number of the newest report in the table. `connected_at` is when the connection
+    /// that delivered it was accepted.
     ///
-    /// Returns 0 if it has no report from this incarnation: the agent then sends one.
-    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat) -> u64 {
+    /// Returns 0 if it has no report from this incarnation: the agent then sends one. An agent was alive when its
+    /// connection was accepted, so a heartbeat of another incarnation than the known one counts only if its connection
+    /// is newer, or the known one is lost.
+    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, connected_at: Instant) -> u64 {
         let now = Instant::now();
+        let outdated = self.rows.get(&heartbeat.worker).is_some_and(|row| {
+            row.incarnation != heartbeat.incarnation && connected_at <= row.connected_at && !self.is_lost(row)
+        });
+        if outdated {
+            return 0;
+        }
         let known = self.rows.get_mut(&heartbeat.worker);
         let same_incarnation = known.as_ref().is_some_and(|row| row.incarnation == heartbeat.incarnation);
         let row = match (known, heartbeat.report) {
@@ -99,6 +110,7 @@
             }
             (None, Some(report)) => self.rows.entry(heartbeat.worker).or_insert(AgentRow {
                 incarnation: heartbeat.incarnation,
+                connected_at,
                 report_number: heartbeat.report_number,
                 report,
                 reported_in_flight: 0,
@@ -116,6 +128,7 @@
         } else {
             heartbeat.config_offset
         };
+        row.connected_at = if same_incarnation { row.connected_at.max(connected_at) } else { connected_at };
         row.last_heartbeat = now;
         row.report_number
     }
@@ -156,10 +169,14 @@
         }
     }
 
+    fn is_lost(&self, row: &AgentRow) -> bool {
+        let interval = Duration::from_millis(self.heartbeat_interval_ms());
+        row.last_heartbeat.elapsed() > interval * MAX_MISSED_HEARTBEATS + LOST_MARGIN
+    }
+
     /// Returns whether a worker is ready for new work, draining, ejected or lost.
     pub fn standing(&self, worker: &WorkerId, row: &AgentRow) -> Standing {
-        let interval = Duration::from_millis(self.heartbeat_interval_ms());
-        if row.last_heartbeat.elapsed() > interval * MAX_MISSED_HEARTBEATS + LOST_MARGIN {
+        if self.is_lost(row) {
             Standing::Lost
         } else if row.report.draining {
             Standing::Draining
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -6,7 +6,7 @@
 mod auth;
 mod burn;
 mod epochs;
-mod fleet;
+pub mod fleet;
 mod follow;
 mod operator;
 mod peers;
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -1,7 +1,7 @@
 //! The entry's RPC service, and the push of configuration to agents.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use sorrelland_core::id::WorkerId;
 use sorrelland_wire::agent::AgentConfig;
@@ -20,30 +20,34 @@
 /// Time without a heartbeat after which a worker is removed from the table.
 const WORKER_RETENTION: Duration = Duration::from_secs(600);
 
+/// Service of one connection.
 #[derive(Clone)]
-struct Service(Arc<Entry>);
+struct Service {
+    entry: Arc<Entry>,
+    /// When the connection was accepted.
+    connected_at: Instant,
+}
 
 impl EntryRpc for Service {
     async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> HeartbeatReply {
-        self.0.handle_heartbeat(heartbeat)
+        self.entry.handle_heartbeat(heartbeat, self.connected_at)
     }
 
     async fn ping(self, _: Context, ping: Ping) -> Ping {
-        lock(&self.0.peers).record_ping(&ping);
-        self.0.own_ping(self.0.stop.is_raised())
+        lock(&self.entry.peers).record_ping(&ping);
+        self.entry.own_ping(self.entry.stop.is_raised())
     }
 
     async fn fold(self, _: Context) -> Option<Vec<u8>> {
-        self.0.with_fold(|fold| serde_json::to_vec(fold).ok()).flatten()
+        self.entry.with_fold(|fold| serde_json::to_vec(fold).ok()).flatten()
     }
 }
 
 impl Entry {
     pub(super) async fn serve(self: Arc<Self>, listener: TcpListener) {
         let key = self.settings.daemon.process_key.as_str().into();
-        let service = Service(self);
         let new_handler = || {
-            let service = service.clone();
+            let service = Service { entry: self.clone(), connected_at: Instant::now() };
             move |call: InFlightRequest<_, _>| {
                 tokio::spawn(call.execute(service.clone().serve()));
             }
@@ -52,13 +56,13 @@
     }
 
     /// Records an agent's heartbeat; the reply carries the configuration if the agent's is out of date.
-    fn handle_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatReply {
+    fn handle_heartbeat(&self, heartbeat: Heartbeat, connected_at: Instant) -> HeartbeatReply {
         self.metrics.count_heartbeat();
         let has_report = heartbeat.report.is_some();
         let (worker, config_offset) = (heartbeat.worker.clone(), heartbeat.config_offset);
         let (report_number, next_ms) = {
             let mut fleet = lock(&self.fleet);
-            (fleet.record_heartbeat(heartbeat), fleet.heartbeat_interval_ms())
+            (fleet.record_heartbeat(heartbeat, connected_at), fleet.heartbeat_interval_ms())
         };
         if has_report {
             self.schedule_wake.notify_one();
