--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -11,10 +11,6 @@
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::worker::Worker;
 
-/// Maximum number of ended agent or worker incarnations that are remembered: enough for years of restarts while one
-/// planner is active.
-const MAX_PAST_INCARNATIONS: usize = 20_000;
-
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
@@ -57,66 +53,85 @@
 }
 
 impl Planner {
-    /// Applies the report of an agent. Reports of ended incarnations and reports that arrive out of order are ignored.
-    pub fn apply_report(&mut self, now: u64, wall: u64, report: &Report) {
-        if self.past_agent_incarnations.contains(&report.agent_incarnation) {
-            self.record_ignored(now, report, "past_agent_incarnation");
-            return;
+    /// Applies the report of an agent; returns whether it is current. `connected_at` is when the connection that
+    /// delivered it was accepted, on the monotonic clock.
+    ///
+    /// An agent was alive when its connection was accepted, so a report of another incarnation than the known one is
+    /// newer only if its connection is. Otherwise it changes nothing, like a report that arrives out of order.
+    pub fn apply_report(&mut self, now: u64, wall: u64, connected_at: u64, report: &Report) -> bool {
+        let known = self.agents.get(&report.agent).cloned();
+        if let Some(known) = &known {
+            if known.incarnation != report.agent_incarnation && connected_at <= known.connected_at {
+                self.record_ignored(now, report, "older_connection");
+                return false;
+            }
+            if known.incarnation == report.agent_incarnation && known.seq >= report.seq {
+                self.record_ignored(now, report, "older_seq");
+                return true;
+            }
         }
-        let known = self.agents.get(&report.agent);
-        if known.is_some_and(|agent| agent.incarnation == report.agent_incarnation && agent.seq >= report.seq)
-        {
-            self.record_ignored(now, report, "older_seq");
-            return;
+        let older = self.unreported_workers(report);
+        if !older.is_empty() && connected_at <= self.created_at {
+            // An earlier planner may have heard of a newer worker.
+            self.record_ignored(now, report, "connected_before_planner");
+            return false;
         }
-        let before = known.cloned();
-        if let Some(agent) = &before
-            && agent.incarnation != report.agent_incarnation
-            && !self.past_agent_incarnations.contains(&agent.incarnation)
-        {
-            self.log_line(format!(
-                "event=agent_restarted agent={} agent_incarnation={} seq={} known_incarnation={} known_seq={} worker={:?}",
-                report.agent,
-                report.agent_incarnation,
-                report.seq,
-                agent.incarnation,
-                agent.seq,
-                reported_worker(report)
-            ));
-            bounded_insert(&mut self.past_agent_incarnations, agent.incarnation);
+        if let Some(known) = known.as_ref().filter(|known| known.incarnation != report.agent_incarnation) {
+            self.log_restarted_agent(report, known);
         }
-        let mut worker = before.and_then(|agent| agent.worker);
+        let newest_connection = known.as_ref().map_or(0, |known| known.connected_at).max(connected_at);
+        let mut worker = known.and_then(|known| known.worker);
         if let Some(info) = &report.worker {
-            if self.past_worker_incarnations.contains(&info.incarnation) {
-                self.record_ignored(now, report, "past_worker");
-                return;
-            }
-            if let Some(old) = worker.replace(info.incarnation.clone()).filter(|old| *old != info.incarnation)
-            {
-                self.end_incarnation(now, wall, &old, &RemovalCause::replacement(report, &info.incarnation));
+            let replaced = worker.replace(info.incarnation.clone()).filter(|old| {
+                *old != info.incarnation
+                    && self.workers.get(old).is_some_and(|worker| worker.agent == report.agent)
+            });
+            for old in replaced.into_iter().chain(older) {
+                self.remove_incarnation(
+                    now,
+                    wall,
+                    &old,
+                    &RemovalCause::replacement(report, &info.incarnation),
+                );
             }
-            self.end_older_incarnations(now, wall, report, &info.incarnation);
+            self.unreported.remove(&info.incarnation);
             self.apply_worker_report(now, wall, report);
         }
-        let agent = Agent { incarnation: report.agent_incarnation, seq: report.seq, worker };
+        let (incarnation, seq) = (report.agent_incarnation, report.seq);
+        let knows_worker = report.worker.is_some();
+        let agent = Agent { incarnation, seq, connected_at: newest_connection, worker, knows_worker };
         self.agents.insert(report.agent.clone(), agent);
+        true
+    }
+
+    fn log_restarted_agent(&mut self, report: &Report, known: &Agent) {
+        self.log_line(format!(
+            "event=agent_restarted agent={} agent_incarnation={} seq={} known_incarnation={} known_seq={} worker={:?}",
+            report.agent,
+            report.agent_incarnation,
+            report.seq,
+            known.incarnation,
+            known.seq,
+            reported_worker(report)
+        ));
     }
 
-    /// Ends the runs that stored jobs still have on older incarnations of the same agent's worker.
-    fn end_older_incarnations(&mut self, now: u64, wall: u64, report: &Report, incarnation: &str) {
+    /// Returns the other workers than the reported one that an earlier planner placed runs on through the same agent,
+    /// and that have not reported to this planner.
+    fn unreported_workers(&self, report: &Report) -> BTreeSet<String> {
+        let Some(info) = &report.worker else { return BTreeSet::new() };
         if self.unreported.is_empty() {
-            return;
+            return BTreeSet::new();
         }
-        self.unreported.remove(incarnation);
         let members = self.live.iter().filter_map(|name| self.jobs.get(name));
         let members = members.flat_map(|job| job.units.values()).flat_map(|unit| &unit.members);
-        let older: BTreeSet<String> = members
-            .filter(|member| !member.released && member.agent == report.agent && member.worker != incarnation)
+        members
+            .filter(|member| {
+                !member.released && member.agent == report.agent && member.worker != info.incarnation
+            })
+            .filter(|member| self.unreported.contains_key(&member.worker))
             .map(|member| member.worker.clone())
-            .collect();
-        for old in older {
-            self.end_incarnation(now, wall, &old, &RemovalCause::replacement(report, incarnation));
-        }
+            .collect()
     }
 
     /// Counts a report that is ignored, and logs it if a line is due.
@@ -170,6 +185,7 @@
             self.log.push(format!("event=worker_draining worker={incarnation} remaining_ms={remaining_ms}"));
         }
         worker.info = info.clone();
+        worker.agent.clone_from(&report.agent);
         worker.last_report_at = now;
         worker.running = running;
         let last_applied = worker.applied_end.0;
@@ -351,12 +367,6 @@
         }
     }
 
-    /// Removes a worker incarnation permanently: its later reports are ignored.
-    fn end_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, cause: &RemovalCause) {
-        self.remove_incarnation(now, wall, incarnation, cause);
-        bounded_insert(&mut self.past_worker_incarnations, incarnation.to_owned());
-    }
-
     pub(crate) fn remove_incarnation(
         &mut self,
         now: u64,
@@ -396,10 +406,3 @@
 fn reported_worker(report: &Report) -> &str {
     report.worker.as_ref().map_or("", |info| &info.incarnation)
 }
-
-fn bounded_insert<T: Ord>(set: &mut BTreeSet<T>, item: T) {
-    if set.len() >= MAX_PAST_INCARNATIONS {
-        set.pop_first();
-    }
-    set.insert(item);
-}
