Let the leases of a worker end that answers no more

Callers saw jobs that never ended when a worker was lost without a successor and its agent went on: each unanswered poll moved the latest end that a lease might have, so the agent never found it over, and the planner extended its grant with each report.

An agent now extends leases only while the worker has answered within the longest duration of a lease. After that the leases end, the runs are reported as gone, and nothing is started there until the worker answers or checks in again.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -61,6 +61,9 @@
     /// It has announced its departure and may still run.
     #[display("leaving")]
     Leaving,
+    /// It answered no call until all its leases had ended.
+    #[display("silent")]
+    Silent,
     /// It has ended.
     #[display("left")]
     Left,
@@ -101,6 +104,8 @@
     granted_until: u64,
     /// Latest end that any lease on the worker may have, on the agent's clock.
     leased_until: u64,
+    /// When the first call was sent that has no answer yet and may have extended a lease.
+    unanswered_since: Option<u64>,
     /// The worker's clock, and when it was read.
     clock_reading: Option<(u64, u64)>,
     running: BTreeMap<RunKey, Running>,
@@ -263,10 +268,14 @@
         true
     }
 
-    /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended.
+    /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended. Returns
+    /// `None` as well if the worker has not answered for as long as a lease lasts, so that its leases end.
     pub fn extend_lease(&mut self, now: u64) -> Option<u64> {
         let (clock, read_at) = self.clock_reading.filter(|_| self.presence == Presence::Present)?;
         let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
+        if now > *self.unanswered_since.get_or_insert(now) + self.max_lease_ms {
+            return None;
+        }
         self.leased_until = self.leased_until.max(self.granted_until);
         let on_slow_clock = |ms: u64| ms * (100 - CLOCK_LAG_PERCENT) / 100;
         Some(clock + on_slow_clock(now.saturating_sub(read_at)) + on_slow_clock(remaining))
@@ -275,6 +284,10 @@
     /// Records the worker's clock from an answer that arrived at `now`.
     pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
         self.clock_reading = Some((clock_ms, now));
+        self.unanswered_since = None;
+        if self.presence == Presence::Silent {
+            self.presence = Presence::Present;
+        }
     }
 
     pub fn has_clock(&self) -> bool {
@@ -409,6 +422,9 @@
         if now <= expired_at || !has_runs {
             return false;
         }
+        if self.unanswered_since.is_some() && self.presence == Presence::Present {
+            self.presence = Presence::Silent;
+        }
         self.mark_runs_not_started("its lease has run out");
         true
     }
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -75,6 +75,10 @@
         state.expire_leases(now)
     });
     assert!(expired, "the run of a lost worker is never given up");
+    assert!(state.build_report("agent", 1, 1).worker.unwrap().draining, "work is placed on a lost worker");
+    let poll = state.begin_poll();
+    state.apply_listing(30_000, poll, INCARNATION, listing(600));
+    assert!(!state.build_report("agent", 1, 2).worker.unwrap().draining);
 }
 
 #[test]
