--- a/crates/sorrelland/tests/orders.rs
+++ b/crates/sorrelland/tests/orders.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::fs;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -62,6 +63,12 @@
         "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 8},
     });
     platform.check_in(1, "w-1-2", &check_in).await;
+    // A run placed before on the worker that has ended would not reach this one.
+    let log = platform.env.dir().join("entry-1.log");
+    eventually(Duration::from_secs(5), "the planner knows the worker", async || {
+        fs::read_to_string(&log).is_ok_and(|log| log.contains("event=worker_joined worker=w-1-2 "))
+    })
+    .await;
     platform.submit_until_accepted(JOB, &json!([step(1)]), "").await;
     let starts = |orders: &[(String, u64)]| -> Vec<u64> {
         orders.iter().filter(|(path, _)| path == "/run-start").map(|(_, run)| *run).collect()
