--- /dev/null
+++ b/crates/soak/src/checkins.rs
@@ -0,0 +1,112 @@
+//! Check-ins that an agent receives from others than its worker, or late.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::Method;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use sorrelland_web::Client;
+
+use crate::deployment::Deployment;
+
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What is wrong with a check-in.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Kind {
+    #[display("missing-field")]
+    MissingField,
+    #[display("wrong-type")]
+    WrongType,
+    #[display("undecodable")]
+    Undecodable,
+    #[display("unknown-state")]
+    UnknownState,
+    #[display("unknown-service")]
+    UnknownService,
+    /// Well-formed, from an incarnation that doesn't exist.
+    #[display("stranger")]
+    Stranger,
+    /// Copy of a check-in of an earlier incarnation.
+    #[display("late")]
+    Late,
+    /// Departure of the worker, which goes on running.
+    #[display("departure")]
+    Departure,
+    /// Check-in of the worker beside another agent.
+    #[display("other-machine")]
+    OtherMachine,
+}
+
+impl Kind {
+    pub const ALL: [Self; 9] = [
+        Self::MissingField,
+        Self::WrongType,
+        Self::Undecodable,
+        Self::UnknownState,
+        Self::UnknownService,
+        Self::Stranger,
+        Self::Late,
+        Self::Departure,
+        Self::OtherMachine,
+    ];
+}
+
+/// Sends a check-in to the agent beside `worker`; returns the status, or 0 without a response, or `None` if there is
+/// nothing to send.
+pub async fn send(deployment: &Deployment, worker: usize, kind: Kind, seed: u64) -> Option<u16> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let lives = deployment.lives();
+    let mut own = lives.iter().filter(|life| life.worker == worker).rev();
+    let current = own.next()?;
+    let stranger = format!("i-{:08x}", rng.random::<u32>());
+    let mut body = checkin(&deployment.worker_address(worker), rng.random_range(1..5_000));
+    let mut set = |name: &str, value: Value| body[name] = value;
+    let (method, name) = match kind {
+        Kind::MissingField => {
+            let fields = ["service", "state", "capacity", "sequence"];
+            let field = fields[rng.random_range(0..fields.len())];
+            body.as_object_mut()?.remove(field);
+            (Method::PUT, stranger)
+        }
+        Kind::WrongType => {
+            set("state", json!(1));
+            (Method::PUT, stranger)
+        }
+        Kind::Undecodable | Kind::Stranger => (Method::PUT, stranger),
+        Kind::UnknownState => {
+            set("state", json!("resting"));
+            (Method::PUT, stranger)
+        }
+        Kind::UnknownService => {
+            set("service", json!("unknown"));
+            (Method::PUT, stranger)
+        }
+        Kind::Late => (Method::PUT, own.next()?.name.clone()),
+        Kind::Departure => (Method::DELETE, current.name.clone()),
+        Kind::OtherMachine => {
+            let other = lives.iter().rev().find(|life| life.worker != worker)?;
+            set("address", json!(deployment.worker_address(other.worker)));
+            (Method::PUT, other.name.clone())
+        }
+    };
+    let bytes = match kind {
+        Kind::Undecodable => Bytes::from_static(&[0xff, 0xfe, 0x00, 0x7b]),
+        Kind::Departure => Bytes::new(),
+        _ => Bytes::from(body.to_string()),
+    };
+    let url = format!("http://{}/instances/{name}", deployment.control_address(worker));
+    let reply = Client::new(TIMEOUT).send(method, &url, &[], bytes).await;
+    Some(reply.map_or(0, |reply| reply.status.as_u16()))
+}
+
+fn checkin(address: &str, sequence: u64) -> Value {
+    json!({
+        "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8,
+        "state": "ready", "cold_remaining_ms": 0, "labels": ["a", "r1"], "sequence": sequence,
+        "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 4}, "clock_ms": 100_000,
+    })
+}
--- /dev/null
+++ b/crates/soak/src/clients.rs
@@ -0,0 +1,191 @@
+//! Callers: each has a connection to one entry until that entry fails, submits jobs, repeats what had no definite
+//! answer at other entries under the same name, cancels some jobs and polls their states.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, header};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use sorrelland_standin::clock::wall_ms;
+use sorrelland_web::Client;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::deployment::{Deployment, HOST, KEY, PREFIXES};
+use crate::jobs::{Call, Job, Ledger, Record};
+use crate::lock;
+
+/// Time that a caller waits for an answer, as it tells the entry.
+const DEADLINE_MS: u64 = 3_000;
+
+/// Time that a caller waits in addition, for an answer on its way.
+const TIMEOUT: Duration = Duration::from_millis(DEADLINE_MS + 500);
+
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Attempts after which a caller gives up a submission without a definite answer.
+const MAX_SUBMITS: usize = 25;
+
+/// Polls of a job after it was shown as ended.
+const LATE_POLLS: usize = 3;
+
+/// Cancels are sent together, at multiples of this time.
+const CANCEL_WAVE_MS: u64 = 5_000;
+
+/// The callers of a run.
+pub struct Callers {
+    pub deployment: Arc<Deployment>,
+    pub ledger: Mutex<Ledger>,
+    /// Seed of the jobs.
+    pub seed: u64,
+    /// Mean time between two jobs of a caller.
+    pub interval: Duration,
+    /// Whether callers submit jobs.
+    pub submitting: watch::Receiver<bool>,
+    /// Whether the run goes on.
+    pub running: watch::Receiver<bool>,
+}
+
+/// A caller's connection, to the entry that it used last.
+struct Connection {
+    client: Client,
+    entry: usize,
+}
+
+impl Callers {
+    /// Runs `count` callers until all their jobs have ended or the run has.
+    pub async fn run(self: Arc<Self>, count: usize) {
+        let mut callers = JoinSet::new();
+        for number in 0..count {
+            callers.spawn(self.clone().run_one(number));
+        }
+        while callers.join_next().await.is_some() {}
+    }
+
+    async fn run_one(self: Arc<Self>, number: usize) {
+        let mut rng = StdRng::seed_from_u64(self.seed * 1_000 + number as u64);
+        let mut followers = JoinSet::new();
+        for job in 0_u32.. {
+            let pause = rng.random_range(0..2 * self.interval.as_millis() as u64);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            if !*self.submitting.borrow() {
+                break;
+            }
+            let id = format!("{:08x}{number:03x}{job:05x}", self.seed as u32);
+            let job = Job::draw(&mut rng, id.clone(), &PREFIXES);
+            lock(&self.ledger).insert(id, Record::new(job.clone()));
+            let seed = rng.random();
+            followers.spawn(self.clone().follow(job, seed));
+        }
+        while followers.join_next().await.is_some() {}
+    }
+
+    /// Submits a job, then polls it until it has ended.
+    async fn follow(self: Arc<Self>, job: Job, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let entry = rng.random_range(1..=self.deployment.entries);
+        let mut connection = Connection { client: Client::new(TIMEOUT), entry };
+        let Some(accepted_ms) = self.submit(&mut connection, &job, &mut rng).await else { return };
+        let repeat_at = rng.random_bool(0.2).then(|| accepted_ms + rng.random_range(500..5_000));
+        let mut cancel_at = job.cancelled_after_ms.map(|after_ms| {
+            let at = accepted_ms + after_ms;
+            if rng.random_bool(0.5) { at.next_multiple_of(CANCEL_WAVE_MS) } else { at }
+        });
+        let mut repeat_at = repeat_at;
+        let mut late_polls = 0;
+        while late_polls < LATE_POLLS && *self.running.borrow() {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(100..1_200))).await;
+            if repeat_at.is_some_and(|at| wall_ms() >= at) {
+                repeat_at = None;
+                let other = connection.entry % self.deployment.entries + 1;
+                let mut connection = Connection { client: Client::new(TIMEOUT), entry: other };
+                let call = self.call(&mut connection, Method::POST, &job).await;
+                self.record(&job.id, |record| record.submits.push(call));
+            }
+            if cancel_at.is_some_and(|at| wall_ms() >= at) {
+                let call = self.call(&mut connection, Method::DELETE, &job).await;
+                if call.is_success() || call.status == 410 {
+                    cancel_at = None;
+                }
+                self.record(&job.id, |record| record.cancels.push(call));
+                continue;
+            }
+            let call = self.call(&mut connection, Method::GET, &job).await;
+            self.record(&job.id, |record| {
+                record.polls.push(call);
+                late_polls += usize::from(record.has_ended());
+            });
+        }
+    }
+
+    /// Submits a job until there is a definite answer; returns when it was accepted.
+    async fn submit(&self, connection: &mut Connection, job: &Job, rng: &mut StdRng) -> Option<u64> {
+        for _ in 0..MAX_SUBMITS {
+            let call = self.call(connection, Method::POST, job).await;
+            let (status, answered_ms) = (call.status, call.answered_ms);
+            self.record(&job.id, |record| record.submits.push(call));
+            match status {
+                200..300 => return Some(answered_ms),
+                429 => return None,
+                // Most callers try again, as the answer asks them to.
+                503 if rng.random_bool(0.3) => return None,
+                _ => tokio::time::sleep(RETRY_DELAY).await,
+            }
+            if !*self.running.borrow() {
+                return None;
+            }
+        }
+        None
+    }
+
+    fn record(&self, job: &str, update: impl FnOnce(&mut Record)) {
+        if let Some(record) = lock(&self.ledger).get_mut(job) {
+            update(record);
+        }
+    }
+
+    /// Sends one request; without a success, the connection moves to the next entry.
+    async fn call(&self, connection: &mut Connection, method: Method, job: &Job) -> Call {
+        let headers = [
+            (header::HOST, HeaderValue::from_static(HOST)),
+            (header::AUTHORIZATION, HeaderValue::from_str(&format!("Token {KEY}")).expect("valid key")),
+            (HeaderName::from_static("x-deadline-ms"), HeaderValue::from(DEADLINE_MS)),
+        ];
+        let body = if method == Method::POST { Bytes::from(job.body().to_string()) } else { Bytes::new() };
+        let entry = connection.entry;
+        let url = format!("http://{}{}{}", self.deployment.entry_address(entry), job.queue, job.id);
+        let sent_ms = wall_ms();
+        let reply = connection.client.send(method, &url, &headers, body).await;
+        let (status, state) = match reply {
+            Ok(reply) => {
+                let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+                (reply.status.as_u16(), body["state"].as_str().unwrap_or_default().to_owned())
+            }
+            Err(_) => (0, String::new()),
+        };
+        if status == 0 || status >= 500 {
+            connection.entry = entry % self.deployment.entries + 1;
+        }
+        Call { entry, sent_ms, answered_ms: wall_ms(), status, state }
+    }
+
+    /// Asks every entry once for the state of every accepted job.
+    pub async fn poll_all(&self) {
+        let jobs: Vec<Job> = {
+            let ledger = lock(&self.ledger);
+            let accepted = ledger.values().filter(|record| record.accepted_ms().is_some());
+            accepted.map(|record| record.job.clone()).collect()
+        };
+        for entry in 1..=self.deployment.entries {
+            let mut connection = Connection { client: Client::new(TIMEOUT), entry };
+            for job in &jobs {
+                connection.entry = entry;
+                let call = self.call(&mut connection, Method::GET, job).await;
+                self.record(&job.id, |record| record.polls.push(call));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/deployment.rs
@@ -0,0 +1,346 @@
+//! A deployment on loopback: store, entries, agents and workers as processes, with proxies in front of the store and
+//! on both ways between each agent and its worker.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use serde_json::{Value, json};
+use sorrelland_standin::clock::wall_ms;
+use sorrelland_standin::gang::END_FILE;
+use sorrelland_web::Client;
+
+use crate::faults::{Machine, Side};
+use crate::lock;
+use crate::processes::Processes;
+use crate::proxy::{Proxy, Rules};
+
+pub const HOST: &str = "shop.example";
+pub const KEY: &str = "key-1";
+/// Path prefixes of the queues that callers use; the last has priority 0.
+pub const PREFIXES: [&str; 2] = ["/orders/", "/urgent/"];
+/// Attempts of a subtask that may end as failed.
+pub const MAX_ATTEMPTS: usize = 3;
+
+/// Time between SIGTERM and SIGKILL.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the first three octets of a loopback network that no other run on this machine uses at the same time.
+pub fn new_network() -> String {
+    let (number, pid) = (NEXT_NETWORK.fetch_add(1, Ordering::Relaxed), std::process::id());
+    format!("127.{}.{}", 1 + pid % 250, (pid / 250 + number * 97) % 250)
+}
+
+/// Returns the settings of an entry or agent, with the time limits of the users' first deployment.
+pub fn role_settings(name: &str, ip: &str, store: &str, listen: Value) -> Value {
+    json!({
+        "node_name": name, "ip": ip, "zone": "haiphong-a", "listen_addresses": listen,
+        "internal_port_range": [7_000, 7_015], "heartbeat_ms": 300, "platform": {"address": store},
+        "bounds": {"hold_max_ms": 6_000, "stop_ms": 400, "reclaim_ms": 2_900, "grace_s": 6, "status_s": 120},
+    })
+}
+
+/// Appends a desired state to the store at `address`, as an operator does; returns whether it was acknowledged.
+pub async fn publish(address: &str, desired: &Value) -> bool {
+    let mut record = vec![6];
+    record.extend(b"config");
+    record.extend(desired.to_string().as_bytes());
+    let mut body = (record.len() as u32).to_be_bytes().to_vec();
+    body.extend(record);
+    let url = format!("http://{address}/log-append?topic=keyed.op&part=0");
+    let reply = Client::new(CALL_TIMEOUT).send(Method::POST, &url, &[], body.into()).await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
+
+/// The programs that are run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    pub daemon: PathBuf,
+    pub standin: PathBuf,
+}
+
+impl Programs {
+    /// Returns the programs in the directory of a build.
+    pub fn in_dir(dir: &Path) -> Self {
+        Self { daemon: dir.join("sorrellandd"), standin: dir.join("sorrelland-standin") }
+    }
+}
+
+/// One incarnation of a worker.
+#[derive(Clone, Debug)]
+pub struct Life {
+    pub worker: usize,
+    pub name: String,
+    /// When it was killed, in milliseconds on the wall clock.
+    pub killed_ms: Option<u64>,
+}
+
+/// Running deployment; dropping it kills all processes.
+pub struct Deployment {
+    network: String,
+    programs: Programs,
+    pub entries: usize,
+    pub workers: usize,
+    pub processes: Processes,
+    store: Proxy,
+    /// Proxies on the calls of the agents to their workers, and on the workers' check-ins, by worker.
+    calls: Vec<Proxy>,
+    checkins: Vec<Proxy>,
+    lives: Mutex<Vec<Life>>,
+    /// Newest version of the desired state.
+    version: Mutex<u64>,
+}
+
+impl Deployment {
+    /// Starts all processes, without waiting until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be used or a program can't be started.
+    pub async fn start(programs: Programs, entries: usize, workers: usize, dir: &Path) -> io::Result<Self> {
+        let network = new_network();
+        let address = |host: usize, port: u16| socket(&network, host, port);
+        let mut calls = Vec::new();
+        let mut checkins = Vec::new();
+        for worker in 1..=workers {
+            calls.push(Proxy::start(address(100 + worker, 9_000), address(100 + worker, 8_000)).await?);
+            checkins.push(Proxy::start(address(100 + worker, 9_526), address(100 + worker, 8_526)).await?);
+        }
+        let store = Proxy::start(address(1, 7_200), address(1, 7_100)).await?;
+        let processes = Processes::new(dir)?;
+        fs::create_dir_all(dir.join("gangs"))?;
+        let deployment = Self {
+            network,
+            programs,
+            entries,
+            workers,
+            processes,
+            store,
+            calls,
+            checkins,
+            lives: Mutex::default(),
+            version: Mutex::default(),
+        };
+        let listen = deployment.store_address();
+        let args = ["platform-store", "--listen", &listen];
+        deployment.processes.spawn("store", "store", &deployment.programs.standin, &args, &[])?;
+        let mut published = false;
+        for _ in 0..100 {
+            published = deployment.publish_next(&[], &[]).await;
+            if published {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        if !published {
+            return Err(io::Error::other("the store does not respond"));
+        }
+        for index in 1..=entries {
+            deployment.start_machine(Machine::Entry(index))?;
+        }
+        for index in 1..=workers {
+            deployment.start_machine(Machine::Worker(index))?;
+            deployment.start_machine(Machine::Agent(index))?;
+        }
+        Ok(deployment)
+    }
+
+    fn address(&self, host: usize, port: u16) -> String {
+        socket(&self.network, host, port).to_string()
+    }
+
+    pub fn entry_address(&self, index: usize) -> String {
+        self.address(10 + index, 8_521)
+    }
+
+    pub fn readiness_address(&self, index: usize) -> String {
+        self.address(10 + index, 8_523)
+    }
+
+    /// Returns the address for check-ins at an agent itself, not at the proxy before it.
+    pub fn control_address(&self, index: usize) -> String {
+        self.address(100 + index, 8_526)
+    }
+
+    pub fn worker_address(&self, index: usize) -> String {
+        self.address(100 + index, 8_000)
+    }
+
+    fn store_address(&self) -> String {
+        self.address(1, 7_100)
+    }
+
+    /// Starts the process of a machine; a worker gets its next incarnation.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings can't be written or the program can't be started.
+    pub fn start_machine(&self, machine: Machine) -> io::Result<()> {
+        let name = machine.to_string();
+        let (role, host, listen) = match machine {
+            Machine::Worker(index) => return self.start_worker(index),
+            Machine::Entry(index) => {
+                let front = self.entry_address(index);
+                let readiness = self.readiness_address(index);
+                ("entry", 10 + index, json!({"front": front, "readiness": readiness}))
+            }
+            Machine::Agent(index) => ("agent", 100 + index, json!({"control": self.control_address(index)})),
+        };
+        let ip = format!("{}.{host}", self.network);
+        let mut settings = role_settings(&name, &ip, &self.address(1, 7_200), listen);
+        if let Machine::Agent(_) = machine {
+            settings["app"] = self.address(host, 9_000).into();
+        }
+        let path = self.processes.dir().join(format!("{name}.json"));
+        fs::write(&path, settings.to_string())?;
+        let path = path.display().to_string();
+        let variables = [("SORRELLANDING_SETTINGS", path.as_str())];
+        self.processes.spawn(&name, &name, &self.programs.daemon, &["--platform", role], &variables)
+    }
+
+    fn start_worker(&self, index: usize) -> io::Result<()> {
+        let life = {
+            let mut lives = lock(&self.lives);
+            let number = 1 + lives.iter().filter(|life| life.worker == index).count();
+            let name = format!("w-{index}-{number}");
+            lives.push(Life { worker: index, name: name.clone(), killed_ms: None });
+            name
+        };
+        let (listen, announce) = (self.worker_address(index), self.address(100 + index, 9_526));
+        let gang_dir = self.processes.dir().join("gangs").display().to_string();
+        // Every third worker has the slowest clock that the platform allows.
+        let clock = if index.is_multiple_of(3) { "98" } else { "100" };
+        let rack = format!("r{}", (index - 1) / 3 + 1);
+        let args = [
+            ["--listen", &listen],
+            ["--announce", &announce],
+            ["--name", &life],
+            ["--rack", &rack],
+            ["--accelerators", "4"],
+            ["--clock-percent", clock],
+            ["--gang-dir", &gang_dir],
+        ];
+        let args: Vec<&str> = ["platform-worker"].into_iter().chain(args.into_iter().flatten()).collect();
+        let name = Machine::Worker(index).to_string();
+        self.processes.spawn(&name, &life, &self.programs.standin, &args, &[])
+    }
+
+    /// Kills the process of a machine. The gangs with members on a killed worker end.
+    pub fn kill_machine(&self, machine: Machine) {
+        let name = machine.to_string();
+        let pid = self.processes.pid(&name);
+        if let Machine::Worker(index) = machine {
+            let mut lives = lock(&self.lives);
+            if let Some(life) = lives.iter_mut().rfind(|life| life.worker == index) {
+                life.killed_ms = Some(wall_ms());
+            }
+        }
+        self.processes.kill(&name);
+        if let (Machine::Worker(_), Some(pid)) = (machine, pid) {
+            end_gangs(&self.processes.dir().join("gangs"), &pid.to_string());
+        }
+    }
+
+    /// Returns all incarnations of the workers so far, in order of their starts.
+    pub fn lives(&self) -> Vec<Life> {
+        lock(&self.lives).clone()
+    }
+
+    /// Publishes the next version of the desired state, with additional keys and queues; returns whether the store
+    /// acknowledged it.
+    pub async fn publish_next(&self, keys: &[String], queues: &[String]) -> bool {
+        let version = {
+            let mut version = lock(&self.version);
+            *version += 1;
+            *version
+        };
+        let route = |prefix: &str, priority: u32| {
+            json!({"name": prefix.trim_matches('/'), "host": HOST, "path_prefix": prefix, "service": "svc",
+                "priority": priority, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0, "full_credit_ms": 1_000})
+        };
+        let mut routes = vec![route(PREFIXES[0], 1), route(PREFIXES[1], 0)];
+        routes.extend(queues.iter().map(|queue| route(queue, 1)));
+        let keys: Vec<&str> = keys.iter().map(String::as_str).chain([KEY]).collect();
+        let desired = json!({
+            "version": version, "routes": routes, "services": [{"name": "svc"}],
+            "tenants": [{"name": "museum", "api_keys": keys, "guaranteed": {"gpu": 4}}],
+        });
+        publish(&self.store_address(), &desired).await
+    }
+
+    /// Sets the faults that the store injects; returns whether it answered.
+    pub async fn set_store_faults(&self, faults: &Value) -> bool {
+        let url = format!("http://{}/v1/faults", self.store_address());
+        let body = Bytes::from(faults.to_string());
+        let reply = Client::new(CALL_TIMEOUT).send(Method::PUT, &url, &[], body).await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    }
+
+    /// Returns the proxy before the store, or one between a worker and its agent.
+    pub fn proxy(&self, side: Side) -> &Proxy {
+        match side {
+            Side::Store => &self.store,
+            Side::Calls(worker) => &self.calls[worker - 1],
+            Side::Checkins(worker) => &self.checkins[worker - 1],
+        }
+    }
+
+    /// Ends all faults: continues, restarts and reconnects everything.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a program can't be started.
+    pub async fn mend(&self) -> io::Result<()> {
+        let sides = (1..=self.workers).flat_map(|index| [Side::Calls(index), Side::Checkins(index)]);
+        sides.chain([Side::Store]).for_each(|side| self.proxy(side).set(Rules::default()));
+        if !self.set_store_faults(&json!({})).await {
+            return Err(io::Error::other("the store does not respond"));
+        }
+        Ok(())
+    }
+
+    /// Returns the processes of the scheduler that have exited by themselves.
+    pub fn exited(&self) -> Vec<String> {
+        let entries = (1..=self.entries).map(Machine::Entry);
+        let names = entries.chain((1..=self.workers).map(Machine::Agent)).map(|machine| machine.to_string());
+        names.filter(|name| self.processes.has_exited(name)).collect()
+    }
+
+    /// Returns the events that the workers printed, by incarnation.
+    pub fn worker_logs(&self) -> BTreeMap<String, String> {
+        let read = |name: &str| {
+            fs::read_to_string(self.processes.dir().join(format!("{name}.log"))).unwrap_or_default()
+        };
+        self.lives().into_iter().map(|life| (life.name.clone(), read(&life.name))).collect()
+    }
+}
+
+fn socket(network: &str, host: usize, port: u16) -> SocketAddr {
+    format!("{network}.{host}:{port}").parse().expect("address of a loopback network")
+}
+
+/// Ends the gangs that have a member in the process `pid`.
+fn end_gangs(dir: &Path, pid: &str) {
+    for gang in fs::read_dir(dir).into_iter().flatten().flatten() {
+        let members = fs::read_dir(gang.path()).into_iter().flatten().flatten();
+        let is_member = |path: PathBuf| fs::read_to_string(path).is_ok_and(|text| text == pid);
+        if members.map(|member| member.path()).any(is_member) {
+            let end = gang.path().join(END_FILE);
+            if !end.exists() {
+                // A gang that isn't ended here lapses with its lease.
+                let _ = fs::write(end, "killed");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/history.rs
@@ -0,0 +1,133 @@
+//! What the workers did, read from the lines that they printed.
+
+use std::collections::BTreeMap;
+
+use crate::deployment::Life;
+
+/// End of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    pub at_ms: u64,
+    /// `done`, `failed`, `stopped`, `lapsed`, `broken` or `alone`; `down` if its worker went down.
+    pub how: String,
+    /// Whether the agent acknowledged it, with no lapse of the worker's lease in between.
+    pub noted: bool,
+}
+
+/// A run of a subtask; times in milliseconds on the wall clock.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub task: String,
+    pub run: u64,
+    pub worker: usize,
+    pub life: String,
+    pub spec: String,
+    pub start_ms: u64,
+    pub end: Option<End>,
+}
+
+impl Run {
+    pub fn end_ms(&self) -> u64 {
+        self.end.as_ref().map_or(u64::MAX, |end| end.at_ms)
+    }
+
+    pub fn ended(&self, how: &str) -> bool {
+        self.end.as_ref().is_some_and(|end| end.how == how)
+    }
+
+    /// Returns the job and the number of the step.
+    pub fn job_and_step(&self) -> Option<(&str, u64)> {
+        let mut parts = self.task.split('.');
+        let job = parts.next()?;
+        Some((job, parts.nth(1)?.parse().ok()?))
+    }
+}
+
+/// All runs of all workers.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Ordered by start.
+    pub runs: Vec<Run>,
+    /// When the draining of an incarnation was acknowledged.
+    pub draining_ms: BTreeMap<String, u64>,
+}
+
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let start = line.find(&format!(" {name}="))? + name.len() + 2;
+    line[start..].split(' ').next()
+}
+
+fn number(line: &str, name: &str) -> u64 {
+    field(line, name).and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+impl History {
+    /// Reads the output of each incarnation.
+    pub fn read(lives: &[Life], logs: &BTreeMap<String, String>) -> Self {
+        let mut history = Self::default();
+        for life in lives {
+            let log = logs.get(&life.name).map(String::as_str).unwrap_or_default();
+            history.read_life(life, log);
+        }
+        history.runs.sort_by_key(|run| run.start_ms);
+        history
+    }
+
+    fn read_life(&mut self, life: &Life, log: &str) {
+        let mut runs: Vec<Run> = Vec::new();
+        // Ends that the agent has not acknowledged: number and position in `runs`.
+        let mut unnoted: BTreeMap<u64, usize> = BTreeMap::new();
+        let (mut leased_until_ms, mut left_ms) = (0, None);
+        for line in log.lines() {
+            let at_ms = line.strip_prefix("at_ms=").and_then(|rest| rest.split(' ').next()?.parse().ok());
+            let Some(at_ms) = at_ms else { continue };
+            let task = || field(line, "task").unwrap_or_default().to_owned();
+            match field(line, "event").unwrap_or_default() {
+                "started" => runs.push(Run {
+                    task: task(),
+                    run: number(line, "run"),
+                    worker: life.worker,
+                    life: life.name.clone(),
+                    spec: line.split("spec=").nth(1).unwrap_or_default().trim_matches('"').to_owned(),
+                    start_ms: at_ms,
+                    end: None,
+                }),
+                "ended" => {
+                    let (task, run) = (task(), number(line, "run"));
+                    let Some(position) = runs.iter().rposition(|r| r.task == task && r.run == run) else {
+                        continue;
+                    };
+                    let how = field(line, "how").unwrap_or_default().to_owned();
+                    runs[position].end = Some(End { at_ms, how, noted: false });
+                    unnoted.insert(number(line, "n"), position);
+                }
+                "acknowledged" => {
+                    let later = unnoted.split_off(&(number(line, "n") + 1));
+                    for position in std::mem::replace(&mut unnoted, later).into_values() {
+                        if let Some(end) = &mut runs[position].end {
+                            end.noted = true;
+                        }
+                    }
+                }
+                "lease_lapsed" => {
+                    // Ends before the lapse can't be noted any more. An end that the lapse causes is printed later.
+                    unnoted.retain(|_, position| runs[*position].end_ms() > at_ms);
+                }
+                "leased" => leased_until_ms = number(line, "until_ms"),
+                "draining_acknowledged" => {
+                    self.draining_ms.insert(life.name.clone(), at_ms);
+                }
+                "left" => left_ms = Some(at_ms),
+                _ => {}
+            }
+        }
+        if let Some(down_ms) = left_ms.into_iter().chain(life.killed_ms).min() {
+            // A run ends with its lease even on a worker that was suspended when it was killed.
+            for run in runs.iter_mut().filter(|run| run.end.is_none()) {
+                let at_ms = down_ms.min(leased_until_ms).max(run.start_ms);
+                run.end = Some(End { at_ms, how: "down".to_owned(), noted: false });
+            }
+        }
+        self.runs.extend(runs);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/jobs.rs
@@ -0,0 +1,145 @@
+//! The jobs of a run: what was submitted, and what callers have seen of it.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde_json::{Value, json};
+
+/// Resources of a subtask: CPU in thousandths of a core, memory in megabytes, number of accelerators.
+pub type Needs = (u64, u64, u64);
+
+/// Accelerators of a worker.
+pub const WORKER_GPUS: u64 = 4;
+
+/// A step of a job.
+#[derive(Clone, Debug)]
+pub struct Step {
+    pub count: u64,
+    pub needs: Needs,
+    pub after: Vec<u64>,
+    pub gang: bool,
+}
+
+/// A job as submitted.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: String,
+    pub queue: &'static str,
+    pub steps: Vec<Step>,
+    pub run_ms: u64,
+    /// Text for the subtasks.
+    pub spec: String,
+    /// Whether its caller cancels it some time after it was accepted.
+    pub cancelled_after_ms: Option<u64>,
+}
+
+impl Job {
+    /// Draws a job; the number of accelerators of a worker limits the size of its subtasks.
+    pub fn draw(rng: &mut StdRng, id: String, queues: &[&'static str]) -> Self {
+        let step = |count, gpu| Step { count, needs: (1_000, 1_024, gpu), after: Vec::new(), gang: false };
+        let mut run_ms = rng.random_range(100..1_500);
+        let mut note = String::new();
+        let steps = match rng.random_range(0..9) {
+            0..=2 => vec![step(1, rng.random_range(0..=WORKER_GPUS))],
+            3 | 4 => vec![step(rng.random_range(3..12), 1)],
+            5 => {
+                let gang = Step { gang: true, ..step(rng.random_range(2..5), rng.random_range(1..4)) };
+                note = format!(" gang={}", gang.count);
+                vec![gang]
+            }
+            6 => {
+                vec![
+                    step(rng.random_range(1..4), 1),
+                    Step { after: vec![0], ..step(rng.random_range(1..5), 1) },
+                ]
+            }
+            7 => {
+                note = if rng.random_bool(0.8) { " fails_first" } else { " fails" }.to_owned();
+                vec![step(rng.random_range(1..4), 1)]
+            }
+            _ => {
+                run_ms = rng.random_range(4_000..12_000);
+                vec![step(rng.random_range(1..4), 1)]
+            }
+        };
+        let queue = queues[rng.random_range(0..queues.len())];
+        let cancelled_after_ms = rng.random_bool(0.15).then(|| rng.random_range(0..4_000));
+        Self { spec: format!("job={id} run_ms={run_ms}{note}"), id, queue, steps, run_ms, cancelled_after_ms }
+    }
+
+    pub fn body(&self) -> Value {
+        let steps = self.steps.iter().map(|step| {
+            let (cpu, memory_mb, gpu) = step.needs;
+            json!({"count": step.count, "cpu": cpu, "memory_request_mb": memory_mb, "gpu": gpu,
+                "estimate_ms": self.run_ms, "after": step.after, "gang_scheduled": step.gang})
+        });
+        json!({"task_spec": self.spec, "steps": steps.collect::<Vec<_>>()})
+    }
+
+    /// Returns the work of the job in accelerator-milliseconds, or core-milliseconds without accelerators.
+    pub fn work_ms(&self) -> u64 {
+        self.steps.iter().map(|step| step.count * step.needs.2.max(1) * self.run_ms).sum()
+    }
+}
+
+/// A request of a caller and its answer; times in milliseconds on the wall clock.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub entry: usize,
+    pub sent_ms: u64,
+    pub answered_ms: u64,
+    /// HTTP status; 0 without an answer.
+    pub status: u16,
+    /// State of the job in the answer to a GET.
+    pub state: String,
+}
+
+impl Call {
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// What callers have seen of a job.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub job: Job,
+    pub submits: Vec<Call>,
+    pub cancels: Vec<Call>,
+    pub polls: Vec<Call>,
+}
+
+impl Record {
+    pub fn new(job: Job) -> Self {
+        Self { job, submits: Vec::new(), cancels: Vec::new(), polls: Vec::new() }
+    }
+
+    /// Returns when the job was first accepted.
+    pub fn accepted_ms(&self) -> Option<u64> {
+        self.submits.iter().filter(|call| call.is_success()).map(|call| call.answered_ms).min()
+    }
+
+    /// Returns whether the job was certainly not accepted: every attempt was rejected.
+    pub fn is_rejected(&self) -> bool {
+        !self.submits.is_empty() && self.submits.iter().all(|call| matches!(call.status, 429 | 503))
+    }
+
+    /// Returns when a cancel was first acknowledged.
+    pub fn cancelled_ms(&self) -> Option<u64> {
+        self.cancels.iter().filter(|call| call.is_success()).map(|call| call.answered_ms).min()
+    }
+
+    /// Returns when the job was first shown in `state`.
+    pub fn shown_ms(&self, state: &str) -> Option<u64> {
+        self.polls.iter().filter(|call| call.state == state).map(|call| call.answered_ms).min()
+    }
+
+    /// Returns whether the job was shown in a state that it can't leave.
+    pub fn has_ended(&self) -> bool {
+        self.polls.iter().any(|call| matches!(call.state.as_str(), "completed" | "failed" | "cancelled"))
+    }
+}
+
+/// Records by job.
+pub type Ledger = BTreeMap<String, Record>;
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,224 @@
+//! Carries out the planned faults, which overlap.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::future::join_all;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use sorrelland_standin::clock::wall_ms;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::task::JoinSet;
+
+use crate::checkins;
+use crate::deployment::{Deployment, GRACE};
+use crate::faults::{Fault, Machine, Planned, Side, Stop};
+use crate::impairments::{Impairments, STORE};
+use crate::lock;
+use crate::proxy::Rules;
+
+/// Longest time that a draining worker may take, after which it is killed.
+const DRAIN_GRACE: Duration = Duration::from_secs(12);
+
+/// Plays faults on a deployment and records what they impair.
+pub struct Player {
+    pub deployment: Arc<Deployment>,
+    pub impairments: Arc<Impairments>,
+    /// A part with a fault takes no second one.
+    busy: Mutex<BTreeMap<String, Arc<AsyncMutex<()>>>>,
+    /// Faults played, by name.
+    pub played: Mutex<BTreeMap<String, u64>>,
+    /// Processes that ended by themselves, and programs that could not be started.
+    pub failures: Mutex<Vec<String>>,
+    log: Mutex<File>,
+}
+
+impl Player {
+    /// Creates a player that writes to `soak.log` in the directory of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the log can't be created.
+    pub fn new(deployment: Arc<Deployment>, impairments: Arc<Impairments>) -> io::Result<Self> {
+        let log = File::create(deployment.processes.dir().join("soak.log"))?;
+        Ok(Self {
+            log: Mutex::new(log),
+            deployment,
+            impairments,
+            busy: Mutex::default(),
+            played: Mutex::default(),
+            failures: Mutex::default(),
+        })
+    }
+
+    /// Writes a line to the log of the run.
+    pub fn log(&self, event: &str) {
+        // A log that can't be written must not end the run.
+        let _ = writeln!(lock(&self.log), "at_ms={} {event}", wall_ms());
+    }
+
+    /// Plays the faults at their times and returns when the last one has ended.
+    pub async fn play(self: Arc<Self>, plan: Vec<Planned>) {
+        let start = tokio::time::Instant::now();
+        let mut faults = JoinSet::new();
+        for planned in plan {
+            let player = self.clone();
+            faults.spawn(async move {
+                tokio::time::sleep_until(start + Duration::from_millis(planned.at_ms)).await;
+                player.play_fault(planned.fault).await;
+            });
+        }
+        while let Some(result) = faults.join_next().await {
+            if let Err(e) = result {
+                lock(&self.failures).push(format!("a fault could not be played: {e}"));
+            }
+        }
+    }
+
+    async fn play_fault(&self, fault: Fault) {
+        let name = fault.name();
+        let text = format!("{fault:?}");
+        self.log(&format!("event=fault_begins name={name} fault=\"{text}\""));
+        let played = match fault {
+            Fault::Stop { machines, how, step_ms, gap_ms } => {
+                self.play_in_turn(machines, step_ms, |machine| self.stop(machine, how, gap_ms)).await
+            }
+            Fault::Suspend { machines, step_ms, ms } => {
+                self.play_in_turn(machines, step_ms, |machine| self.suspend(machine, ms)).await
+            }
+            Fault::Store { faults, ms } => {
+                let set = async |faults: &serde_json::Value| {
+                    if !self.deployment.set_store_faults(faults).await {
+                        lock(&self.failures).push("the store did not take its faults".to_owned());
+                    }
+                };
+                self.impair("store-fault", STORE, async {
+                    set(&faults).await;
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    set(&json!({})).await;
+                })
+                .await
+            }
+            Fault::Link { side, rules, ms } => {
+                let proxy = self.deployment.proxy(side);
+                self.impair(&format!("{side:?}"), &impaired_part(side), async {
+                    proxy.set(rules);
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    proxy.set(Rules::default());
+                })
+                .await
+            }
+            Fault::Reset { side } => {
+                let proxy = self.deployment.proxy(side);
+                self.impair(&format!("{side:?}"), &impaired_part(side), async { proxy.reset() }).await
+            }
+            Fault::Checkin { worker, kind, seed, restart_agent } => {
+                if restart_agent {
+                    self.stop(Machine::Agent(worker), Stop::Kill, 0).await;
+                    // The new process needs a moment until it listens.
+                    tokio::time::sleep(Duration::from_millis(60)).await;
+                }
+                checkins::send(&self.deployment, worker, kind, seed).await.is_some()
+            }
+            Fault::Publish { versions } => {
+                for version in 0..versions {
+                    let extra =
+                        |name: &str| (0..version % 3).map(|n| format!("{name}-{n}")).collect::<Vec<_>>();
+                    let queues: Vec<String> =
+                        extra("/queue").iter().map(|queue| format!("{queue}/")).collect();
+                    self.deployment.publish_next(&extra("extra-key"), &queues).await;
+                    tokio::time::sleep(Duration::from_millis(150)).await;
+                }
+                true
+            }
+        };
+        self.log(&format!("event=fault_ended name={name} played={played} fault=\"{text}\""));
+        if played {
+            *lock(&self.played).entry(name).or_default() += 1;
+        }
+    }
+
+    /// Carries out `fault` on each machine, started one after the other; returns whether it could be on any.
+    async fn play_in_turn<F: Future<Output = bool>>(
+        &self,
+        machines: Vec<Machine>,
+        step_ms: u64,
+        fault: impl Fn(Machine) -> F,
+    ) -> bool {
+        let each = machines.into_iter().zip(0..).map(|(machine, number)| {
+            let fault = fault(machine);
+            async move {
+                tokio::time::sleep(Duration::from_millis(step_ms * number)).await;
+                fault.await
+            }
+        });
+        join_all(each).await.into_iter().any(|played| played)
+    }
+
+    /// Runs `fault`, which impairs `part`, unless another fault is active on `target`; returns whether it ran.
+    async fn impair(&self, target: &str, part: &str, fault: impl Future<Output = ()>) -> bool {
+        let busy = lock(&self.busy).entry(target.to_owned()).or_default().clone();
+        let Ok(_guard) = busy.try_lock() else { return false };
+        let number = self.impairments.begin(part);
+        fault.await;
+        self.impairments.end(number);
+        true
+    }
+
+    async fn stop(&self, machine: Machine, how: Stop, gap_ms: u64) -> bool {
+        let name = machine.to_string();
+        self.impair(&name, &name, async {
+            let processes = &self.deployment.processes;
+            if !matches!(machine, Machine::Worker(_)) && processes.has_exited(&name) {
+                lock(&self.failures).push(format!("{name} ended by itself"));
+            }
+            match (how, machine) {
+                (Stop::Kill, _) => self.deployment.kill_machine(machine),
+                (Stop::Terminate, Machine::Worker(_)) => {
+                    processes.signal(&name, Signal::SIGTERM);
+                    let deadline = tokio::time::Instant::now() + DRAIN_GRACE;
+                    while !processes.has_exited(&name) && tokio::time::Instant::now() < deadline {
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                    self.deployment.kill_machine(machine);
+                }
+                (Stop::Terminate, _) => {
+                    // Whether it exits in time is a matter of its open calls.
+                    processes.terminate(&name, GRACE).await;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(gap_ms)).await;
+            self.start(machine);
+        })
+        .await
+    }
+
+    fn start(&self, machine: Machine) {
+        let started: io::Result<()> = self.deployment.start_machine(machine);
+        if let Err(e) = started {
+            lock(&self.failures).push(format!("{machine} could not be started: {e}"));
+        }
+    }
+
+    async fn suspend(&self, machine: Machine, ms: u64) -> bool {
+        let name = machine.to_string();
+        self.impair(&name, &name, async {
+            let processes = &self.deployment.processes;
+            processes.signal(&name, Signal::SIGSTOP);
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            processes.signal(&name, Signal::SIGCONT);
+        })
+        .await
+    }
+}
+
+/// Returns the part of the deployment that a fault of a connection impairs.
+fn impaired_part(side: Side) -> String {
+    match side {
+        Side::Store => STORE.to_owned(),
+        Side::Calls(worker) | Side::Checkins(worker) => Machine::Agent(worker).to_string(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,193 @@
+//! One run: a deployment, its callers, the faults of a seed, and the checks.
+
+use std::fmt;
+use std::fs;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use sorrelland_standin::clock::wall_ms;
+use sorrelland_web::Client;
+use tokio::sync::watch;
+
+use crate::checks::Evidence;
+use crate::clients::Callers;
+use crate::deployment::{Deployment, MAX_ATTEMPTS, Programs};
+use crate::faults;
+use crate::history::History;
+use crate::impairments::Impairments;
+use crate::jobs::{Ledger, WORKER_GPUS};
+use crate::lock;
+use crate::play::Player;
+
+/// Time until all processes serve.
+const START_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Time after the loss of everything within which the platform expects service again, in milliseconds.
+const RECOVERY_MS: u64 = 12_000;
+
+/// Share of the resources that a backlog can count on, in percent: the platform tolerates that waiting work isn't
+/// started as long as half of the resources are in use.
+const BACKLOG_PERCENT: u64 = 50;
+
+/// Mean time between two jobs of a caller. With a caller for each worker, about a third of the accelerators are in use.
+const SUBMIT_INTERVAL: Duration = Duration::from_secs(4);
+
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What is run, besides the seed.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub programs: Programs,
+    pub entries: usize,
+    pub workers: usize,
+    /// Time in which faults begin.
+    pub faults: Duration,
+    /// Faults to leave out, by the beginnings of their names.
+    pub without: Vec<String>,
+    /// Directory of the log folders.
+    pub logs: PathBuf,
+    /// Keeps the logs of runs that broke no promise too.
+    pub keep_logs: bool,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub seed: u64,
+    /// What was played.
+    pub summary: String,
+    /// A line for each broken promise.
+    pub broken: Vec<String>,
+    pub dir: PathBuf,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let result = if self.broken.is_empty() { "ok" } else { "BROKEN" };
+        write!(f, "seed {} {result}: {}", self.seed, self.summary)?;
+        if self.broken.is_empty() {
+            return Ok(());
+        }
+        for line in &self.broken {
+            write!(f, "\n  {line}")?;
+        }
+        write!(f, "\n  logs in {}", self.dir.display())
+    }
+}
+
+/// Runs a seed.
+///
+/// # Errors
+///
+/// Fails if the deployment can't be started or a log can't be written.
+pub async fn run_seed(cfg: &Config, seed: u64) -> io::Result<Outcome> {
+    let dir = cfg.logs.join(format!("seed-{seed}-{}", std::process::id()));
+    let deployment = Arc::new(Deployment::start(cfg.programs.clone(), cfg.entries, cfg.workers, &dir).await?);
+    await_ready(&deployment).await?;
+    let plan = faults::plan(seed, cfg.entries, cfg.workers, cfg.faults.as_millis() as u64, &cfg.without);
+    let impairments = Arc::new(Impairments::default());
+    let player = Arc::new(Player::new(deployment.clone(), impairments.clone())?);
+    let (submitting, running) = (watch::Sender::new(true), watch::Sender::new(true));
+    let callers = Arc::new(Callers {
+        deployment: deployment.clone(),
+        ledger: Mutex::default(),
+        seed,
+        interval: SUBMIT_INTERVAL,
+        submitting: submitting.subscribe(),
+        running: running.subscribe(),
+    });
+    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
+    tokio::join!(player.clone().play(plan), tokio::time::sleep(cfg.faults));
+    deployment.mend().await?;
+    submitting.send_replace(false);
+    let bound = completion_bound(&lock(&callers.ledger), cfg.workers);
+    let deadline = tokio::time::Instant::now() + bound;
+    let mended_ms = wall_ms();
+    player.log(&format!("event=mended bound_ms={}", bound.as_millis()));
+    while tokio::time::Instant::now() < deadline && !all_ended(&lock(&callers.ledger)) {
+        tokio::time::sleep(END_CHECK_INTERVAL).await;
+    }
+    let took_ms = wall_ms() - mended_ms;
+    running.send_replace(false);
+    // A caller that fails has lost its record, which the checks notice.
+    let _ = calling.await;
+    callers.poll_all().await;
+
+    let ledger = lock(&callers.ledger).clone();
+    let history = History::read(&deployment.lives(), &deployment.worker_logs());
+    let capacity = (130_000, 262_144, WORKER_GPUS);
+    let evidence = Evidence { history: &history, ledger: &ledger, impairments: &impairments, capacity };
+    let mut broken = evidence.broken_promises();
+    let open = ledger.values().filter(|record| record.accepted_ms().is_some() && !record.has_ended());
+    broken.extend(open.map(|record| {
+        let (id, state) = (&record.job.id, record.polls.last().map_or("", |call| &call.state));
+        format!(
+            "LOST: {id} hasn't ended {took_ms} ms after the faults, bound {} ms: {state}",
+            bound.as_millis()
+        )
+    }));
+    broken.extend(lock(&player.failures).iter().cloned());
+    broken.extend(deployment.exited().iter().map(|name| format!("{name} ended by itself")));
+    let summary = summarize(&ledger, &history, &player, took_ms);
+    deployment.processes.kill_all();
+    if broken.is_empty() && !cfg.keep_logs {
+        fs::remove_dir_all(&dir)?;
+    } else {
+        let mut file = fs::File::create(dir.join("records.txt"))?;
+        ledger.values().try_for_each(|record| writeln!(file, "{record:?}"))?;
+    }
+    Ok(Outcome { seed, summary, broken, dir })
+}
+
+async fn await_ready(deployment: &Deployment) -> io::Result<()> {
+    let client = Client::new(Duration::from_secs(1));
+    let deadline = tokio::time::Instant::now() + START_TIMEOUT;
+    for index in 1..=deployment.entries {
+        let url = format!("http://{}/readiness", deployment.readiness_address(index));
+        while !client.send(Method::GET, &url, &[], Bytes::new()).await.is_ok_and(|r| r.status.is_success()) {
+            if tokio::time::Instant::now() > deadline {
+                return Err(io::Error::other(format!("entry-{index} isn't ready")));
+            }
+            tokio::time::sleep(END_CHECK_INTERVAL).await;
+        }
+    }
+    Ok(())
+}
+
+fn all_ended(ledger: &Ledger) -> bool {
+    ledger.values().all(|record| record.has_ended() || record.accepted_ms().is_none())
+}
+
+/// Returns the time after the last fault within which all accepted jobs end: the platform's bound for the recovery of
+/// everything, then the remaining work with [`BACKLOG_PERCENT`] of the accelerators, and the longest chain of steps
+/// with all attempts.
+fn completion_bound(ledger: &Ledger, workers: usize) -> Duration {
+    let open = ledger.values().filter(|record| !record.has_ended() && !record.is_rejected());
+    let jobs: Vec<_> = open.map(|record| &record.job).collect();
+    let attempts = |spec: &str| if spec.contains("fails") { MAX_ATTEMPTS as u64 } else { 1 };
+    let work_ms: u64 = jobs.iter().map(|job| job.work_ms() * attempts(&job.spec)).sum();
+    let chains = jobs.iter().map(|job| job.run_ms * job.steps.len() as u64 * attempts(&job.spec));
+    let usable = workers as u64 * WORKER_GPUS * BACKLOG_PERCENT;
+    Duration::from_millis(RECOVERY_MS + work_ms * 100 / usable + chains.max().unwrap_or(0))
+}
+
+fn summarize(ledger: &Ledger, history: &History, player: &Player, took_ms: u64) -> String {
+    let accepted = ledger.values().filter(|record| record.accepted_ms().is_some()).count();
+    let shown = |state: &str| ledger.values().filter(|record| record.shown_ms(state).is_some()).count();
+    let played: Vec<String> =
+        lock(&player.played).iter().map(|(name, count)| format!("{name} {count}")).collect();
+    format!(
+        "{} jobs, {accepted} accepted, {} completed, {} failed, {} cancelled, {} runs, ended {took_ms} ms after the \
+         faults; faults: {}",
+        ledger.len(),
+        shown("completed"),
+        shown("failed"),
+        shown("cancelled"),
+        history.runs.len(),
+        if played.is_empty() { "none".to_owned() } else { played.join(", ") },
+    )
+}
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -18,6 +18,7 @@
   sorrelland-standin worker [--listen IP:PORT] [--name NAME] [--slots N] [--accelerators N]
   sorrelland-standin platform-store [--listen IP:PORT]
   sorrelland-standin platform-worker --announce IP:PORT [--listen IP:PORT] [--name NAME] [--rack NAME]
+    [--accelerators N] [--clock-percent N] [--gang-dir DIR]
 
 Options:
   --listen IP:PORT   address to listen on; port 0 takes a free one [127.0.0.1:0]
@@ -26,6 +27,8 @@
   --accelerators N   accelerators [8]
   --announce IP:PORT address of the agent that a platform worker announces itself to
   --rack NAME        rack of a platform worker [r1]
+  --clock-percent N  speed of a platform worker's clock, in percent [100]
+  --gang-dir DIR     directory in which the members of gangs on platform workers find each other
   --connections N    connections of the upstream [64]
   --help             print this text
 
@@ -80,6 +83,7 @@
     let mut listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut sizes = default_sizes();
     let (mut agent_address, mut rack) = (String::new(), "r1".to_owned());
+    let (mut clock_percent, mut gang_dir) = (100, None);
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
@@ -87,6 +91,8 @@
             Arg::Long("announce") => agent_address = parser.value()?.string()?,
             Arg::Long("rack") => rack = parser.value()?.string()?,
             Arg::Long("name") => sizes.name = parser.value()?.string()?,
+            Arg::Long("clock-percent") => clock_percent = parser.value()?.parse()?,
+            Arg::Long("gang-dir") => gang_dir = Some(parser.value()?.into()),
             Arg::Long("slots") => sizes.slots = parser.value()?.parse()?,
             Arg::Long("accelerators") => sizes.accelerators = parser.value()?.parse()?,
             Arg::Long("connections") => sizes.connections = parser.value()?.parse()?,
@@ -104,7 +110,8 @@
                 i64::from(sizes.memory_gb) * 1_024,
                 i64::from(sizes.accelerators),
             );
-            let setup = Setup { incarnation: sizes.name, agent_address, rack, capacity };
+            let setup =
+                Setup { incarnation: sizes.name, agent_address, rack, capacity, clock_percent, gang_dir };
             Ok(Command::PlatformWorker { listen, setup })
         }
         Some("platform-worker") => Err(lexopt::Error::Custom("--announce is required".into()).into()),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod command;
+pub mod gang;
 pub mod log;
 pub mod platform_store;
 pub mod platform_worker;
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -1,9 +1,15 @@
 //! Stand-in for a worker of the users' platform, with leases, fencing and numbered reports of ended runs.
-//! Gangs whose members wait for each other are not simulated: each run proceeds by itself. The text of a job
-//! sets the run time of its subtasks, as in `run_ms=300`; if it contains `fails`, the runs fail at their end.
+//!
+//! The text of a job sets the run time of its subtasks, as in `run_ms=300`; if it contains `fails`, the runs fail
+//! at their end, if it contains `fails_first`, only those with run number 1. Members of a gang proceed by
+//! themselves, unless the text names its size, as in `gang=3`, and the worker has a directory for gangs.
+//!
+//! Each event is also a line on standard output, with the wall clock in milliseconds, so that the history outlives
+//! the process. SIGTERM makes the worker drain, deregister and exit.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,9 +20,11 @@
 use http::{Method, Response, StatusCode};
 use serde_json::{Value, json};
 use sorrelland_web::{Client, server};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
 use crate::clock::wall_ms;
+use crate::gang::Gang;
 
 pub type Result<T, E = HttpError> = std::result::Result<T, E>;
 
@@ -27,6 +35,14 @@
 /// Time that a run takes to stop.
 const STOP_DURATION_MS: u64 = 100;
 
+/// Time for which a draining worker goes on after the acknowledgement, and, without one, after SIGTERM.
+const DRAIN_MS: u64 = 2_000;
+const UNACKNOWLEDGED_DRAIN_MS: u64 = 5_000;
+
+/// Time between two checks for ended runs. After a much longer one, the process was suspended.
+const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
+const SUSPENSION_MS: u64 = 200;
+
 /// Run time if the text of the job sets none.
 const DEFAULT_RUN_MS: u64 = 300;
 
@@ -40,12 +56,17 @@
     pub rack: String,
     /// CPU in thousandths of a core, memory in megabytes, number of accelerators.
     pub capacity: (i64, i64, i64),
+    /// Speed of the worker's clock in percent of real time.
+    pub clock_percent: u64,
+    /// Directory in which the members of gangs find each other.
+    pub gang_dir: Option<PathBuf>,
 }
 
 struct Run {
     end_ms: u64,
     stopped: bool,
     fails: bool,
+    gang: Option<Gang>,
 }
 
 #[derive(Default)]
@@ -53,6 +74,9 @@
     /// Highest fencing token received.
     token: u64,
     lease_end_ms: u64,
+    lease_active: bool,
+    /// When the runs were last advanced.
+    advanced_ms: u64,
     /// Active runs by task and run number.
     running: BTreeMap<(String, u64), Run>,
     /// Ended runs that the agent has not acknowledged.
@@ -61,6 +85,8 @@
     end_count: u64,
     /// Highest run number started or stopped, by task.
     highest_run: BTreeMap<String, u64>,
+    /// Highest end number acknowledged by the agent.
+    acknowledged: u64,
     history: Vec<Value>,
 }
 
@@ -78,27 +104,60 @@
 
 impl Worker {
     fn clock_ms(&self) -> u64 {
-        1_000 + self.started.elapsed().as_millis() as u64
+        1_000 + self.started.elapsed().as_millis() as u64 * self.setup.clock_percent / 100
+    }
+
+    /// Returns the wall time of a time on the worker's clock, in milliseconds.
+    fn to_wall_ms(&self, clock_ms: u64) -> u64 {
+        let offset = (clock_ms as i64 - self.clock_ms() as i64) * 100 / self.setup.clock_percent as i64;
+        wall_ms().saturating_add_signed(offset)
+    }
+
+    fn print(&self, at_ms: u64, event: &str) {
+        println!("at_ms={at_ms} worker={} {event}", self.setup.incarnation);
     }
 
     /// Ends the runs that are complete, and all runs if the lease has ended.
     fn advance(&self, state: &mut State) {
         let now = self.clock_ms();
-        let lapsed = now > state.lease_end_ms;
-        let is_due = |run: &Run| lapsed || now >= run.end_ms;
-        let due: Vec<(String, u64)> =
-            state.running.iter().filter(|(_, run)| is_due(run)).map(|(key, _)| key.clone()).collect();
-        for key in due {
+        let suspended_ms = now.saturating_sub(state.advanced_ms);
+        state.advanced_ms = now;
+        if suspended_ms > SUSPENSION_MS {
+            // Runs don't proceed while the process is suspended.
+            state.running.values_mut().for_each(|run| run.end_ms = run.end_ms.saturating_add(suspended_ms));
+        }
+        let lease_end_ms = state.lease_end_ms;
+        let lapsed = now > lease_end_ms;
+        if lapsed && std::mem::take(&mut state.lease_active) {
+            self.print(self.to_wall_ms(lease_end_ms), "event=lease_lapsed");
+        }
+        let end_of = |run: &mut Run| {
+            let gang_end = run.gang.as_mut().and_then(|gang| gang.advance(now, &mut run.end_ms));
+            match run {
+                _ if lapsed && lease_end_ms < run.end_ms => Some(("lapsed", lease_end_ms)),
+                Run { stopped: true, end_ms, .. } => (now >= *end_ms).then_some(("stopped", *end_ms)),
+                _ if gang_end.is_some() => gang_end.map(|reason| (reason, now)),
+                Run { end_ms, fails, .. } if now >= *end_ms => {
+                    Some((if *fails { "failed" } else { "done" }, *end_ms))
+                }
+                _ => None,
+            }
+        };
+        let due: Vec<_> = state
+            .running
+            .iter_mut()
+            .filter_map(|(key, run)| end_of(run).map(|(reason, at)| (key.clone(), reason, at)))
+            .collect();
+        for (key, reason, at) in due {
             let Some(run) = state.running.remove(&key) else { continue };
-            let reason = match run {
-                Run { stopped: true, .. } => "stopped",
-                Run { end_ms, .. } if now < end_ms => "lapsed",
-                Run { fails: true, .. } => "failed",
-                _ => "done",
-            };
+            if let Some(gang) = run.gang {
+                gang.leave(reason);
+            }
             state.end_count += 1;
-            state.finished.push(json!([state.end_count, key.0, key.1, reason, ""]));
-            state.history.push(json!({"what": reason, "task": key.0, "run": key.1, "at_ms": wall_ms()}));
+            let (n, (task, run), at_ms) = (state.end_count, &key, self.to_wall_ms(at));
+            self.print(at_ms, &format!("event=ended task={task} run={run} n={n} how={reason}"));
+            state.finished.push(json!([n, task, run, reason, ""]));
+            state.history.push(json!({"what": reason, "task": task, "run": run, "at_ms": at_ms}));
         }
     }
 }
@@ -129,6 +188,8 @@
     });
     let server = server::start(api, worker.clone(), listen, 1024 * 1024)?;
     let address = server.local_addr().to_string();
+    let (cpu, memory_mb, gpu) = worker.setup.capacity;
+    worker.print(wall_ms(), &format!("event=born cpu={cpu} memory_mb={memory_mb} gpu={gpu}"));
     tokio::spawn(announce_loop(worker.clone(), address));
     tokio::spawn(advance_loop(worker));
     Ok(server)
@@ -136,7 +197,7 @@
 
 async fn advance_loop(worker: Arc<Worker>) {
     loop {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(ADVANCE_INTERVAL).await;
         let any_ended = {
             let mut state = lock(&worker.state);
             let count_before = state.end_count;
@@ -151,19 +212,49 @@
 
 async fn announce_loop(worker: Arc<Worker>, address: String) {
     let client = Client::new(Duration::from_secs(1));
-    let Setup { incarnation, agent_address, rack, capacity } = &worker.setup;
+    let Setup { incarnation, agent_address, rack, capacity, .. } = &worker.setup;
     let url = format!("http://{agent_address}/instances/{incarnation}");
+    let mut terminate = signal(SignalKind::terminate()).expect("handler for SIGTERM");
+    let mut leave_at = None;
+    let mut acknowledged = false;
     for sequence in 1.. {
-        let body = json!({
+        let draining = leave_at.is_some();
+        let mut body = json!({
             "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8,
-            "state": "ready", "cold_remaining_ms": 0, "labels": ["a", rack], "sequence": sequence,
+            "state": if draining { "draining" } else { "ready" }, "cold_remaining_ms": 0, "labels": ["a", rack],
+            "sequence": sequence, "clock_ms": worker.clock_ms(),
             "capacity": {"cpu": capacity.0, "memory_request_mb": capacity.1, "gpu": capacity.2},
-            "clock_ms": worker.clock_ms(),
         });
+        if draining {
+            body["remaining_ms"] = DRAIN_MS.into();
+        }
         // A lost announcement needs no handling: the next one follows after the interval.
-        let _ = client.send(Method::PUT, &url, &[], Bytes::from(body.to_string())).await;
-        tokio::time::sleep(ANNOUNCEMENT_INTERVAL).await;
+        let reply = client.send(Method::PUT, &url, &[], Bytes::from(body.to_string())).await;
+        if draining && !acknowledged && reply.is_ok_and(|reply| reply.status.is_success()) {
+            acknowledged = true;
+            leave_at = Some(Instant::now() + Duration::from_millis(DRAIN_MS));
+            worker.print(wall_ms(), "event=draining_acknowledged");
+        }
+        if leave_at.is_some_and(|at| Instant::now() >= at) {
+            break;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(ANNOUNCEMENT_INTERVAL) => {}
+            _ = terminate.recv(), if leave_at.is_none() => {
+                leave_at = Some(Instant::now() + Duration::from_millis(UNACKNOWLEDGED_DRAIN_MS));
+            }
+        }
     }
+    // The lock is held until the process exits, so that nothing starts after this line.
+    let state = lock(&worker.state);
+    worker.print(wall_ms(), "event=left");
+    state.running.values().filter_map(|run| run.gang.as_ref()).for_each(|gang| gang.leave("lapsed"));
+    let exit = async {
+        // The worker exits whether or not its notice arrives.
+        let _ = client.send(Method::DELETE, &url, &[], Bytes::new()).await;
+        std::process::exit(0);
+    };
+    tokio::task::block_in_place(|| tokio::runtime::Handle::current().block_on(exit))
 }
 
 fn respond(status: StatusCode, body: &Value) -> Result<Response<Body>> {
@@ -194,7 +285,12 @@
     }
     state.token = token;
     if let Some(deadline) = request["deadline_ms"].as_u64() {
-        state.lease_end_ms = state.lease_end_ms.max(deadline.min(clock_ms + MAX_LEASE_MS));
+        let end_ms = deadline.min(clock_ms + MAX_LEASE_MS);
+        if end_ms > state.lease_end_ms {
+            state.lease_end_ms = end_ms;
+            state.lease_active = end_ms > clock_ms;
+            worker.print(wall_ms(), &format!("event=leased until_ms={}", worker.to_wall_ms(end_ms)));
+        }
     }
     Ok(request)
 }
@@ -223,11 +319,19 @@
         return respond(StatusCode::CONFLICT, &json!({"clock_ms": clock_ms, "reason": "late"}));
     }
     let spec = request["task_spec"].as_str().unwrap_or_default();
-    let run_ms = spec.split("run_ms=").nth(1).and_then(|text| text.split(' ').next()?.parse().ok());
-    let end_ms = clock_ms + run_ms.unwrap_or(DEFAULT_RUN_MS);
+    let number = |name: &str| spec.split(name).nth(1)?.split(' ').next()?.parse().ok();
+    let run_ms = number("run_ms=").unwrap_or(DEFAULT_RUN_MS);
+    let fails = if spec.contains("fails_first") { run == 1 } else { spec.contains("fails") };
+    let gang = number("gang=").zip(worker.setup.gang_dir.as_deref());
+    let gang = gang.map(|(size, dir)| Gang::join(dir, &task, run, size, clock_ms, run_ms));
     state.highest_run.insert(task.clone(), run);
-    state.history.push(json!({"what": "start", "task": task, "run": run, "at_ms": wall_ms()}));
-    state.running.insert((task, run), Run { end_ms, stopped: false, fails: spec.contains("fails") });
+    let at_ms = wall_ms();
+    let token = request["fencing_token"].as_u64().unwrap_or(0);
+    worker.print(at_ms, &format!("event=started task={task} run={run} token={token} spec={spec:?}"));
+    state.history.push(json!({"what": "start", "task": task, "run": run, "at_ms": at_ms}));
+    // A member of a gang gets its end when all members are present.
+    let end_ms = if gang.is_some() { u64::MAX } else { clock_ms + run_ms };
+    state.running.insert((task, run), Run { end_ms, stopped: false, fails, gang });
     respond(StatusCode::OK, &json!({"clock_ms": clock_ms}))
 }
 
@@ -262,6 +366,10 @@
     let run_ended = worker.run_ended.notified();
     let none_finished = {
         let mut state = lock(&worker.state);
+        if acknowledged > state.acknowledged {
+            state.acknowledged = acknowledged;
+            worker.print(wall_ms(), &format!("event=acknowledged n={acknowledged}"));
+        }
         state.finished.retain(|end| end[0].as_u64().is_some_and(|n| n > acknowledged));
         state.finished.is_empty()
     };
