--- a/crates/soak/src/args.rs
+++ b/crates/soak/src/args.rs
@@ -6,7 +6,6 @@
 
 use lexopt::{Arg, ValueExt};
 
-use crate::deployment::Programs;
 use crate::run::Config;
 
 pub type Result<T> = std::result::Result<T, lexopt::Error>;
@@ -23,7 +22,7 @@
   --seconds N     time in which faults begin [40]
   --entries N     entries [3]
   --workers N     workers, each with an agent [5]
-  --without NAME  leave out faults whose name starts so, for example checkin-; may be given more than once
+  --without NAME  leave out faults whose name starts so, for example worker-kill; may be given more than once
   --bin-dir DIR   directory of sorrellandd and sorrelland-standin [that of this program]
   --logs DIR      directory of the log folders [the temporary directory]
   --keep-logs     keep the logs of seeds that broke no promise too
@@ -52,7 +51,7 @@
         help: false,
         seeds: 1..2,
         cfg: Config {
-            programs: Programs::in_dir(&bin_dir.unwrap_or_default()),
+            bin_dir: bin_dir.unwrap_or_default(),
             entries: 3,
             workers: 5,
             faults: Duration::from_secs(40),
@@ -73,7 +72,7 @@
             Arg::Long("entries") => args.cfg.entries = parser.value()?.parse()?,
             Arg::Long("workers") => args.cfg.workers = parser.value()?.parse()?,
             Arg::Long("without") => args.cfg.without.push(parser.value()?.string()?),
-            Arg::Long("bin-dir") => args.cfg.programs = Programs::in_dir(&PathBuf::from(parser.value()?)),
+            Arg::Long("bin-dir") => args.cfg.bin_dir = parser.value()?.into(),
             Arg::Long("logs") => args.cfg.logs = parser.value()?.into(),
             Arg::Long("keep-logs") => args.cfg.keep_logs = true,
             other => return Err(other.unexpected()),
--- a/crates/soak/src/checkins.rs
+++ b/crates/soak/src/checkins.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::Display;
 use http::Method;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -15,29 +14,20 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What is wrong with a check-in.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    #[display("missing-field")]
     MissingField,
-    #[display("wrong-type")]
     WrongType,
-    #[display("undecodable")]
     Undecodable,
-    #[display("unknown-state")]
     UnknownState,
-    #[display("unknown-service")]
     UnknownService,
     /// Well-formed, from an incarnation that doesn't exist.
-    #[display("stranger")]
     Stranger,
     /// Copy of a check-in of an earlier incarnation.
-    #[display("late")]
     Late,
     /// Departure of the worker, which goes on running.
-    #[display("departure")]
     Departure,
     /// Check-in of the worker beside another agent.
-    #[display("other-machine")]
     OtherMachine,
 }
 
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -44,160 +44,139 @@
     /// Returns a line for each broken promise.
     pub fn broken_promises(&self) -> Vec<String> {
         let mut broken = Vec::new();
-        self.check_subtasks(&mut broken);
-        self.check_capacity(&mut broken);
-        self.check_draining(&mut broken);
+        let mut by_job: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        let mut by_life: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        for run in &self.history.runs {
+            by_job.entry(&run.job).or_default().push(run);
+            by_life.entry(&run.life).or_default().push(run);
+        }
+        by_life.values().for_each(|runs| self.check_capacity(runs, &mut broken));
+        for (job, runs) in &by_job {
+            match self.ledger.get(*job) {
+                Some(record) => {
+                    runs.iter().for_each(|run| self.check_start(record, run, runs, &mut broken));
+                    self.check_cancel(record, runs, &mut broken);
+                }
+                None => broken.push(format!("UNASKED: {} was not submitted", runs[0])),
+            }
+        }
         for record in self.ledger.values() {
-            let runs: Vec<&Run> = self.runs_of(&record.job.id).collect();
-            self.check_states(record, &runs, &mut broken);
-            self.check_cancel(record, &runs, &mut broken);
-            self.check_order(record, &runs, &mut broken);
+            let runs = by_job.get(record.job.id.as_str()).map_or(&[][..], Vec::as_slice);
+            self.check_states(record, runs, &mut broken);
         }
         broken
     }
 
-    fn runs_of<'a>(&'a self, job: &'a str) -> impl Iterator<Item = &'a Run> {
-        self.history.runs.iter().filter(move |run| run.job_and_step().is_some_and(|(id, _)| id == job))
-    }
-
     /// Returns whether the agent and the worker of a run were in touch at its start.
     fn starts_in_touch(&self, run: &Run) -> bool {
         let parts = [Machine::Agent(run.worker), Machine::Worker(run.worker)].map(|part| part.to_string());
         self.impairments.is_in_touch(&parts, run.start_ms, run.start_ms)
     }
 
-    /// Checks each subtask by itself: it was asked for, doesn't run twice at a time or again after an end `done` that
-    /// was taken note of, its run numbers rise, and it isn't started after its last attempt. These hold at all times.
-    fn check_subtasks(&self, broken: &mut Vec<String>) {
-        let mut by_task: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
-        for run in &self.history.runs {
-            by_task.entry(&run.task).or_default().push(run);
+    /// Checks a start, at all times: it was asked for; its subtask isn't running, hasn't ended `done` with the end taken
+    /// note of, and has attempts left; its number is higher than the ones before; the steps before are done. In touch:
+    /// its worker hasn't drained for [`DRAIN_MS`]. Undisturbed: a member of a gang doesn't wait in vain.
+    fn check_start(&self, record: &Record, run: &Run, runs: &[&Run], broken: &mut Vec<String>) {
+        let step = record.job.steps.get(run.step).filter(|step| run.index < step.count);
+        let Some(step) = step.filter(|_| run.occurrence == 0 && run.spec == record.job.spec) else {
+            return broken.push(format!("UNASKED: {run} was not submitted, or with another text"));
+        };
+        if record.is_rejected() {
+            broken.push(format!("REFUSED: {run} though its job was rejected"));
         }
-        for (task, runs) in by_task {
-            self.check_requested(task, &runs, broken);
-            for (number, later) in runs.iter().enumerate() {
-                for earlier in &runs[..number] {
-                    let at = format!("{} after run {} on {}", name(later), earlier.run, earlier.life);
-                    if later.start_ms < earlier.end_ms() {
-                        broken.push(format!("TWICE: {at}, which {}", end(earlier)));
-                    } else if earlier.end.as_ref().is_some_and(|end| end.how == "done" && end.noted) {
-                        broken.push(format!("TWICE: {at}, which {} and was taken note of", end(earlier)));
-                    }
-                    if later.run <= earlier.run {
-                        broken.push(format!("NUMBER: {at}: run numbers don't rise"));
-                    }
-                }
+        let same_subtask = |other: &Run| (other.step, other.index) == (run.step, run.index);
+        // The runs are ordered by their starts.
+        let earlier = runs.iter().take_while(|other| !std::ptr::eq(**other, run));
+        for earlier in earlier.filter(|other| same_subtask(other)) {
+            let at =
+                format!("{run} after run {} on {}, which {}", earlier.run, earlier.life, earlier.ending());
+            if run.start_ms < earlier.end_ms() {
+                broken.push(format!("TWICE: {at}"));
+            } else if earlier.ended("done") && earlier.is_noted() {
+                broken.push(format!("TWICE: {at} and was taken note of"));
             }
-        }
-    }
-
-    /// Checks that a subtask belongs to a job that was submitted and not rejected, with its text.
-    fn check_requested(&self, task: &str, runs: &[&Run], broken: &mut Vec<String>) {
-        let Some(first) = runs.first() else { return };
-        let parts: Vec<&str> = task.split('.').collect();
-        let record = parts.first().and_then(|job| self.ledger.get(*job));
-        let index = parts.get(3).and_then(|index| index.parse::<u64>().ok());
-        let step = first.job_and_step().and_then(|(_, step)| record?.job.steps.get(step as usize));
-        match (record, step, index) {
-            (Some(record), Some(step), Some(index)) if parts[1] == "0" && index < step.count => {
-                if let Some(run) = runs.iter().find(|run| run.spec != record.job.spec) {
-                    broken.push(format!("UNASKED: {} has the text {:?}", name(run), run.spec));
-                }
-                if record.is_rejected() {
-                    broken.push(format!("REFUSED: {} though its job was rejected", name(first)));
-                }
+            if run.run <= earlier.run {
+                broken.push(format!("NUMBER: {at}: run numbers don't rise"));
             }
-            _ => broken.push(format!("UNASKED: {} was not submitted", name(first))),
         }
-    }
-
-    /// Checks that the runs on a worker, including those that are being stopped, never exceed its resources.
-    fn check_capacity(&self, broken: &mut Vec<String>) {
-        let mut by_life: BTreeMap<&str, Vec<(&Run, Needs)>> = BTreeMap::new();
-        for run in &self.history.runs {
-            if let Some(step) = self.step_of(run) {
-                by_life.entry(&run.life).or_default().push((run, step.needs));
+        for before in step.after.iter().map(|before| *before as usize) {
+            if let Some(missing) = unfinished_step(before, &record.job.steps[before], runs, run.start_ms) {
+                broken.push(format!("ORDER: {run}, but {missing}"));
             }
         }
-        for runs in by_life.into_values() {
-            for (run, _) in &runs {
-                let at = run.start_ms;
-                let present = runs.iter().filter(|(other, _)| other.start_ms <= at && at < other.end_ms());
-                let sum = present.fold((0, 0, 0), |sum: Needs, (_, needs)| {
-                    (sum.0 + needs.0, sum.1 + needs.1, sum.2 + needs.2)
-                });
-                let capacity = self.capacity;
-                if sum.0 > capacity.0 || sum.1 > capacity.1 || sum.2 > capacity.2 {
-                    broken.push(format!("LIMIT: {} brings its worker to {sum:?} of {capacity:?}", name(run)));
-                }
-            }
+        let failed = runs.iter().filter(|other| {
+            let same = if step.gang { other.step == run.step } else { same_subtask(other) };
+            same && other.ended("failed") && other.is_noted() && other.end_ms() <= run.start_ms
+        });
+        let attempts: BTreeSet<u64> = failed.map(|other| other.run).collect();
+        if attempts.len() >= MAX_ATTEMPTS {
+            broken.push(format!("BUDGET: {run} after the failed runs {attempts:?}"));
+        }
+        let agent = [Machine::Agent(run.worker).to_string()];
+        if let Some(draining_ms) = self.history.draining_ms.get(&run.life)
+            && run.start_ms > draining_ms + DRAIN_MS
+            && self.impairments.is_in_touch(&agent, run.start_ms, run.start_ms)
+        {
+            broken.push(format!("DRAIN: {run}, acknowledged as draining at {draining_ms}"));
+        }
+        let is_calm = || self.impairments.is_calm_everywhere(run.start_ms, run.end_ms());
+        if run.ended("alone") && record.cancels.is_empty() && is_calm() {
+            broken.push(format!("GANG: {run} {}", run.ending()));
         }
     }
 
-    fn step_of(&self, run: &Run) -> Option<&Step> {
-        let (job, step) = run.job_and_step()?;
-        self.ledger.get(job)?.job.steps.get(step as usize)
-    }
-
-    /// Checks that nothing starts on a draining worker, as far as its agent is in touch.
-    fn check_draining(&self, broken: &mut Vec<String>) {
-        for run in &self.history.runs {
-            let agent = [Machine::Agent(run.worker).to_string()];
-            if let Some(draining_ms) = self.history.draining_ms.get(&run.life)
-                && run.start_ms > draining_ms + DRAIN_MS
-                && self.impairments.is_in_touch(&agent, run.start_ms, run.start_ms)
-            {
-                broken.push(format!("DRAIN: {}, acknowledged as draining at {draining_ms}", name(run)));
+    /// Checks that the runs on a worker, including those that are being stopped, never exceed its resources.
+    fn check_capacity(&self, runs: &[&Run], broken: &mut Vec<String>) {
+        let needs = |run: &Run| self.ledger.get(&run.job)?.job.steps.get(run.step).map(|step| step.needs);
+        for run in runs {
+            let at = run.start_ms;
+            let present = runs.iter().filter(|other| other.start_ms <= at && at < other.end_ms());
+            let sum = present
+                .filter_map(|run| needs(run))
+                .fold((0, 0, 0), |sum: Needs, needs| (sum.0 + needs.0, sum.1 + needs.1, sum.2 + needs.2));
+            let capacity = self.capacity;
+            if sum.0 > capacity.0 || sum.1 > capacity.1 || sum.2 > capacity.2 {
+                broken.push(format!("LIMIT: {run} brings its worker to {sum:?} of {capacity:?}"));
             }
         }
     }
 
     /// Checks the states that callers were shown. An answer 410 counts only from an entry in touch.
     fn check_states(&self, record: &Record, runs: &[&Run], broken: &mut Vec<String>) {
-        let id = &record.job.id;
-        let ended_ms =
-            ["completed", "failed", "cancelled"].iter().filter_map(|state| record.shown_ms(state)).min();
-        if let Some(accepted_ms) = record.accepted_ms()
-            && record.cancels.is_empty()
-        {
-            let expired_ms = ended_ms.map_or(u64::MAX, |at| at + STATUS_MS);
-            let unknown = record.polls.iter().find(|call| {
-                let entry = [Machine::Entry(call.entry).to_string()];
-                call.status == 410
-                    && (accepted_ms + VISIBLE_MS..expired_ms).contains(&call.sent_ms)
-                    && self.impairments.is_in_touch(&entry, call.sent_ms, call.answered_ms)
-            });
-            if let Some(call) = unknown {
-                let (entry, at) = (call.entry, call.answered_ms);
-                broken.push(format!(
-                    "LOST: {id} accepted at {accepted_ms} is unknown to entry-{entry} at {at}"
-                ));
-            }
+        let (id, steps, polls) = (&record.job.id, &record.job.steps, &record.polls);
+        let uncancelled = record.cancels.is_empty();
+        let unknown = polls.iter().find(|call| {
+            let known_from = record.accepted_ms().map_or(u64::MAX, |at| at + VISIBLE_MS);
+            let known_until = record.ended_ms().map_or(u64::MAX, |at| at + STATUS_MS);
+            let entry = [Machine::Entry(call.entry).to_string()];
+            call.status == 410
+                && (known_from..known_until).contains(&call.sent_ms)
+                && self.impairments.is_in_touch(&entry, call.sent_ms, call.answered_ms)
+        });
+        if let Some(call) = unknown.filter(|_| uncancelled) {
+            broken.push(format!("LOST: {id} is unknown to entry-{} at {}", call.entry, call.answered_ms));
         }
         if let Some(shown_ms) = record.shown_ms("completed") {
-            if let Some(missing) = unfinished(&record.job.steps, runs, shown_ms) {
+            let mut steps = steps.iter().enumerate();
+            if let Some(missing) =
+                steps.find_map(|(number, step)| unfinished_step(number, step, runs, shown_ms))
+            {
                 broken.push(format!("MIXED: {id} is shown as completed at {shown_ms}, but {missing}"));
             }
-            let other = |state: &str| !state.is_empty() && state != "completed";
-            if let Some(call) =
-                record.polls.iter().find(|call| call.sent_ms >= shown_ms && other(&call.state))
-            {
+            let mut later = polls.iter().filter(|call| call.sent_ms >= shown_ms);
+            if let Some(call) = later.find(|call| !call.state.is_empty() && call.state != "completed") {
                 let (state, at) = (&call.state, call.answered_ms);
                 broken.push(format!("MIXED: {id} was completed at {shown_ms} and is {state} at {at}"));
             }
             let late = |run: &&&Run| run.start_ms > shown_ms + SHOWN_MS && self.starts_in_touch(run);
             if let Some(run) = runs.iter().find(late) {
-                broken.push(format!("TWICE: {}, shown as completed at {shown_ms}", name(run)));
+                broken.push(format!("TWICE: {run}, shown as completed at {shown_ms}"));
             }
         }
-        if let Some(shown_ms) = record.shown_ms("failed")
-            && !has_failed(&record.job.steps, runs, shown_ms)
-        {
+        if let Some(shown_ms) = record.shown_ms("failed").filter(|at| !has_failed(steps, runs, *at)) {
             broken.push(format!("LOST: {id} is shown as failed at {shown_ms} without cause"));
         }
-        if let Some(shown_ms) = record.shown_ms("cancelled")
-            && record.cancels.is_empty()
-        {
+        if let Some(shown_ms) = record.shown_ms("cancelled").filter(|_| uncancelled) {
             broken.push(format!("LOST: {id} is shown as cancelled at {shown_ms} without cause"));
         }
     }
@@ -208,7 +187,7 @@
         let Some(cancelled_ms) = record.cancelled_ms() else { return };
         for run in runs {
             if run.start_ms > cancelled_ms + CANCEL_MS && self.starts_in_touch(run) {
-                broken.push(format!("UNASKED: {}, cancelled at {cancelled_ms}", name(run)));
+                broken.push(format!("UNASKED: {run}, cancelled at {cancelled_ms}"));
             }
             let stretch_ms = CANCEL_MS + STOP_MS;
             let first = cancelled_ms.max(run.start_ms);
@@ -217,94 +196,28 @@
             let last = run.end_ms().min(last_seen_ms).saturating_sub(stretch_ms);
             let mut stretches = (first..last).step_by(STRETCH_STEP_MS as usize);
             if let Some(at) = stretches.find(|at| self.impairments.is_calm_everywhere(*at, at + stretch_ms)) {
-                let until = at + stretch_ms;
-                broken.push(format!(
-                    "UNASKED: {}, cancelled at {cancelled_ms}, still runs at {until} and {}",
-                    name(run),
-                    end(run)
-                ));
-            }
-        }
-    }
-
-    /// Checks the order of steps, the number of attempts and, without an impairment near, that no member of a gang
-    /// waits in vain.
-    fn check_order(&self, record: &Record, runs: &[&Run], broken: &mut Vec<String>) {
-        for run in runs {
-            let Some((step, number)) = self.step_of(run).zip(run.job_and_step().map(|(_, step)| step)) else {
-                continue;
-            };
-            for earlier in &step.after {
-                let earlier = *earlier as usize;
-                let steps = record.job.steps.get(earlier..=earlier).unwrap_or_default();
-                let of_step =
-                    runs.iter().filter(|run| run.job_and_step().is_some_and(|(_, s)| s == earlier as u64));
-                let of_step: Vec<&Run> = of_step.copied().collect();
-                if let Some(missing) = unfinished_step(earlier as u64, &steps[0], &of_step, run.start_ms) {
-                    broken.push(format!("ORDER: {}, but {missing}", name(run)));
-                }
-            }
-            let failed = runs.iter().filter(|other| {
-                let same = if step.gang {
-                    other.job_and_step().is_some_and(|(_, s)| s == number)
-                } else {
-                    other.task == run.task
-                };
-                let noted_fail = |end: &crate::history::End| end.how == "failed" && end.noted;
-                same && other.end_ms() <= run.start_ms && other.end.as_ref().is_some_and(noted_fail)
-            });
-            let attempts: BTreeSet<u64> = failed.map(|other| other.run).collect();
-            if attempts.len() >= MAX_ATTEMPTS {
-                broken.push(format!("BUDGET: {} after the failed runs {attempts:?}", name(run)));
-            }
-            if run.ended("alone")
-                && record.cancels.is_empty()
-                && self.impairments.is_calm_everywhere(run.start_ms, run.end_ms())
-            {
-                broken.push(format!("GANG: {} ended alone at {}", name(run), run.end_ms()));
+                let end = run.ending();
+                broken.push(format!("UNASKED: {run}, cancelled at {cancelled_ms}, calm from {at}, {end}"));
             }
         }
     }
 }
 
-fn name(run: &Run) -> String {
-    format!("{} run {} started at {} on {}", run.task, run.run, run.start_ms, run.life)
-}
-
-fn end(run: &Run) -> String {
-    run.end.as_ref().map_or("runs on".to_owned(), |end| format!("ended {} at {}", end.how, end.at_ms))
-}
-
-/// Returns what isn't done of the steps at a time, if anything.
-fn unfinished(steps: &[Step], runs: &[&Run], at_ms: u64) -> Option<String> {
-    steps.iter().zip(0..).find_map(|(step, number)| {
-        let of_step = runs.iter().filter(|run| run.job_and_step().is_some_and(|(_, s)| s == number));
-        unfinished_step(number, step, &of_step.copied().collect::<Vec<_>>(), at_ms)
-    })
-}
-
-/// Returns what isn't done of a step; the end of one member of a gang represents all.
-fn unfinished_step(number: u64, step: &Step, runs: &[&Run], at_ms: u64) -> Option<String> {
-    let done = runs.iter().filter(|run| run.ended("done") && run.end_ms() <= at_ms);
-    let done: BTreeSet<&str> = done.filter_map(|run| run.task.rsplit('.').next()).collect();
-    if step.gang && !done.is_empty() {
-        return None;
-    }
-    let missing: Vec<u64> =
-        (0..step.count).filter(|index| !done.contains(index.to_string().as_str())).collect();
-    (!missing.is_empty()).then(|| format!("subtasks {missing:?} of step {number} aren't done"))
+/// Returns what isn't done of a step at a time, if anything; the end of one member of a gang represents all.
+fn unfinished_step(number: usize, step: &Step, runs: &[&Run], at_ms: u64) -> Option<String> {
+    let done = runs.iter().filter(|run| run.step == number && run.ended("done") && run.end_ms() <= at_ms);
+    let done: BTreeSet<u64> = done.map(|run| run.index).collect();
+    let missing: Vec<u64> = (0..step.count).filter(|index| !done.contains(index)).collect();
+    let finished = missing.is_empty() || step.gang && !done.is_empty();
+    (!finished).then(|| format!("subtasks {missing:?} of step {number} aren't done"))
 }
 
 /// Returns whether a subtask, or a gang, has failed so often that the job may fail.
 fn has_failed(steps: &[Step], runs: &[&Run], at_ms: u64) -> bool {
-    let mut attempts: BTreeMap<&str, BTreeSet<u64>> = BTreeMap::new();
+    let mut attempts: BTreeMap<(usize, u64), BTreeSet<u64>> = BTreeMap::new();
     for run in runs.iter().filter(|run| run.ended("failed") && run.end_ms() <= at_ms) {
-        let step = run.job_and_step().and_then(|(_, step)| steps.get(step as usize));
-        let key = match step {
-            Some(step) if step.gang => run.task.rsplit_once('.').map_or(run.task.as_str(), |(gang, _)| gang),
-            _ => run.task.as_str(),
-        };
-        attempts.entry(key).or_default().insert(run.run);
+        let gang = steps.get(run.step).is_some_and(|step| step.gang);
+        attempts.entry((run.step, if gang { 0 } else { run.index })).or_default().insert(run.run);
     }
     attempts.values().any(|attempts| attempts.len() >= MAX_ATTEMPTS)
 }
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,7 +1,6 @@
 //! A deployment on loopback: store, entries, agents and workers as processes, with proxies in front of the store and
 //! on both ways between each agent and its worker.
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -14,7 +13,6 @@
 use http::Method;
 use serde_json::{Value, json};
 use sorrelland_standin::clock::wall_ms;
-use sorrelland_standin::gang::END_FILE;
 use sorrelland_web::Client;
 
 use crate::faults::{Machine, Side};
@@ -29,6 +27,8 @@
 /// Attempts of a subtask that may end as failed.
 pub const MAX_ATTEMPTS: usize = 3;
 
+const STANDIN: &str = "sorrelland-standin";
+
 /// Time between SIGTERM and SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(6);
 
@@ -64,20 +64,6 @@
     reply.is_ok_and(|reply| reply.status.is_success())
 }
 
-/// The programs that are run.
-#[derive(Clone, Debug)]
-pub struct Programs {
-    pub daemon: PathBuf,
-    pub standin: PathBuf,
-}
-
-impl Programs {
-    /// Returns the programs in the directory of a build.
-    pub fn in_dir(dir: &Path) -> Self {
-        Self { daemon: dir.join("sorrellandd"), standin: dir.join("sorrelland-standin") }
-    }
-}
-
 /// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Life {
@@ -90,7 +76,8 @@
 /// Running deployment; dropping it kills all processes.
 pub struct Deployment {
     network: String,
-    programs: Programs,
+    /// Directory of the programs.
+    bin_dir: PathBuf,
     pub entries: usize,
     pub workers: usize,
     pub processes: Processes,
@@ -109,7 +96,7 @@
     /// # Errors
     ///
     /// Fails if an address can't be used or a program can't be started.
-    pub async fn start(programs: Programs, entries: usize, workers: usize, dir: &Path) -> io::Result<Self> {
+    pub async fn start(bin_dir: &Path, entries: usize, workers: usize, dir: &Path) -> io::Result<Self> {
         let network = new_network();
         let address = |host: usize, port: u16| socket(&network, host, port);
         let mut calls = Vec::new();
@@ -123,7 +110,7 @@
         fs::create_dir_all(dir.join("gangs"))?;
         let deployment = Self {
             network,
-            programs,
+            bin_dir: bin_dir.to_owned(),
             entries,
             workers,
             processes,
@@ -135,7 +122,7 @@
         };
         let listen = deployment.store_address();
         let args = ["platform-store", "--listen", &listen];
-        deployment.processes.spawn("store", "store", &deployment.programs.standin, &args, &[])?;
+        deployment.processes.spawn("store", "store", &bin_dir.join(STANDIN), &args, &[])?;
         let mut published = false;
         for _ in 0..100 {
             published = deployment.publish_next(&[], &[]).await;
@@ -165,10 +152,6 @@
         self.address(10 + index, 8_521)
     }
 
-    pub fn readiness_address(&self, index: usize) -> String {
-        self.address(10 + index, 8_523)
-    }
-
     /// Returns the address for check-ins at an agent itself, not at the proxy before it.
     pub fn control_address(&self, index: usize) -> String {
         self.address(100 + index, 8_526)
@@ -193,7 +176,7 @@
             Machine::Worker(index) => return self.start_worker(index),
             Machine::Entry(index) => {
                 let front = self.entry_address(index);
-                let readiness = self.readiness_address(index);
+                let readiness = self.address(10 + index, 8_523);
                 ("entry", 10 + index, json!({"front": front, "readiness": readiness}))
             }
             Machine::Agent(index) => ("agent", 100 + index, json!({"control": self.control_address(index)})),
@@ -207,7 +190,13 @@
         fs::write(&path, settings.to_string())?;
         let path = path.display().to_string();
         let variables = [("SORRELLANDING_SETTINGS", path.as_str())];
-        self.processes.spawn(&name, &name, &self.programs.daemon, &["--platform", role], &variables)
+        self.processes.spawn(
+            &name,
+            &name,
+            &self.bin_dir.join("sorrellandd"),
+            &["--platform", role],
+            &variables,
+        )
     }
 
     fn start_worker(&self, index: usize) -> io::Result<()> {
@@ -234,20 +223,15 @@
         ];
         let args: Vec<&str> = ["platform-worker"].into_iter().chain(args.into_iter().flatten()).collect();
         let name = Machine::Worker(index).to_string();
-        self.processes.spawn(&name, &life, &self.programs.standin, &args, &[])
+        self.processes.spawn(&name, &life, &self.bin_dir.join(STANDIN), &args, &[])
     }
 
-    /// Kills the process of a machine. The gangs with members on a killed worker end.
+    /// Kills the process of a machine.
     pub fn kill_machine(&self, machine: Machine) {
-        let name = machine.to_string();
-        let pid = self.processes.pid(&name);
         if let Machine::Worker(index) = machine {
             self.end_life(index);
         }
-        self.processes.kill(&name);
-        if let (Machine::Worker(_), Some(pid)) = (machine, pid) {
-            end_gangs(&self.processes.dir().join("gangs"), &pid.to_string());
-        }
+        self.processes.kill(&machine.to_string());
     }
 
     /// Records that the current incarnation of a worker has ended.
@@ -312,31 +296,8 @@
         let names = entries.chain((1..=self.workers).map(Machine::Agent)).map(|machine| machine.to_string());
         names.filter(|name| self.processes.exit_status(name).is_some()).collect()
     }
-
-    /// Returns the events that the workers printed, by incarnation.
-    pub fn worker_logs(&self) -> BTreeMap<String, String> {
-        let read = |name: &str| {
-            fs::read_to_string(self.processes.dir().join(format!("{name}.log"))).unwrap_or_default()
-        };
-        self.lives().into_iter().map(|life| (life.name.clone(), read(&life.name))).collect()
-    }
 }
 
 fn socket(network: &str, host: usize, port: u16) -> SocketAddr {
     format!("{network}.{host}:{port}").parse().expect("address of a loopback network")
 }
-
-/// Ends the gangs that have a member in the process `pid`.
-fn end_gangs(dir: &Path, pid: &str) {
-    for gang in fs::read_dir(dir).into_iter().flatten().flatten() {
-        let members = fs::read_dir(gang.path()).into_iter().flatten().flatten();
-        let is_member = |path: PathBuf| fs::read_to_string(path).is_ok_and(|text| text == pid);
-        if members.map(|member| member.path()).any(is_member) {
-            let end = gang.path().join(END_FILE);
-            if !end.exists() {
-                // A gang that isn't ended here lapses with its lease.
-                let _ = fs::write(end, "killed");
-            }
-        }
-    }
-}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! The schedule of faults, determined by the seed.
 
 use std::fmt;
+use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -77,128 +78,109 @@
 impl Fault {
     /// Returns the name by which a run can leave the fault out.
     pub fn name(&self) -> String {
-        let kind = |machine: &Machine| match machine {
-            Machine::Entry(_) => "entry",
-            Machine::Agent(_) => "agent",
-            Machine::Worker(_) => "worker",
-        };
-        let machines = |machines: &[Machine]| match machines {
+        let kind = |machine: &Machine| machine.to_string().split('-').next().unwrap_or_default().to_owned();
+        let kinds = |machines: &[Machine]| match machines {
             [first, .., last] if kind(first) != kind(last) => "all".to_owned(),
-            [first, ..] => kind(first).to_owned(),
-            [] => String::new(),
+            machines => machines.first().map(kind).unwrap_or_default(),
         };
         match self {
-            Self::Stop { machines: list, how: Stop::Kill, .. } => format!("{}-kill", machines(list)),
-            Self::Stop { machines: list, .. } => format!("{}-terminate", machines(list)),
-            Self::Suspend { machines: list, .. } => format!("{}-suspend", machines(list)),
+            Self::Stop { machines, how, .. } => format!("{}-{how:?}", kinds(machines)),
+            Self::Suspend { machines, .. } => format!("{}-suspend", kinds(machines)),
             Self::Store { .. } => "store-fault".to_owned(),
             Self::Link { side: Side::Store, .. } => "store-link".to_owned(),
             Self::Link { side: Side::Calls(_), .. } => "calls-link".to_owned(),
             Self::Link { side: Side::Checkins(_), .. } => "checkins-link".to_owned(),
             Self::Reset { .. } => "reset".to_owned(),
-            Self::Checkin { kind, .. } => format!("checkin-{kind}"),
+            Self::Checkin { kind, .. } => format!("checkin-{kind:?}"),
             Self::Publish { .. } => "publish".to_owned(),
         }
+        .to_lowercase()
     }
 }
 
-/// A fault with its time in milliseconds from the start of the run.
-#[derive(Clone, Debug)]
-pub struct Planned {
-    pub at_ms: u64,
-    pub fault: Fault,
-}
+/// Faults with their times in milliseconds from the start of the run, ordered by time.
+pub type Plan = Vec<(u64, Fault)>;
+
+/// Draws a fault of a group for a number of entries and of workers.
+type Draw = fn(&mut StdRng, usize, usize) -> Fault;
 
 /// Groups of faults that overlap in a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Group {
-    Entries,
-    Agents,
-    Workers,
-    Store,
-    Links,
-    Checkins,
-    Publish,
-}
+const GROUPS: [Draw; 7] =
+    [draw_entries, draw_agents, draw_workers, draw_store, draw_links, draw_checkins, draw_publish];
 
-/// Returns the faults of a seed, ordered by time, without those whose name starts with one of `without`.
-pub fn plan(seed: u64, entries: usize, workers: usize, length_ms: u64, without: &[String]) -> Vec<Planned> {
-    use Group::{Agents, Checkins, Entries, Links, Publish, Store, Workers};
+/// Returns the faults of a seed, without those whose name starts with one of `without`.
+pub fn plan(seed: u64, entries: usize, workers: usize, length_ms: u64, without: &[String]) -> Plan {
     let mut rng = StdRng::seed_from_u64(seed);
-    let groups = [Entries, Agents, Workers, Store, Links, Checkins, Publish];
-    let mut chosen: Vec<Group> =
-        groups.into_iter().filter(|_| rng.random_range(0..100) < GROUP_PERCENT).collect();
-    if chosen.is_empty() {
-        chosen.extend(groups.choose(&mut rng));
+    let mut groups = GROUPS.to_vec();
+    groups.retain(|_| rng.random_range(0..100) < GROUP_PERCENT);
+    if groups.is_empty() {
+        groups.extend(GROUPS.choose(&mut rng));
     }
-    let mut planned = Vec::new();
-    for group in chosen {
+    let mut plan = Plan::new();
+    for draw in groups {
         // Each group has a rate of its own, so that seeds differ in what is frequent.
         let mean_ms = rng.random_range(700..4_000);
-        let mut at_ms = FIRST_MS;
-        loop {
-            at_ms += rng.random_range(mean_ms / 4..mean_ms * 2);
-            if (at_ms - FIRST_MS) % (SERIES_MS + PAUSE_MS) >= SERIES_MS {
-                continue;
-            }
-            if at_ms >= length_ms {
-                break;
+        let mut at_ms = FIRST_MS + rng.random_range(0..mean_ms);
+        while at_ms < length_ms {
+            if (at_ms - FIRST_MS) % (SERIES_MS + PAUSE_MS) < SERIES_MS {
+                plan.push((at_ms, draw(&mut rng, entries, workers)));
             }
-            planned.push(Planned { at_ms, fault: draw(&mut rng, group, entries, workers) });
+            at_ms += rng.random_range(mean_ms / 4..mean_ms * 2);
         }
     }
-    planned.retain(|planned| !without.iter().any(|name| planned.fault.name().starts_with(name)));
-    planned.sort_by_key(|planned| planned.at_ms);
-    planned
-}
-
-fn draw(rng: &mut StdRng, group: Group, entries: usize, workers: usize) -> Fault {
-    match group {
-        Group::Entries => draw_processes(rng, (1..=entries).map(Machine::Entry).collect()),
-        Group::Agents => {
-            let agents: Vec<Machine> = (1..=workers).map(Machine::Agent).collect();
-            if rng.random_range(0..12) == 0 {
-                let machines = (1..=entries).map(Machine::Entry).chain(agents).collect();
-                return Fault::Stop { machines, how: Stop::Kill, step_ms: 0, gap_ms: gap(rng) };
-            }
-            draw_processes(rng, agents)
-        }
-        Group::Workers => {
-            let machines = vec![Machine::Worker(rng.random_range(1..=workers))];
-            match rng.random_range(0..3) {
-                0 => Fault::Stop { machines, how: Stop::Kill, step_ms: 0, gap_ms: gap(rng) },
-                1 => Fault::Stop { machines, how: Stop::Terminate, step_ms: 0, gap_ms: gap(rng) },
-                _ => Fault::Suspend { machines, step_ms: 0, ms: suspension(rng) },
-            }
-        }
-        Group::Store => {
-            let ms = rng.random_range(300..4_000);
-            match rng.random_range(0..5) {
-                0 => Fault::Store { faults: json!({"down": true}), ms },
-                1 => Fault::Store { faults: json!({"slow_ms": rng.random_range(50..900)}), ms },
-                2 => Fault::Store { faults: json!({"lose_every": rng.random_range(2..6)}), ms },
-                3 => Fault::Reset { side: Side::Store },
-                _ => Fault::Link { side: Side::Store, rules: draw_rules(rng), ms },
-            }
-        }
-        Group::Links => {
-            let worker = rng.random_range(1..=workers);
-            let side = if rng.random_bool(0.6) { Side::Calls(worker) } else { Side::Checkins(worker) };
-            match rng.random_range(0..5) {
-                0 => Fault::Reset { side },
-                _ => Fault::Link { side, rules: draw_rules(rng), ms: rng.random_range(300..9_000) },
-            }
-        }
-        Group::Checkins => Fault::Checkin {
-            worker: rng.random_range(1..=workers),
-            kind: *Kind::ALL.choose(rng).expect("there are kinds"),
-            seed: rng.random(),
-            restart_agent: rng.random_bool(0.3),
-        },
-        Group::Publish => Fault::Publish { versions: rng.random_range(1..6) },
+    plan.retain(|(_, fault)| !without.iter().any(|name| fault.name().starts_with(name)));
+    plan.sort_by_key(|(at_ms, _)| *at_ms);
+    plan
+}
+
+fn draw_entries(rng: &mut StdRng, entries: usize, _: usize) -> Fault {
+    draw_processes(rng, (1..=entries).map(Machine::Entry).collect())
+}
+
+fn draw_agents(rng: &mut StdRng, entries: usize, workers: usize) -> Fault {
+    let agents: Vec<Machine> = (1..=workers).map(Machine::Agent).collect();
+    if rng.random_range(0..12) > 0 {
+        return draw_processes(rng, agents);
+    }
+    let machines = (1..=entries).map(Machine::Entry).chain(agents).collect();
+    Fault::Stop { machines, how: Stop::Kill, step_ms: 0, gap_ms: gap(rng) }
+}
+
+fn draw_workers(rng: &mut StdRng, _: usize, workers: usize) -> Fault {
+    let worker = rng.random_range(1..=workers);
+    draw_processes(rng, vec![Machine::Worker(worker)])
+}
+
+fn draw_store(rng: &mut StdRng, _: usize, _: usize) -> Fault {
+    let ms = rng.random_range(300..4_000);
+    match rng.random_range(0..5) {
+        0 => Fault::Store { faults: json!({"down": true}), ms },
+        1 => Fault::Store { faults: json!({"slow_ms": rng.random_range(50..900)}), ms },
+        2 => Fault::Store { faults: json!({"lose_every": rng.random_range(2..6)}), ms },
+        3 => Fault::Reset { side: Side::Store },
+        _ => Fault::Link { side: Side::Store, rules: draw_rules(rng), ms },
+    }
+}
+
+fn draw_links(rng: &mut StdRng, _: usize, workers: usize) -> Fault {
+    let worker = rng.random_range(1..=workers);
+    let side = if rng.random_bool(0.6) { Side::Calls(worker) } else { Side::Checkins(worker) };
+    match rng.random_range(0..5) {
+        0 => Fault::Reset { side },
+        _ => Fault::Link { side, rules: draw_rules(rng), ms: rng.random_range(300..9_000) },
     }
 }
 
+fn draw_checkins(rng: &mut StdRng, _: usize, workers: usize) -> Fault {
+    let worker = rng.random_range(1..=workers);
+    let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+    Fault::Checkin { worker, kind, seed: rng.random(), restart_agent: rng.random_bool(0.3) }
+}
+
+fn draw_publish(rng: &mut StdRng, _: usize, _: usize) -> Fault {
+    Fault::Publish { versions: rng.random_range(1..6) }
+}
+
 /// Draws a fault of one, some or all of these machines, at once or in turn.
 fn draw_processes(rng: &mut StdRng, machines: Vec<Machine>) -> Fault {
     let (machines, step_ms) = match rng.random_range(0..6) {
@@ -224,7 +206,7 @@
 fn draw_rules(rng: &mut StdRng) -> Rules {
     let mut rules = Rules { one_in: rng.random_range(1..4), ..Rules::default() };
     match rng.random_range(0..5) {
-        0 => rules.delay = std::time::Duration::from_millis(rng.random_range(20..1_500)),
+        0 => rules.delay = Duration::from_millis(rng.random_range(20..1_500)),
         1 => rules.hold_requests = true,
         2 => rules.hold_responses = true,
         3 => (rules.hold_requests, rules.hold_responses) = (true, true),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,8 @@
 //! What the workers did, read from the lines that they printed.
 
 use std::collections::BTreeMap;
+use std::path::Path;
+use std::{fmt, fs, io};
 
 use crate::deployment::Life;
 
@@ -17,7 +19,10 @@
 /// A run of a subtask; times in milliseconds on the wall clock.
 #[derive(Clone, Debug)]
 pub struct Run {
-    pub task: String,
+    pub job: String,
+    pub occurrence: u64,
+    pub step: usize,
+    pub index: u64,
     pub run: u64,
     pub worker: usize,
     pub life: String,
@@ -35,11 +40,37 @@
         self.end.as_ref().is_some_and(|end| end.how == how)
     }
 
-    /// Returns the job and the number of the step.
-    pub fn job_and_step(&self) -> Option<(&str, u64)> {
-        let mut parts = self.task.split('.');
-        let job = parts.next()?;
-        Some((job, parts.nth(1)?.parse().ok()?))
+    pub fn is_noted(&self) -> bool {
+        self.end.as_ref().is_some_and(|end| end.noted)
+    }
+
+    /// Returns how and when the run ended, as text.
+    pub fn ending(&self) -> String {
+        let end = self.end.as_ref();
+        end.map_or("runs on".to_owned(), |end| format!("ended {} at {}", end.how, end.at_ms))
+    }
+
+    fn parse(life: &Life, line: &str, start_ms: u64) -> Option<Self> {
+        let mut task = field(line, "task")?.split('.');
+        Some(Self {
+            job: task.next()?.to_owned(),
+            occurrence: task.next()?.parse().ok()?,
+            step: task.next()?.parse().ok()?,
+            index: task.next()?.parse().ok()?,
+            run: number(line, "run"),
+            worker: life.worker,
+            life: life.name.clone(),
+            spec: line.split("spec=").nth(1)?.trim_matches('"').to_owned(),
+            start_ms,
+            end: None,
+        })
+    }
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { job, occurrence, step, index, run, start_ms, life, .. } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index} run {run} started at {start_ms} on {life}")
     }
 }
 
@@ -62,41 +93,38 @@
 }
 
 impl History {
-    /// Reads the output of each incarnation.
-    pub fn read(lives: &[Life], logs: &BTreeMap<String, String>) -> Self {
+    /// Reads the output of each incarnation from its log file in `dir`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be read.
+    pub fn read(dir: &Path, lives: &[Life]) -> io::Result<Self> {
         let mut history = Self::default();
         for life in lives {
-            let log = logs.get(&life.name).map(String::as_str).unwrap_or_default();
-            history.read_life(life, log);
+            history.read_life(life, &fs::read_to_string(dir.join(format!("{}.log", life.name)))?);
         }
         history.runs.sort_by_key(|run| run.start_ms);
-        history
+        Ok(history)
     }
 
     fn read_life(&mut self, life: &Life, log: &str) {
         let mut runs: Vec<Run> = Vec::new();
+        let mut positions = BTreeMap::new();
         // Ends that the agent has not acknowledged: number and position in `runs`.
         let mut unnoted: BTreeMap<u64, usize> = BTreeMap::new();
         let (mut leased_until_ms, mut lapsed_ms, mut left_ms) = (0, 0, None);
         for line in log.lines() {
             let at_ms = line.strip_prefix("at_ms=").and_then(|rest| rest.split(' ').next()?.parse().ok());
             let Some(at_ms) = at_ms else { continue };
-            let task = || field(line, "task").unwrap_or_default().to_owned();
+            let task = field(line, "task").unwrap_or_default();
             match field(line, "event").unwrap_or_default() {
-                "started" => runs.push(Run {
-                    task: task(),
-                    run: number(line, "run"),
-                    worker: life.worker,
-                    life: life.name.clone(),
-                    spec: line.split("spec=").nth(1).unwrap_or_default().trim_matches('"').to_owned(),
-                    start_ms: at_ms,
-                    end: None,
-                }),
+                "started" => {
+                    let Some(run) = Run::parse(life, line, at_ms) else { continue };
+                    positions.insert((task, run.run), runs.len());
+                    runs.push(run);
+                }
                 "ended" => {
-                    let (task, run) = (task(), number(line, "run"));
-                    let Some(position) = runs.iter().rposition(|r| r.task == task && r.run == run) else {
-                        continue;
-                    };
+                    let Some(&position) = positions.get(&(task, number(line, "run"))) else { continue };
                     let how = field(line, "how").unwrap_or_default().to_owned();
                     runs[position].end = Some(End { at_ms, how, noted: false });
                     // The end of a run may be printed after a lapse that followed it.
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -137,7 +137,12 @@
 
     /// Returns whether the job was shown in a state that it can't leave.
     pub fn has_ended(&self) -> bool {
-        self.polls.iter().any(|call| matches!(call.state.as_str(), "completed" | "failed" | "cancelled"))
+        self.ended_ms().is_some()
+    }
+
+    /// Returns when the job was first shown in such a state.
+    pub fn ended_ms(&self) -> Option<u64> {
+        ["completed", "failed", "cancelled"].iter().filter_map(|state| self.shown_ms(state)).min()
     }
 }
 
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -15,7 +15,7 @@
 
 use crate::checkins::{self, Kind};
 use crate::deployment::{Deployment, GRACE};
-use crate::faults::{Fault, Machine, Planned, Side, Stop};
+use crate::faults::{Fault, Machine, Plan, Side, Stop};
 use crate::impairments::{Impairments, STORE};
 use crate::lock;
 use crate::proxy::Rules;
@@ -61,14 +61,14 @@
     }
 
     /// Plays the faults at their times and returns when the last one has ended.
-    pub async fn play(self: Arc<Self>, plan: Vec<Planned>) {
+    pub async fn play(self: Arc<Self>, plan: Plan) {
         let start = tokio::time::Instant::now();
         let mut faults = JoinSet::new();
-        for planned in plan {
+        for (at_ms, fault) in plan {
             let player = self.clone();
             faults.spawn(async move {
-                tokio::time::sleep_until(start + Duration::from_millis(planned.at_ms)).await;
-                player.play_fault(planned.fault).await;
+                tokio::time::sleep_until(start + Duration::from_millis(at_ms)).await;
+                player.play_fault(fault).await;
             });
         }
         while let Some(result) = faults.join_next().await {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,15 +7,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Method;
 use sorrelland_standin::clock::wall_ms;
-use sorrelland_web::Client;
 use tokio::sync::watch;
 
 use crate::checks::Evidence;
 use crate::clients::Callers;
-use crate::deployment::{Deployment, MAX_ATTEMPTS, Programs};
+use crate::deployment::{Deployment, MAX_ATTEMPTS};
 use crate::faults;
 use crate::history::History;
 use crate::impairments::Impairments;
@@ -23,9 +20,6 @@
 use crate::lock;
 use crate::play::Player;
 
-/// Time until all processes serve.
-const START_TIMEOUT: Duration = Duration::from_secs(40);
-
 /// Time after the loss of everything within which the platform expects service again, in milliseconds.
 const RECOVERY_MS: u64 = 12_000;
 
@@ -41,7 +35,8 @@
 /// What is run, besides the seed.
 #[derive(Clone, Debug)]
 pub struct Config {
-    pub programs: Programs,
+    /// Directory of `sorrellandd` and `sorrelland-standin`.
+    pub bin_dir: PathBuf,
     pub entries: usize,
     pub workers: usize,
     /// Time in which faults begin.
@@ -86,8 +81,7 @@
 /// Fails if the deployment can't be started or a log can't be written.
 pub async fn run_seed(cfg: &Config, seed: u64) -> io::Result<Outcome> {
     let dir = cfg.logs.join(format!("seed-{seed}-{}", std::process::id()));
-    let deployment = Arc::new(Deployment::start(cfg.programs.clone(), cfg.entries, cfg.workers, &dir).await?);
-    await_ready(&deployment).await?;
+    let deployment = Arc::new(Deployment::start(&cfg.bin_dir, cfg.entries, cfg.workers, &dir).await?);
     let plan = faults::plan(seed, cfg.entries, cfg.workers, cfg.faults.as_millis() as u64, &cfg.without);
     let impairments = Arc::new(Impairments::default());
     let player = Arc::new(Player::new(deployment.clone(), impairments.clone())?);
@@ -117,7 +111,7 @@
     callers.poll_all().await;
 
     let ledger = lock(&callers.ledger).clone();
-    let history = History::read(&deployment.lives(), &deployment.worker_logs());
+    let history = History::read(&dir, &deployment.lives())?;
     let capacity = (130_000, 262_144, WORKER_GPUS);
     let evidence = Evidence { history: &history, ledger: &ledger, impairments: &impairments, capacity };
     let mut broken = evidence.broken_promises();
@@ -129,6 +123,9 @@
             bound.as_millis()
         )
     }));
+    if ledger.values().all(|record| record.accepted_ms().is_none()) {
+        broken.push("no job was accepted".to_owned());
+    }
     broken.extend(lock(&player.failures).iter().cloned());
     broken.extend(deployment.exited().iter().map(|name| format!("{name} ended by itself")));
     let summary = summarize(&ledger, &history, &player, took_ms);
@@ -142,21 +139,6 @@
     Ok(Outcome { seed, summary, broken, dir })
 }
 
-async fn await_ready(deployment: &Deployment) -> io::Result<()> {
-    let client = Client::new(Duration::from_secs(1));
-    let deadline = tokio::time::Instant::now() + START_TIMEOUT;
-    for index in 1..=deployment.entries {
-        let url = format!("http://{}/readiness", deployment.readiness_address(index));
-        while !client.send(Method::GET, &url, &[], Bytes::new()).await.is_ok_and(|r| r.status.is_success()) {
-            if tokio::time::Instant::now() > deadline {
-                return Err(io::Error::other(format!("entry-{index} isn't ready")));
-            }
-            tokio::time::sleep(END_CHECK_INTERVAL).await;
-        }
-    }
-    Ok(())
-}
-
 fn all_ended(ledger: &Ledger) -> bool {
     ledger.values().all(|record| record.has_ended() || record.accepted_ms().is_none())
 }
--- a/crates/sorrelland/tests/soak.rs
+++ b/crates/sorrelland/tests/soak.rs
@@ -3,16 +3,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use sorrelland_soak::deployment::Programs;
 use sorrelland_soak::run::{self, Config};
 
 async fn assert_promises_kept(seed: u64) {
-    let programs = Programs {
-        daemon: Path::new(env!("CARGO_BIN_EXE_sorrellandd")).to_owned(),
-        standin: Path::new(env!("CARGO_BIN_EXE_sorrelland-standin")).to_owned(),
-    };
     let cfg = Config {
-        programs,
+        bin_dir: Path::new(env!("CARGO_BIN_EXE_sorrellandd")).parent().unwrap().to_owned(),
         entries: 3,
         workers: 5,
         faults: Duration::from_secs(30),
--- a/crates/standin/src/gang.rs
+++ b/crates/standin/src/gang.rs
@@ -1,5 +1,5 @@
 //! Members of a gang on several workers, which find each other by files in a directory that the workers share: one
-//! file for each member that is present, and one once the gang has ended.
+//! file with the process ID of each member that is present, and one once the gang has ended.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -8,7 +8,7 @@
 const GANG_WAIT_MS: u64 = 3_000;
 
 /// Name of the file with the reason for the end of a gang.
-pub const END_FILE: &str = "end";
+const END_FILE: &str = "end";
 
 /// A run that works only together with the other members of its gang.
 #[derive(Debug)]
@@ -39,10 +39,15 @@
             Ok(_) => return Some("broken"),
             Err(_) => {}
         }
+        let members = fs::read_dir(&self.dir).into_iter().flatten().flatten();
+        let members: Vec<_> = members.filter_map(|member| fs::read_to_string(member.path()).ok()).collect();
+        if members.iter().any(|pid| !Path::new("/proc").join(pid).exists()) {
+            return Some("broken");
+        }
         if self.working {
             return None;
         }
-        if fs::read_dir(&self.dir).map_or(0, Iterator::count) as u64 >= self.size {
+        if members.len() as u64 >= self.size {
             self.working = true;
             *end_ms = now_ms + self.run_ms;
         }
