--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,180 @@
+//! Checks of the promises on histories of one worker or two, one broken promise each.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use sorrelland_soak::checks::Evidence;
+use sorrelland_soak::deployment::Life;
+use sorrelland_soak::history::History;
+use sorrelland_soak::impairments::Impairments;
+use sorrelland_soak::jobs::{Call, Job, Record, Step};
+
+const JOB: &str = "00000000000000a1";
+
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+
+fn call(at_ms: u64, status: u16, state: &str) -> Call {
+    Call { entry: 1, sent_ms: at_ms, answered_ms: at_ms, status, state: state.to_owned() }
+}
+
+/// A job with two steps of one subtask each, the second after the first, accepted at 10,000 ms.
+fn record() -> Record {
+    let step = |after| Step { count: 1, needs: (1_000, 1_024, 2), after, gang: false };
+    let job = Job {
+        id: JOB.to_owned(),
+        queue: "/orders/",
+        steps: vec![step(vec![]), step(vec![0])],
+        run_ms: 100,
+        spec: "run_ms=100".to_owned(),
+        cancelled_after_ms: None,
+    };
+    Record { submits: vec![call(10_000, 200, "")], ..Record::new(job) }
+}
+
+fn started(at_ms: u64, task: &str, run: u64) -> String {
+    format!("at_ms={at_ms} worker=w event=started task={task} run={run} token=1 spec=\"run_ms=100\"\n")
+}
+
+fn ended(at_ms: u64, task: &str, run: u64, n: u64, how: &str) -> String {
+    format!("at_ms={at_ms} worker=w event=ended task={task} run={run} n={n} how={how}\n")
+}
+
+/// Returns the names of the promises that are broken by what two workers printed and the callers of `record` saw.
+fn broken(first: &str, second: &str, record: Record) -> Vec<String> {
+    let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("sorrelland-checks-{}-{number}", std::process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let lives = [(1, "w-1-1", first), (2, "w-2-1", second)].map(|(worker, name, log)| {
+        fs::write(dir.join(format!("{name}.log")), log).unwrap();
+        Life { worker, name: name.to_owned(), killed_ms: None }
+    });
+    let history = History::read(&dir, &lives).unwrap();
+    fs::remove_dir_all(&dir).unwrap();
+    let ledger = BTreeMap::from([(record.job.id.clone(), record)]);
+    let impairments = Impairments::default();
+    let evidence = Evidence {
+        history: &history,
+        ledger: &ledger,
+        impairments: &impairments,
+        capacity: (4_000, 4_096, 2),
+    };
+    let lines = evidence.broken_promises();
+    lines.iter().map(|line| line.split(':').next().unwrap_or_default().to_owned()).collect()
+}
+
+fn subtask(step: u32) -> String {
+    format!("{JOB}.0.{step}.0")
+}
+
+#[test]
+fn history_of_a_completed_job_keeps_all_promises() {
+    let log = started(10_100, &subtask(0), 1)
+        + &ended(10_200, &subtask(0), 1, 1, "stopped")
+        + &started(10_300, &subtask(0), 2)
+        + &ended(10_400, &subtask(0), 2, 2, "done")
+        + "at_ms=10450 worker=w event=acknowledged n=2\n"
+        + &started(10_500, &subtask(1), 1)
+        + &ended(10_600, &subtask(1), 1, 3, "done");
+    let record = Record { polls: vec![call(10_600, 200, "completed")], ..record() };
+    assert!(broken(&log, "", record).is_empty());
+}
+
+#[test]
+fn twice_while_the_other_run_is_active() {
+    let first = started(10_100, &subtask(0), 1) + &ended(10_300, &subtask(0), 1, 1, "stopped");
+    assert_eq!(broken(&first, &started(10_200, &subtask(0), 2), record()), ["TWICE"]);
+}
+
+#[test]
+fn twice_after_an_end_that_was_noted() {
+    let done = started(10_100, &subtask(0), 1) + &ended(10_200, &subtask(0), 1, 1, "done");
+    let noted = "at_ms=10400 worker=w event=acknowledged n=1\n";
+    let lapsed = "at_ms=10250 worker=w event=lease_lapsed\n";
+    let again = started(10_300, &subtask(0), 2);
+    assert_eq!(broken(&format!("{done}{noted}"), &again, record()), ["TWICE"]);
+    assert!(broken(&done, &again, record()).is_empty());
+    // An end can't be noted any more once the lease has lapsed.
+    assert!(broken(&format!("{done}{lapsed}{noted}"), &again, record()).is_empty());
+}
+
+#[test]
+fn run_ends_with_its_lease_on_a_worker_that_left() {
+    let first = "at_ms=10090 worker=w event=leased until_ms=10150\n".to_owned()
+        + &started(10_100, &subtask(0), 1)
+        + "at_ms=10300 worker=w event=left\n";
+    assert!(broken(&first, &started(10_160, &subtask(0), 2), record()).is_empty());
+    assert_eq!(broken(&first, &started(10_140, &subtask(0), 2), record()), ["TWICE"]);
+}
+
+#[test]
+fn run_numbers_must_rise() {
+    let log = started(10_100, &subtask(0), 2)
+        + &ended(10_200, &subtask(0), 2, 1, "stopped")
+        + &started(10_300, &subtask(0), 1);
+    assert_eq!(broken(&log, "", record()), ["NUMBER"]);
+}
+
+#[test]
+fn start_beyond_capacity_order_and_submission() {
+    let both = started(10_100, &subtask(0), 1) + &started(10_200, &subtask(1), 1);
+    let mut found = broken(&both, "", record());
+    found.sort();
+    assert_eq!(found, ["LIMIT", "ORDER"]);
+    assert_eq!(broken(&started(10_100, &subtask(2), 1), "", record()), ["UNASKED"]);
+    assert_eq!(broken(&started(10_100, "00000000000000b2.0.0.0", 1), "", record()), ["UNASKED"]);
+    let rejected = Record { submits: vec![call(10_000, 429, ""), call(10_050, 503, "")], ..record() };
+    assert_eq!(broken(&started(10_100, &subtask(0), 1), "", rejected), ["REFUSED"]);
+}
+
+#[test]
+fn start_after_the_last_attempt() {
+    let mut log = String::new();
+    for run in 1..=3 {
+        let at_ms = 10_000 + 200 * run;
+        log += &started(at_ms, &subtask(0), run);
+        log += &ended(at_ms + 100, &subtask(0), run, run, "failed");
+        log += &format!("at_ms={} worker=w event=acknowledged n={run}\n", at_ms + 110);
+    }
+    let failed = Record { polls: vec![call(11_000, 200, "failed")], ..record() };
+    assert!(broken(&log, "", failed.clone()).is_empty());
+    assert_eq!(broken(&(log + &started(10_900, &subtask(0), 4)), "", failed), ["BUDGET"]);
+}
+
+#[test]
+fn cancelled_job_must_not_start_or_run_on() {
+    let cancelled = Record {
+        cancels: vec![call(11_000, 200, "")],
+        polls: vec![call(20_000, 200, "cancelled")],
+        ..record()
+    };
+    let late = started(14_001, &subtask(0), 1) + &ended(14_101, &subtask(0), 1, 1, "done");
+    assert_eq!(broken(&late, "", cancelled.clone()), ["UNASKED"]);
+    let runs_on = started(10_500, &subtask(0), 1);
+    assert_eq!(broken(&runs_on, "", cancelled.clone()), ["UNASKED"]);
+    let stopped = started(10_500, &subtask(0), 1) + &ended(14_000, &subtask(0), 1, 1, "stopped");
+    assert!(broken(&stopped, "", cancelled).is_empty());
+}
+
+#[test]
+fn states_that_callers_must_not_see() {
+    let seen = |polls| broken("", "", Record { polls, ..record() });
+    assert_eq!(seen(vec![call(13_001, 410, "")]), ["LOST"]);
+    assert!(seen(vec![call(12_999, 410, "")]).is_empty());
+    assert_eq!(seen(vec![call(13_000, 200, "completed")]), ["MIXED"]);
+    assert_eq!(seen(vec![call(13_000, 200, "failed")]), ["LOST"]);
+    assert_eq!(seen(vec![call(13_000, 200, "cancelled")]), ["LOST"]);
+}
+
+#[test]
+fn gang_member_must_not_wait_in_vain() {
+    let log = started(10_100, &subtask(0), 1) + &ended(13_200, &subtask(0), 1, 1, "alone");
+    assert_eq!(broken(&log, "", record()), ["GANG"]);
+}
+
+#[test]
+fn nothing_starts_on_a_draining_worker() {
+    let drains = "at_ms=10050 worker=w event=draining_acknowledged\n".to_owned();
+    assert!(broken(&(drains.clone() + &started(12_050, &subtask(0), 1)), "", record()).is_empty());
+    assert_eq!(broken(&(drains + &started(12_051, &subtask(0), 1)), "", record()), ["DRAIN"]);
+}
