--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -89,12 +89,11 @@
         let entry = rng.random_range(1..=self.deployment.entries);
         let mut connection = Connection { client: Client::new(TIMEOUT), entry };
         let Some(accepted_ms) = self.submit(&mut connection, &job, &mut rng).await else { return };
-        let repeat_at = rng.random_bool(0.2).then(|| accepted_ms + rng.random_range(500..5_000));
+        let mut repeat_at = rng.random_bool(0.2).then(|| accepted_ms + rng.random_range(500..5_000));
         let mut cancel_at = job.cancelled_after_ms.map(|after_ms| {
             let at = accepted_ms + after_ms;
             if rng.random_bool(0.5) { at.next_multiple_of(CANCEL_WAVE_MS) } else { at }
         });
-        let mut repeat_at = repeat_at;
         let mut late_polls = 0;
         while late_polls < LATE_POLLS && *self.running.borrow() {
             tokio::time::sleep(Duration::from_millis(rng.random_range(100..1_200))).await;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,6 +32,9 @@
 /// Time between SIGTERM and SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(6);
 
+/// Time until the store responds.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
@@ -86,8 +89,8 @@
     calls: Vec<Proxy>,
     checkins: Vec<Proxy>,
     lives: Mutex<Vec<Life>>,
-    /// Newest version of the desired state.
-    version: Mutex<u64>,
+    /// Version of the next desired state.
+    version: AtomicU64,
 }
 
 impl Deployment {
@@ -98,14 +101,15 @@
     /// Fails if an address can't be used or a program can't be started.
     pub async fn start(bin_dir: &Path, entries: usize, workers: usize, dir: &Path) -> io::Result<Self> {
         let network = new_network();
-        let address = |host: usize, port: u16| socket(&network, host, port);
-        let mut calls = Vec::new();
-        let mut checkins = Vec::new();
+        let proxy = async |host: usize, listen: u16, target: u16| {
+            Proxy::start(socket(&network, host, listen), socket(&network, host, target)).await
+        };
+        let (mut calls, mut checkins) = (Vec::new(), Vec::new());
         for worker in 1..=workers {
-            calls.push(Proxy::start(address(100 + worker, 9_000), address(100 + worker, 8_000)).await?);
-            checkins.push(Proxy::start(address(100 + worker, 9_526), address(100 + worker, 8_526)).await?);
+            calls.push(proxy(100 + worker, 9_000, 8_000).await?);
+            checkins.push(proxy(100 + worker, 9_526, 8_526).await?);
         }
-        let store = Proxy::start(address(1, 7_200), address(1, 7_100)).await?;
+        let store = proxy(1, 7_200, 7_100).await?;
         let processes = Processes::new(dir)?;
         fs::create_dir_all(dir.join("gangs"))?;
         let deployment = Self {
@@ -118,29 +122,21 @@
             calls,
             checkins,
             lives: Mutex::default(),
-            version: Mutex::default(),
+            version: AtomicU64::new(1),
         };
         let listen = deployment.store_address();
         let args = ["platform-store", "--listen", &listen];
         deployment.processes.spawn("store", "store", &bin_dir.join(STANDIN), &args, &[])?;
-        let mut published = false;
-        for _ in 0..100 {
-            published = deployment.publish_next(&[], &[]).await;
-            if published {
-                break;
+        let deadline = tokio::time::Instant::now() + START_TIMEOUT;
+        while !deployment.publish_next(&[], &[]).await {
+            if tokio::time::Instant::now() > deadline {
+                return Err(io::Error::other("the store does not respond"));
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        if !published {
-            return Err(io::Error::other("the store does not respond"));
-        }
-        for index in 1..=entries {
-            deployment.start_machine(Machine::Entry(index))?;
-        }
-        for index in 1..=workers {
-            deployment.start_machine(Machine::Worker(index))?;
-            deployment.start_machine(Machine::Agent(index))?;
-        }
+        let entries = (1..=entries).map(Machine::Entry);
+        let workers = (1..=workers).flat_map(|index| [Machine::Worker(index), Machine::Agent(index)]);
+        entries.chain(workers).try_for_each(|machine| deployment.start_machine(machine))?;
         Ok(deployment)
     }
 
@@ -190,40 +186,23 @@
         fs::write(&path, settings.to_string())?;
         let path = path.display().to_string();
         let variables = [("SORRELLANDING_SETTINGS", path.as_str())];
-        self.processes.spawn(
-            &name,
-            &name,
-            &self.bin_dir.join("sorrellandd"),
-            &["--platform", role],
-            &variables,
-        )
+        let daemon = self.bin_dir.join("sorrellandd");
+        self.processes.spawn(&name, &name, &daemon, &["--platform", role], &variables)
     }
 
     fn start_worker(&self, index: usize) -> io::Result<()> {
-        let life = {
-            let mut lives = lock(&self.lives);
-            let number = 1 + lives.iter().filter(|life| life.worker == index).count();
-            let name = format!("w-{index}-{number}");
-            lives.push(Life { worker: index, name: name.clone(), killed_ms: None });
-            name
-        };
+        let life = format!("w-{index}-{}", 1 + self.count_lives(index));
+        lock(&self.lives).push(Life { worker: index, name: life.clone(), killed_ms: None });
         let (listen, announce) = (self.worker_address(index), self.address(100 + index, 9_526));
         let gang_dir = self.processes.dir().join("gangs").display().to_string();
         // Every third worker has the slowest clock that the platform allows.
         let clock = if index.is_multiple_of(3) { "98" } else { "100" };
         let rack = format!("r{}", (index - 1) / 3 + 1);
-        let args = [
-            ["--listen", &listen],
-            ["--announce", &announce],
-            ["--name", &life],
-            ["--rack", &rack],
-            ["--accelerators", "4"],
-            ["--clock-percent", clock],
-            ["--gang-dir", &gang_dir],
-        ];
-        let args: Vec<&str> = ["platform-worker"].into_iter().chain(args.into_iter().flatten()).collect();
-        let name = Machine::Worker(index).to_string();
-        self.processes.spawn(&name, &life, &self.bin_dir.join(STANDIN), &args, &[])
+        let names = ["--listen", &listen, "--announce", &announce, "--name", &life, "--rack", &rack];
+        let sizes = ["--accelerators", "4", "--clock-percent", clock, "--gang-dir", &gang_dir];
+        let args = [&["platform-worker"], &names[..], &sizes[..]].concat();
+        let (name, standin) = (Machine::Worker(index).to_string(), self.bin_dir.join(STANDIN));
+        self.processes.spawn(&name, &life, &standin, &args, &[])
     }
 
     /// Kills the process of a machine.
@@ -246,19 +225,15 @@
         lock(&self.lives).clone()
     }
 
-    /// Returns whether a worker has an earlier incarnation.
-    pub fn has_earlier_life(&self, worker: usize) -> bool {
-        lock(&self.lives).iter().filter(|life| life.worker == worker).count() > 1
+    /// Returns the number of incarnations of a worker so far.
+    pub fn count_lives(&self, worker: usize) -> usize {
+        lock(&self.lives).iter().filter(|life| life.worker == worker).count()
     }
 
     /// Publishes the next version of the desired state, with additional keys and queues; returns whether the store
     /// acknowledged it.
     pub async fn publish_next(&self, keys: &[String], queues: &[String]) -> bool {
-        let version = {
-            let mut version = lock(&self.version);
-            *version += 1;
-            *version
-        };
+        let version = self.version.fetch_add(1, Ordering::Relaxed);
         let route = |prefix: &str, priority: u32| {
             json!({"name": prefix.trim_matches('/'), "host": HOST, "path_prefix": prefix, "service": "svc",
                 "priority": priority, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0, "full_credit_ms": 1_000})
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -21,6 +21,9 @@
 /// Share of the seeds in which a group of faults occurs, in percent.
 const GROUP_PERCENT: u32 = 60;
 
+/// Share of late check-ins among the unexpected ones.
+const LATE_CHECKIN_SHARE: f64 = 0.3;
+
 /// A part of the deployment with one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Machine {
@@ -173,8 +176,10 @@
 
 fn draw_checkins(rng: &mut StdRng, _: usize, workers: usize) -> Fault {
     let worker = rng.random_range(1..=workers);
-    let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
-    Fault::Checkin { worker, kind, seed: rng.random(), restart_agent: rng.random_bool(0.3) }
+    // Late ones are frequent, since the others are rejected or shouldn't occur at all.
+    let late = rng.random_bool(LATE_CHECKIN_SHARE);
+    let kind = if late { Kind::Late } else { Kind::ALL[rng.random_range(0..Kind::ALL.len())] };
+    Fault::Checkin { worker, kind, seed: rng.random(), restart_agent: rng.random_bool(0.5) }
 }
 
 fn draw_publish(rng: &mut StdRng, _: usize, _: usize) -> Fault {
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -90,15 +90,12 @@
                 self.play_in_turn(machines, step_ms, |machine| self.suspend(machine, ms)).await
             }
             Fault::Store { faults, ms } => {
-                let set = async |faults: &serde_json::Value| {
-                    if !self.deployment.set_store_faults(faults).await {
-                        lock(&self.failures).push("the store did not take its faults".to_owned());
-                    }
-                };
                 self.impair("store-fault", STORE, async {
-                    set(&faults).await;
+                    let set = self.deployment.set_store_faults(&faults).await;
                     tokio::time::sleep(Duration::from_millis(ms)).await;
-                    set(&json!({})).await;
+                    if !self.deployment.set_store_faults(&json!({})).await || !set {
+                        lock(&self.failures).push("the store did not take its faults".to_owned());
+                    }
                 })
                 .await
             }
@@ -116,7 +113,7 @@
                 self.impair(&format!("{side:?}"), &impaired_part(side), async { proxy.reset() }).await
             }
             Fault::Checkin { worker, kind, seed, restart_agent } => {
-                if kind == Kind::Late && !self.deployment.has_earlier_life(worker) {
+                if kind == Kind::Late && self.deployment.count_lives(worker) < 2 {
                     self.stop(Machine::Worker(worker), Stop::Kill, 0).await;
                 }
                 if restart_agent {
@@ -190,18 +187,13 @@
                 }
             }
             tokio::time::sleep(Duration::from_millis(gap_ms)).await;
-            self.start(machine);
+            if let Err(e) = self.deployment.start_machine(machine) {
+                lock(&self.failures).push(format!("{machine} could not be started: {e}"));
+            }
         })
         .await
     }
 
-    fn start(&self, machine: Machine) {
-        let started: io::Result<()> = self.deployment.start_machine(machine);
-        if let Err(e) = started {
-            lock(&self.failures).push(format!("{machine} could not be started: {e}"));
-        }
-    }
-
     async fn suspend(&self, machine: Machine, ms: u64) -> bool {
         let name = machine.to_string();
         self.impair(&name, &name, async {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,8 +30,6 @@
 /// Mean time between two jobs of a caller. With a caller for each worker, about a third of the accelerators are in use.
 const SUBMIT_INTERVAL: Duration = Duration::from_secs(4);
 
-const END_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// What is run, besides the seed.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -94,20 +92,18 @@
         submitting: submitting.subscribe(),
         running: running.subscribe(),
     });
-    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
+    let mut calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
     tokio::join!(player.clone().play(plan), tokio::time::sleep(cfg.faults));
     submitting.send_replace(false);
     let bound = completion_bound(&lock(&callers.ledger), cfg.workers);
-    let deadline = tokio::time::Instant::now() + bound;
     let mended_ms = wall_ms();
     player.log(&format!("event=mended bound_ms={}", bound.as_millis()));
-    while tokio::time::Instant::now() < deadline && !all_ended(&lock(&callers.ledger)) {
-        tokio::time::sleep(END_CHECK_INTERVAL).await;
-    }
+    // The callers end when all their jobs have.
+    let in_time = tokio::time::timeout(bound, &mut calling).await;
     let took_ms = wall_ms() - mended_ms;
     running.send_replace(false);
-    // A caller that fails has lost its record, which the checks notice.
-    let _ = calling.await;
+    let called = if let Ok(called) = in_time { called } else { calling.await };
+    called.map_err(io::Error::other)?;
     callers.poll_all().await;
 
     let ledger = lock(&callers.ledger).clone();
@@ -139,10 +135,6 @@
     Ok(Outcome { seed, summary, broken, dir })
 }
 
-fn all_ended(ledger: &Ledger) -> bool {
-    ledger.values().all(|record| record.has_ended() || record.accepted_ms().is_none())
-}
-
 /// Returns the time after the last fault within which all accepted jobs end: the platform's bound for the recovery of
 /// everything, then the remaining work with [`BACKLOG_PERCENT`] of the accelerators, and the longest chain of steps
 /// with all attempts.
