Check after the faults that each worker can be used again

An agent that took an unexpected check-in for its worker's next incarnation ignored the worker from then on. Callers saw only lower throughput, which no check showed unless several workers were lost.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::deployment::MAX_ATTEMPTS;
+use crate::deployment::{MAX_ATTEMPTS, rack};
 use crate::faults::Machine;
 use crate::history::{History, Run};
 use crate::impairments::Impairments;
@@ -84,6 +84,9 @@
         if record.is_rejected() {
             broken.push(format!("REFUSED: {run} though its job was rejected"));
         }
+        if !record.job.label.is_empty() && record.job.label != rack(run.worker) {
+            broken.push(format!("ROUTE: {run}, which lacks the label {}", record.job.label));
+        }
         let same_subtask = |other: &Run| (other.step, other.index) == (run.step, run.index);
         // The runs are ordered by their starts.
         let earlier = runs.iter().take_while(|other| !std::ptr::eq(**other, run));
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::deployment::{Deployment, HOST, KEY, PREFIXES};
+use crate::deployment::{Deployment, HOST, KEY, PREFIXES, rack};
 use crate::jobs::{Call, Job, Ledger, Record};
 use crate::lock;
 
@@ -83,6 +83,18 @@
         while followers.join_next().await.is_some() {}
     }
 
+    /// Submits a job to each worker, which shows whether the worker is usable.
+    pub async fn probe_workers(self: Arc<Self>) {
+        let mut followers = JoinSet::new();
+        for worker in 1..=self.deployment.workers {
+            let id = format!("{:08x}fff{worker:05x}", self.seed as u32);
+            let job = Job::probe(id, PREFIXES[0], rack(worker));
+            lock(&self.ledger).insert(job.id.clone(), Record::new(job.clone()));
+            followers.spawn(self.clone().follow(job, self.seed + worker as u64));
+        }
+        while followers.join_next().await.is_some() {}
+    }
+
     /// Submits a job, then polls it until it has ended.
     async fn follow(self: Arc<Self>, job: Job, seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -122,15 +134,16 @@
 
     /// Submits a job until there is a definite answer; returns when it was accepted.
     async fn submit(&self, connection: &mut Connection, job: &Job, rng: &mut StdRng) -> Option<u64> {
-        for _ in 0..MAX_SUBMITS {
+        let is_probe = !job.label.is_empty();
+        for _ in 0..if is_probe { usize::MAX } else { MAX_SUBMITS } {
             let call = self.call(connection, Method::POST, job).await;
             let (status, answered_ms) = (call.status, call.answered_ms);
             self.record(&job.id, |record| record.submits.push(call));
             match status {
                 200..300 => return Some(answered_ms),
-                429 => return None,
+                429 if !is_probe => return None,
                 // Most callers try again, as the answer asks them to.
-                503 if rng.random_bool(0.3) => return None,
+                503 if !is_probe && rng.random_bool(0.3) => return None,
                 _ => tokio::time::sleep(RETRY_DELAY).await,
             }
             if !*self.running.borrow() {
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -67,6 +67,11 @@
     reply.is_ok_and(|reply| reply.status.is_success())
 }
 
+/// Returns the rack of a worker, which no other worker shares, so that a job can require it.
+pub fn rack(worker: usize) -> String {
+    format!("r{worker}")
+}
+
 /// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Life {
@@ -197,7 +202,7 @@
         let gang_dir = self.processes.dir().join("gangs").display().to_string();
         // Every third worker has the slowest clock that the platform allows.
         let clock = if index.is_multiple_of(3) { "98" } else { "100" };
-        let rack = format!("r{}", (index - 1) / 3 + 1);
+        let rack = rack(index);
         let names = ["--listen", &listen, "--announce", &announce, "--name", &life, "--rack", &rack];
         let sizes = ["--accelerators", "4", "--clock-percent", clock, "--gang-dir", &gang_dir];
         let args = [&["platform-worker"], &names[..], &sizes[..]].concat();
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -12,6 +12,9 @@
 /// Accelerators of a worker.
 pub const WORKER_GPUS: u64 = 4;
 
+/// Run time of the job that shows whether a worker is usable, in milliseconds.
+const PROBE_MS: u64 = 100;
+
 /// A step of a job.
 #[derive(Clone, Debug)]
 pub struct Step {
@@ -30,6 +33,8 @@
     pub run_ms: u64,
     /// Text for the subtasks.
     pub spec: String,
+    /// Label that its workers must have; empty for none.
+    pub label: String,
     /// Whether its caller cancels it some time after it was accepted.
     pub cancelled_after_ms: Option<u64>,
 }
@@ -65,14 +70,23 @@
         };
         let queue = queues[rng.random_range(0..queues.len())];
         let cancelled_after_ms = rng.random_bool(0.15).then(|| rng.random_range(0..4_000));
-        Self { spec: format!("job={id} run_ms={run_ms}{note}"), id, queue, steps, run_ms, cancelled_after_ms }
+        let (spec, label) = (format!("job={id} run_ms={run_ms}{note}"), String::new());
+        Self { id, queue, steps, run_ms, spec, label, cancelled_after_ms }
+    }
+
+    /// Returns a short job that only the worker with this label can run.
+    pub fn probe(id: String, queue: &'static str, label: String) -> Self {
+        let steps = vec![Step { count: 1, needs: (100, 10, 0), after: Vec::new(), gang: false }];
+        let spec = format!("job={id} run_ms={PROBE_MS}");
+        Self { id, queue, steps, run_ms: PROBE_MS, spec, label, cancelled_after_ms: None }
     }
 
     pub fn body(&self) -> Value {
         let steps = self.steps.iter().map(|step| {
             let (cpu, memory_mb, gpu) = step.needs;
             json!({"count": step.count, "cpu": cpu, "memory_request_mb": memory_mb, "gpu": gpu,
-                "estimate_ms": self.run_ms, "after": step.after, "gang_scheduled": step.gang})
+                "estimate_ms": self.run_ms, "after": step.after, "gang_scheduled": step.gang,
+                "requirements": self.label})
         });
         json!({"task_spec": self.spec, "steps": steps.collect::<Vec<_>>()})
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures::future::join;
 use sorrelland_standin::clock::wall_ms;
 use tokio::sync::watch;
 
@@ -92,9 +93,11 @@
         submitting: submitting.subscribe(),
         running: running.subscribe(),
     });
-    let mut calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
+    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
     tokio::join!(player.clone().play(plan), tokio::time::sleep(cfg.faults));
     submitting.send_replace(false);
+    let probing = tokio::spawn(callers.clone().probe_workers());
+    let mut calling = join(calling, probing);
     let bound = completion_bound(&lock(&callers.ledger), cfg.workers);
     let mended_ms = wall_ms();
     player.log(&format!("event=mended bound_ms={}", bound.as_millis()));
@@ -102,8 +105,8 @@
     let in_time = tokio::time::timeout(bound, &mut calling).await;
     let took_ms = wall_ms() - mended_ms;
     running.send_replace(false);
-    let called = if let Ok(called) = in_time { called } else { calling.await };
-    called.map_err(io::Error::other)?;
+    let (called, probed) = if let Ok(called) = in_time { called } else { calling.await };
+    called.and(probed).map_err(io::Error::other)?;
     callers.poll_all().await;
 
     let ledger = lock(&callers.ledger).clone();
@@ -119,6 +122,10 @@
             bound.as_millis()
         )
     }));
+    let unusable = ledger.values().filter(|r| !r.job.label.is_empty() && r.accepted_ms().is_none());
+    broken.extend(unusable.map(|record| {
+        format!("RECOVER: nothing can run on {} {took_ms} ms after the faults", record.job.label)
+    }));
     if ledger.values().all(|record| record.accepted_ms().is_none()) {
         broken.push("no job was accepted".to_owned());
     }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -27,6 +27,7 @@
         steps: vec![step(vec![]), step(vec![0])],
         run_ms: 100,
         spec: "run_ms=100".to_owned(),
+        label: String::new(),
         cancelled_after_ms: None,
     };
     Record { submits: vec![call(10_000, 200, "")], ..Record::new(job) }
@@ -127,6 +128,14 @@
     assert_eq!(broken(&started(10_100, &subtask(0), 1), "", rejected), ["REFUSED"]);
 }
 
+#[test]
+fn start_on_a_worker_without_the_label() {
+    let mut labelled = record();
+    labelled.job.label = "r1".to_owned();
+    assert!(broken(&started(10_100, &subtask(0), 1), "", labelled.clone()).is_empty());
+    assert_eq!(broken("", &started(10_100, &subtask(0), 1), labelled), ["ROUTE"]);
+}
+
 #[test]
 fn start_after_the_last_attempt() {
     let mut log = String::new();
