daemon: hold a fenced gang until its worker has stopped it

Callers' jobs ran a second time beside their first run when a gang was stopped on a worker that didn't answer: its tasks went on until their lease ended, while the job waited again and was placed on another worker.

Cause: an agent released the gang as soon as it was fenced, answered the entry's stop, and only logged that the worker had not confirmed it. The entry took the answer of every member for the end of the tasks.

Change: an agent repeats the stop and reports the epoch as held until the worker has confirmed the stop of every task (or lists no such task) or their lease is over, and refuses another epoch of the job for that time. The entry asks again while a member holds the gang. An agent answers a stop within 0.7 s, also if the worker doesn't answer, so that it isn't taken for unreachable, and the commit point is told of a yield while the stop goes on. The messages stay as they are.

--- a/crates/daemon/src/agent/authority.rs
+++ b/crates/daemon/src/agent/authority.rs
@@ -8,7 +8,7 @@
 use sorrelland_core::shape::Amount;
 use sorrelland_core::table::Class;
 use sorrelland_core::tick::{Cause, URGENT_GRACE_MS};
-use sorrelland_lease::{CommitPoint, Epoch, Member, RenewalReply};
+use sorrelland_lease::{CommitPoint, Epoch, Member, Phase, Refusal, RenewalReply};
 use sorrelland_wire::agent::{AgentConfig, GangStatus, Renew, Reserve, ReserveReply};
 
 /// Retention time of the record of a job without a grant, from the last use of the record.
@@ -17,6 +17,9 @@
 /// Time after the grace period for which the freed resources stay set aside for the pending reservation.
 const PENDING_MARGIN_MS: Millis = 3_000;
 
+/// Time by which a task's lease on the worker may end later than the hold: the call that sets it may arrive late.
+const TASK_LEASE_MARGIN_MS: Millis = 1_500;
+
 /// Resources of the worker that a gang holds.
 #[derive(Clone, Debug)]
 pub struct Grant {
@@ -85,6 +88,8 @@
     /// Number of the latest report to the entries; every change that they must see increments it.
     pub report_number: u64,
     pending: BTreeMap<JobId, PendingReservation>,
+    /// Fenced gangs whose tasks the worker has not confirmed as stopped, with the time at which their lease is over.
+    unconfirmed_stops: BTreeMap<JobId, (Epoch, Millis)>,
     lease_ms: Millis,
     grace_ms: Millis,
 }
@@ -103,6 +108,7 @@
             stopping: false,
             report_number: 1,
             pending: BTreeMap::new(),
+            unconfirmed_stops: BTreeMap::new(),
             lease_ms,
             grace_ms,
         }
@@ -129,6 +135,9 @@
         if self.grants.get(&r.job).is_some_and(|grant| grant.reserve.epoch == r.epoch) {
             return without_yielding(ReserveReply::Held);
         }
+        if let Some((held, _)) = self.unconfirmed_stops.get(&r.job) {
+            return without_yielding(ReserveReply::Refused(Refusal::OtherEpoch { held: *held }));
+        }
         if self.config.is_none() {
             return without_yielding(ReserveReply::NoConfig);
         }
@@ -247,11 +256,27 @@
         if self.pending.get(job).is_some_and(|reservation| reservation.epoch <= epoch) {
             self.pending.remove(job);
         }
-        self.member.fence(job, epoch)?;
+        let hold = self.member.fence(job, epoch)?;
+        if hold.phase == Phase::Running {
+            self.unconfirmed_stops
+                .insert(job.clone(), (hold.epoch, hold.lease_end_ms + TASK_LEASE_MARGIN_MS));
+        }
         self.report_number += 1;
         self.grants.remove(job)
     }
 
+    /// Returns whether tasks of a fenced epoch may still run.
+    pub fn is_stopping(&self, job: &JobId, epoch: Epoch) -> bool {
+        self.unconfirmed_stops.get(job).is_some_and(|(stopping, _)| *stopping == epoch)
+    }
+
+    /// Records that the worker has confirmed the stop of an epoch's tasks.
+    pub fn record_stopped(&mut self, job: &JobId, epoch: Epoch) {
+        if self.is_stopping(job, epoch) {
+            self.unconfirmed_stops.remove(job);
+        }
+    }
+
     /// Frees the resources of a gang after its commit point has acknowledged the end of its tasks.
     pub fn release(&mut self, job: &JobId, epoch: Epoch) {
         self.member.fence(job, epoch);
@@ -274,11 +299,13 @@
             record.last_use_ms = now_ms;
         }
         let record = self.jobs.get(job);
+        let hold = self.member.holds().get(job).map(|hold| (hold.epoch, hold.phase));
+        let stopping = self.unconfirmed_stops.get(job).map(|(epoch, _)| (*epoch, Phase::Running));
         GangStatus {
             gang: self.commit_point.state(job),
             ever_committed: self.commit_point.ever_committed(job),
             failed: record.and_then(|r| r.failed.clone()),
-            hold: self.member.holds().get(job).map(|hold| (hold.epoch, hold.phase)),
+            hold: hold.or(stopping),
             min_unfenced_epoch: self.member.min_unfenced_epoch(job),
             done_ms: record.map_or(0, |r| r.done_ms),
         }
@@ -295,6 +322,7 @@
             }
         }
         self.pending.retain(|_, reservation| reservation.expires_ms > now_ms);
+        self.unconfirmed_stops.retain(|_, (_, lease_end_ms)| *lease_end_ms > now_ms);
         let expired = self.member.expire(now_ms);
         if !expired.is_empty() {
             self.report_number += 1;
--- a/crates/daemon/src/agent/gang.rs
+++ b/crates/daemon/src/agent/gang.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use sorrelland_core::id::JobId;
 use sorrelland_core::policy::Millis;
 use sorrelland_lease::{Epoch, Phase, RenewalReply};
+use sorrelland_web::client::Error;
 use sorrelland_wire::agent::{AgentConfig, Renew, Reserve, ReserveReply};
 use sorrelland_wire::connect::call_context;
 
@@ -275,10 +277,10 @@
         self.checkpoint(&grant, Duration::from_millis(remaining_ms)).await;
         let commit_point = &grant.reserve.commit_point;
         let epoch = grant.reserve.epoch;
-        self.fence(job, epoch).await;
         let address =
             grant.reserve.members.iter().find(|m| m.worker == *commit_point).map(|m| m.address.clone());
-        if let Some(address) = address.filter(|_| *commit_point != self.worker_id) {
+        let notify_commit_point = async {
+            let Some(address) = address.filter(|_| *commit_point != self.worker_id) else { return };
             let job = job.clone();
             let call = self.peers.call(&address, |peer| async move {
                 peer.stop(call_context(CALL_TIMEOUT), job, epoch).await
@@ -288,7 +290,9 @@
                     "commit point at {address} was not notified and stops the gang when the lease expires: {e}"
                 );
             }
-        }
+        };
+        // The stop takes as long as the lease if the worker does not answer.
+        tokio::join!(self.fence(job, epoch), notify_commit_point);
     }
 
     /// Fences an epoch and all older ones, and stops their tasks on this worker.
@@ -297,21 +301,31 @@
         if let Some(grant) = grant {
             log::info!(job = job.as_str(); "stopping epoch {epoch}");
             self.stop_tasks(&grant).await;
+            lock(&self.authority).record_stopped(job, grant.reserve.epoch);
         }
     }
 
+    /// Stops the tasks of a fenced gang; returns once the worker has confirmed it or their lease is over.
     async fn stop_tasks(&self, grant: &Grant) {
         if grant.reserve.preemptible {
             self.checkpoint(grant, CALL_TIMEOUT).await;
         }
+        let (job, epoch) = (&grant.reserve.job, grant.reserve.epoch);
         for task in grant.tasks() {
-            self.stop_task(&grant.reserve.job, &task).await;
+            while !self.stop_task(job, &task).await && lock(&self.authority).is_stopping(job, epoch) {
+                tokio::time::sleep(TASK_POLL_INTERVAL).await;
+            }
         }
     }
 
-    async fn stop_task(&self, job: &JobId, task: &str) {
-        if let Err(e) = self.worker.stop(task).await {
-            log::warn!(job = job.as_str(); "task {task} was not stopped and runs until its lease expires: {e}");
+    /// Stops a task; returns whether the worker no longer runs it.
+    async fn stop_task(&self, job: &JobId, task: &str) -> bool {
+        match self.worker.stop(task).await {
+            Ok(()) | Err(Error::Status { status: StatusCode::NOT_FOUND, .. }) => true,
+            Err(e) => {
+                log::warn!(job = job.as_str(); "task {task} was not stopped and runs until its lease expires: {e}");
+                false
+            }
         }
     }
 
--- a/crates/daemon/src/agent/service.rs
+++ b/crates/daemon/src/agent/service.rs
@@ -1,6 +1,7 @@
 //! RPC service of the agent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sorrelland_core::id::JobId;
 use sorrelland_lease::{Epoch, GangState, RenewalReply};
@@ -15,6 +16,9 @@
 use crate::agent::Agent;
 use crate::sync::lock;
 
+/// Maximum time for which the reply to a stop waits until the worker has confirmed it; below the callers' time-outs.
+const MAX_STOP_WAIT: Duration = Duration::from_millis(700);
+
 #[derive(Clone)]
 struct Service(Arc<Agent>);
 
@@ -62,8 +66,9 @@
         let agent = self.0;
         let fencing_agent = agent.clone();
         let fenced_job = job.clone();
+        // A separate task, since the stop must be completed even if the worker confirms it after the reply.
         let run = tokio::spawn(async move { fencing_agent.fence(&fenced_job, epoch).await });
-        if let Err(e) = run.await {
+        if let Ok(Err(e)) = tokio::time::timeout(MAX_STOP_WAIT, run).await {
             log::error!(job = job.as_str(); "stop was not completed: {e}");
         }
         let now_ms = agent.now_ms();
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -374,6 +374,13 @@
             tokio::time::sleep(delay).await;
             statuses.extend(self.stop_all(gang).await);
         }
+        // A member that has fenced the gang still holds it until its worker has stopped the tasks.
+        let holds_gang = |status: &GangStatus| status.hold.is_some_and(|(epoch, _)| epoch <= gang.epoch);
+        let stopped_by = Instant::now() + self.settings.agent.lease * LEASES_UNTIL_STOPPED + CALL_TIMEOUT;
+        while statuses.values().any(holds_gang) && Instant::now() < stopped_by {
+            tokio::time::sleep(STATUS_POLL_INTERVAL).await;
+            statuses.extend(self.stop_all(gang).await);
+        }
         let own_status =
             commit_status.as_ref().filter(|status| status.gang.map(|(e, _)| e) == Some(gang.epoch));
         if let Some(status) = own_status {
--- a/crates/sorrelland/tests/common/mod.rs
+++ b/crates/sorrelland/tests/common/mod.rs
@@ -56,7 +56,13 @@
     /// Starts log, entries, workers and agents, waits until each entry reports all workers, and creates the
     /// accounts.
     pub async fn start(entries: usize, workers: usize) -> Self {
-        let mut env = Self::new(entries);
+        Self::new(entries).start_all(workers).await
+    }
+
+    /// Starts the processes of [`TestEnv::start`], with the lease set in `lease_ms`.
+    pub async fn start_all(self, workers: usize) -> Self {
+        let entries = self.entries;
+        let mut env = self;
         env.start_log().await;
         for index in 1..=entries {
             env.start_entry(index);
--- a/crates/sorrelland/tests/failure.rs
+++ b/crates/sorrelland/tests/failure.rs
@@ -399,3 +399,36 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn preempt_on_unresponsive_worker_runs_job_again_only_after_its_lease() {
+    let mut env = TestEnv::new(1);
+    env.lease_ms = 6_000;
+    let env = env.start_all(2).await;
+    env.submit(1, "long", gang(1, 20_000)).await.unwrap();
+    let start_of = async |env: &TestEnv, job: &str| {
+        env.history(2).await.into_iter().find(|e| e.kind == "start" && e.subject.contains(job))
+    };
+    eventually(Duration::from_secs(5), "long job runs", async || start_of(&env, "long").await.is_some())
+        .await;
+    let worker = start_of(&env, "long").await.unwrap().worker;
+    let mut short = gang(1, 1_500);
+    short["preemptible"] = json!(false);
+    env.submit(1, "short", short).await.unwrap();
+    eventually(Duration::from_secs(5), "short job runs", async || start_of(&env, "short").await.is_some())
+        .await;
+    env.signal(&worker, Signal::SIGSTOP);
+    let mut urgent = gang(1, 100);
+    urgent["class"] = json!("urgent");
+    env.submit(1, "urgent", urgent).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    env.signal(&worker, Signal::SIGCONT);
+    eventually(Duration::from_secs(10), "long job runs again", async || {
+        let starts = env.history(2).await.into_iter().filter(|e| e.kind == "start");
+        starts.filter(|e| e.subject.contains("long")).count() == 2
+    })
+    .await;
+    let members = BTreeMap::from([("chandler/long".to_owned(), 1)]);
+    let events = env.history(2).await;
+    assert_eq!(violations(&events, &members, stop_bound_ms(&env)), Vec::<String>::new());
+}
--- a/crates/wire/src/agent.rs
+++ b/crates/wire/src/agent.rs
@@ -141,7 +141,8 @@
     pub ever_committed: bool,
     /// Why the gang failed.
     pub failed: Option<String>,
-    /// Epoch and phase that this agent holds as a member.
+    /// Epoch and phase that this agent holds as a member; a fenced epoch stays until the worker has confirmed the stop of
+    /// its tasks or their lease is over.
     pub hold: Option<(Epoch, Phase)>,
     /// Lowest epoch that this agent has not fenced.
     #[serde(rename = "least_epoch")]
