Show that a refused start hides an earlier one in flight (failing)

A subtask can start a second time beside its first run: a start without an answer may still be executed seconds later; a repeat of it that the worker refuses for want of room makes the agent check with one poll that the run is absent, and report it as not started; the planner places it elsewhere, and then the first start is executed. Only a stop that was answered, or a refusal as `old`, makes the worker reject a start that arrives late.

--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -32,6 +32,8 @@
     /// Executed after this many milliseconds; no answer arrives.
     Late(u64),
     Lost,
+    /// The worker refuses a start for want of room, and does nothing.
+    Refused,
 }
 
 #[derive(Clone, Debug)]
@@ -315,7 +317,7 @@
                 }
                 Delivery::AnswerLost => self.worker.stop(self.now, &key),
                 Delivery::Late(ms) => self.late.push((self.now + ms, LateCall::Stop(key))),
-                Delivery::Lost => (),
+                Delivery::Lost | Delivery::Refused => (),
             }
             return;
         }
@@ -337,6 +339,7 @@
             Delivery::AnswerLost => _ = self.worker.start(self.now, &key, lease_end),
             Delivery::Late(ms) => self.late.push((self.now + ms, LateCall::Start(key, lease_end))),
             Delivery::Lost => (),
+            Delivery::Refused => self.agent.expect_absence(INCARNATION, &start.task, start.run, "room"),
         }
     }
 
@@ -427,3 +430,19 @@
         Op::Wait(1),
     ]);
 }
+
+/// Guards against taking a run for not started after a refusal, while an earlier start of it may still arrive.
+#[test]
+fn build_report_waits_for_an_unanswered_start_after_a_refusal() {
+    run_history(&[
+        Op::Poll { answered: true },
+        Op::Assign(0),
+        Op::Report { answered: true },
+        Op::Call(Delivery::Late(1_500)),
+        Op::Wait(700),
+        Op::Call(Delivery::Refused),
+        Op::Poll { answered: true },
+        Op::Report { answered: true },
+        Op::Wait(2_000),
+    ]);
+}
