Test the order of agent processes over real connections

The test drives two agent processes against a planner as a separate process: one that connected earlier and reports later gets no reply, and is believed again once it has connected anew.

--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
+use sorrelland_control::calls::{EntryPool, ReportReply, call};
 
 fn job(number: u32) -> String {
     format!("{number:016x}")
@@ -411,3 +412,36 @@
     platform.env.kill("worker-1");
     platform.await_state(&job(1), "completed", Duration::from_secs(20)).await;
 }
+
+/// Sends the first report of an agent process, which names a worker of its own; returns the worker that the planner
+/// assigns runs to, or `None` without a reply.
+async fn report_as(pool: &EntryPool, planner: &str, process: u64) -> Option<String> {
+    let report = json!({
+        "agent": "agent-x", "agent_life": process, "seq": 1, "running": [], "ended": [], "gone": [],
+        "worker": {
+            "life": format!("w-{process}"), "service": "svc", "domain": "haiphong-a", "labels": ["a", "r1"],
+            "capacity": {"millicores": 0, "memory_mb": 0, "accelerators": 0}, "draining": true,
+            "remaining_ms": null,
+        },
+    });
+    let report = serde_json::from_value(report).unwrap();
+    let timeout = Duration::from_millis(1_200);
+    match call(pool, planner, timeout, async |rpc, cx| rpc.report(cx, report).await).await {
+        Ok(ReportReply::Assignments { assignments, .. }) => assignments.map(|known| known.incarnation),
+        Ok(ReportReply::NotPlanner(leader)) => panic!("not the planner: {leader:?}"),
+        Err(_) => None,
+    }
+}
+
+#[tokio::test]
+async fn report_of_earlier_agent_process_counts_only_after_it_reconnects() {
+    let platform = Platform::start(2, 1).await;
+    let planner = platform.env.address(10 + platform.leader(), 7_000);
+    let [earlier, later] = [(); 2].map(|()| EntryPool::new(&platform.store_address()));
+    // Both processes connect before the first of them reports.
+    earlier.get(&planner).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert_eq!(report_as(&later, &planner, 2).await.as_deref(), Some("w-2"));
+    assert_eq!(report_as(&earlier, &planner, 1).await, None, "the report of an ended process counted");
+    assert_eq!(report_as(&earlier, &planner, 1).await.as_deref(), Some("w-1"), "no way back after it");
+}
