--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -1,23 +1,26 @@
 //! The agent beside a worker: the only process that sends it starts, stops and speed shares.
 
+mod announcements;
+
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::join_all;
-use http::{Method, StatusCode};
+use sorrelland_fleet::LineLimit;
 use sorrelland_fleet::assignments::{Pace, Start, Stop};
-use sorrelland_platform::serve::{self, Request, Response};
-use sorrelland_platform::worker::{Error, StartOutcome, StartRequest, decode_announcement};
+use sorrelland_platform::serve::{self, Request};
+use sorrelland_platform::worker::{Error, StartOutcome, StartRequest};
 use sorrelland_platform::{Settings, Store, WorkerClient};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 
+use self::announcements::Received;
 use crate::calls::{EntryPool, Ping, ReportReply, call};
 use crate::clock::now_ms;
 use crate::election::{CLAIMS, Leadership};
-use crate::lease::WorkerState;
+use crate::lease::{Summary, WorkerState};
 use crate::signals::{self, wait_for_stop};
 use crate::{Error as RunError, Result, follow, lock, metrics, reload};
 
@@ -45,13 +48,14 @@
 
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Why a run was not started that the planner has stopped.
+const STOPPED: &str = "stopped before it was there";
+
 /// Reports in flight at a time: one that waits at the planner, and newer ones that overtake it.
 const MAX_CONCURRENT_REPORTS: usize = 3;
 
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 
-const ANNOUNCEMENT_PATH_PREFIX: &str = "/instances/";
-
 struct Agent {
     settings: Settings,
     incarnation: u64,
@@ -60,6 +64,10 @@
     worker: WorkerClient,
     worker_state: Mutex<WorkerState>,
     entries: Mutex<Vec<String>>,
+    /// Announcements that the worker has to confirm.
+    unconfirmed: mpsc::Sender<Received>,
+    /// Limits lines on messages that have no effect.
+    line_limit: Mutex<LineLimit>,
     /// Triggers a report.
     report_due: Notify,
     /// Triggers a check for due starts, stops and speed shares.
@@ -81,6 +89,7 @@
     let handle_metrics = Arc::new(|_| async { metrics::render() }.boxed());
     crate::entry::serve_metrics(&settings, metrics_port, handle_metrics)?;
     let store = Store::new(&settings.store_address);
+    let (unconfirmed, waiting) = mpsc::channel(announcements::MAX_WAITING);
     let agent = Arc::new(Agent {
         incarnation: rand::random(),
         leadership: Leadership::default(),
@@ -88,6 +97,8 @@
         worker: WorkerClient::new(&worker.to_string()),
         worker_state: Mutex::new(WorkerState::new(settings.bounds.max_lease_ms, settings.bounds.stop_ms)),
         entries: Mutex::default(),
+        unconfirmed,
+        line_limit: Mutex::default(),
         report_due: Notify::new(),
         dispatch_due: Notify::new(),
         poll_due: Notify::new(),
@@ -105,6 +116,7 @@
     let leadership = agent.leadership.clone();
     let apply_claim = move |key: &str, value: &[u8], offset: u64| leadership.apply_claim(key, value, offset);
     tokio::spawn(async move { follow::follow(&store, CLAIMS, CLAIMS_READ_WAIT, apply_claim).await });
+    tokio::spawn(agent.clone().run_confirmations(waiting));
     tokio::spawn(agent.clone().run_dispatch());
     tokio::spawn(agent.clone().run_polls());
     tokio::spawn(agent.clone().run_reports());
@@ -118,39 +130,6 @@
 }
 
 impl Agent {
-    /// Handles an announcement of the worker, or its notice that it leaves.
-    fn handle_announcement(&self, request: &Request) -> Response {
-        let Some(incarnation) =
-            request.path.strip_prefix(ANNOUNCEMENT_PATH_PREFIX).filter(|incarnation| !incarnation.is_empty())
-        else {
-            return Response::new(StatusCode::NOT_FOUND);
-        };
-        match request.method {
-            Method::PUT => match decode_announcement(incarnation, &request.body) {
-                Ok(announcement) => {
-                    let draining = announcement.info.draining;
-                    if lock(&self.worker_state).apply_announcement(now_ms(), announcement) {
-                        log::info!("event=worker_announced worker={incarnation} draining={draining}");
-                        self.report_due.notify_one();
-                        self.poll_due.notify_one();
-                    }
-                    Response::new(StatusCode::OK).json(&serde_json::json!({}))
-                }
-                Err(e) => {
-                    log::warn!("event=announcement_skipped worker={incarnation} cause=\"{e}\"");
-                    Response::new(StatusCode::BAD_REQUEST)
-                }
-            },
-            Method::DELETE => {
-                lock(&self.worker_state).record_departure(incarnation);
-                log::info!("event=worker_left worker={incarnation}");
-                self.report_due.notify_one();
-                Response::new(StatusCode::OK)
-            }
-            _ => Response::new(StatusCode::METHOD_NOT_ALLOWED),
-        }
-    }
-
     /// Keeps one report waiting at the planner, and sends another at once when one is triggered.
     async fn run_reports(self: Arc<Self>) {
         let mut in_flight = JoinSet::new();
@@ -251,7 +230,7 @@
                 self.poll_worker(&incarnation, Duration::ZERO).await;
             }
             // Stops go first: the starts may need the resources that they free.
-            let stops = join_all(stops.iter().map(|stop| self.send_stop(&incarnation, stop))).await;
+            let stops = join_all(stops.iter().map(|stop| self.send_stop(&incarnation, stop, STOPPED))).await;
             let starts = join_all(starts.iter().map(|start| self.send_start(&incarnation, start))).await;
             let paces = join_all(paces.iter().map(|pace| self.send_pace(&incarnation, pace))).await;
             let any_final = stops.iter().chain(&starts).any(|answered| *answered);
@@ -307,6 +286,13 @@
                 lock(&self.worker_state).expect_absence(incarnation, task, run, &why);
                 true
             }
+            Ok((StartOutcome::Refused(why), _)) => {
+                log::warn!(
+                    "event=start_refused job={job} task={task} run={run} worker={incarnation} why={why}"
+                );
+                let stop = Stop { task: task.clone(), run };
+                self.send_stop(incarnation, &stop, &why).await
+            }
             Ok((StartOutcome::Deferred(why), clock_ms)) => {
                 log::warn!(
                     "event=start_delayed job={job} task={task} run={run} worker={incarnation} why=\"{why}\""
@@ -320,14 +306,15 @@
                 log::warn!(
                     "event=start_unanswered job={job} task={task} run={run} worker={incarnation} cause=\"{e}\""
                 );
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "start", token, &e);
                 false
             }
         }
     }
 
-    /// Sends a stop; returns whether it was answered.
-    async fn send_stop(&self, incarnation: &str, stop: &Stop) -> bool {
+    /// Sends a stop; returns whether it was answered. The worker then rejects a start that arrives later, so the run is
+    /// reported as not started, for the reason `why`, unless the next poll shows it.
+    async fn send_stop(&self, incarnation: &str, stop: &Stop, why: &str) -> bool {
         let token = lock(&self.worker_state).epoch();
         let (job, task, run) = (&stop.task.job, &stop.task, stop.run);
         match self.worker.stop(incarnation, task, run, token).await {
@@ -337,14 +324,14 @@
                 );
                 let mut state = lock(&self.worker_state);
                 state.record_stop_answer(incarnation, stop, now_ms());
-                state.expect_absence(incarnation, task, run, "stopped before it was there");
+                state.expect_absence(incarnation, task, run, why);
                 true
             }
             Err(e) => {
                 log::warn!(
                     "event=stop_unanswered job={job} task={task} run={run} worker={incarnation} cause=\"{e}\""
                 );
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "stop", token, &e);
                 false
             }
         }
@@ -364,16 +351,27 @@
                     "event=pace_unanswered job={} task={task} run={run} worker={incarnation} cause=\"{e}\"",
                     task.job
                 );
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "pace", token, &e);
                 false
             }
         }
     }
 
-    fn record_call_error(&self, incarnation: &str, error: &Error) {
+    fn record_call_error(&self, incarnation: &str, call: &'static str, token: u64, error: &Error) {
+        if error.is_connection_refused() {
+            self.record_refused_connection(incarnation);
+        }
         if matches!(error, Error::OtherIncarnation) {
-            log::warn!("event=worker_replaced worker={incarnation}");
-            lock(&self.worker_state).end_incarnation(incarnation);
+            let (before, is_current) = {
+                let mut state = lock(&self.worker_state);
+                (state.summary(now_ms()), state.end_incarnation(incarnation))
+            };
+            log::warn!(
+                "event=worker_replaced worker={incarnation} call={call} token={token} is_current={is_current} {before}"
+            );
+            if is_current {
+                record_end("call", &format!("call={call} token={token}"), &before);
+            }
         }
     }
 
@@ -381,8 +379,13 @@
         loop {
             let (incarnation, needed, checks_absence) = {
                 let mut state = lock(&self.worker_state);
-                if state.expire_leases(now_ms()) {
-                    log::warn!("event=leases_lapsed worker={}", state.incarnation().unwrap_or_default());
+                let now = now_ms();
+                let before = state.summary(now);
+                if state.expire_leases(now) {
+                    let (over_ms, margin_ms) = state.lapse_bounds_ms(now);
+                    let details = format!("lease_over_ms={over_ms} margin_ms={margin_ms}");
+                    log::warn!("event=leases_lapsed worker={} {details} {before}", before.current);
+                    record_end("lease_expiry", &details, &before);
                     self.report_due.notify_one();
                 }
                 (state.incarnation().map(str::to_owned), state.needs_poll(), state.has_absence_checks())
@@ -422,9 +425,15 @@
             }
             Err(e) => {
                 log::warn!("event=look_failed worker={incarnation} token={token} cause=\"{e}\"");
-                self.record_call_error(incarnation, &e);
+                self.record_call_error(incarnation, "poll", token, &e);
                 false
             }
         }
     }
 }
+
+/// Logs and counts that an agent gave up the runs of an incarnation; `before` is what it knew until then.
+fn record_end(cause: &'static str, details: &str, before: &Summary) {
+    metrics::count_incarnation_end(cause);
+    log::warn!("event=incarnation_ended worker={} cause={cause} {details} {before}", before.current);
+}
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -1,8 +1,10 @@
 //! State of a worker as its agent knows it: announcements, leases, runs and their ends. Does no I/O; the caller
 //! passes the time in.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
+use derive_more::Display;
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, NotStarted, Report, Running, WorkerInfo};
@@ -23,6 +25,70 @@
 
 type RunKey = (Task, u64);
 
+/// Effect of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnouncementEffect {
+    /// None: the worker has to confirm the incarnation first.
+    Unconfirmed,
+    /// The current incarnation announced a change.
+    Updated,
+    Unchanged,
+    /// Ignored: a newer announcement of the incarnation is known.
+    OlderSequence,
+    /// Ignored: the same announcement is known.
+    RepeatedSequence,
+}
+
+impl AnnouncementEffect {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unconfirmed => "unconfirmed",
+            Self::Updated => "updated",
+            Self::Unchanged => "unchanged",
+            Self::OlderSequence => "older_sequence",
+            Self::RepeatedSequence => "repeated_sequence",
+        }
+    }
+}
+
+/// Whether the current incarnation of the worker is there.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Presence {
+    #[default]
+    #[display("present")]
+    Present,
+    /// It has announced its departure and may still run.
+    #[display("leaving")]
+    Leaving,
+    /// It answered no call until all its leases had ended.
+    #[display("silent")]
+    Silent,
+    /// It has ended.
+    #[display("left")]
+    Left,
+}
+
+/// What an agent knows of its worker at one time, displayed as keys of a log line. Durations are in milliseconds.
+#[derive(Clone, Debug, Default, Display, PartialEq, Eq)]
+#[display(
+    "current={current:?} current_seq={sequence} runs={runs} lease_left_ms={lease_left_ms} \
+     grant_left_ms={grant_left_ms} presence={presence}"
+)]
+pub struct Summary {
+    /// Name of the current incarnation; empty if there is none.
+    pub current: String,
+    /// Sequence number of its newest announcement.
+    pub sequence: u64,
+    /// Runs that it has or may have.
+    pub runs: usize,
+    /// Time until the latest end that any of its leases may have.
+    pub lease_left_ms: u64,
+    /// Time until the newest grant ends.
+    pub grant_left_ms: u64,
+    pub presence: Presence,
+}
+
 /// State of one worker as its agent knows it. All times are in milliseconds.
 #[derive(Debug, Default)]
 pub struct WorkerState {
@@ -31,14 +97,15 @@
     /// Longest time that a stop takes.
     stop_ms: u64,
     announced: Option<Announcement>,
-    departed: bool,
-    past_incarnations: BTreeSet<String>,
+    presence: Presence,
     epoch: u64,
     assignments: Option<Assignments>,
     /// When the newest grant ends, on the agent's clock.
     granted_until: u64,
     /// Latest end that any lease on the worker may have, on the agent's clock.
     leased_until: u64,
+    /// When the first call was sent that has no answer yet and may have extended a lease.
+    unanswered_since: Option<u64>,
     /// The worker's clock, and when it was read.
     clock_reading: Option<(u64, u64)>,
     running: BTreeMap<RunKey, Running>,
@@ -66,49 +133,42 @@
         Self { max_lease_ms, stop_ms, ..Self::default() }
     }
 
-    /// Applies an announcement; returns whether a change should be reported to the planner at once.
-    pub fn apply_announcement(&mut self, now: u64, announcement: Announcement) -> bool {
+    /// Applies an announcement and returns its effect. Only the current incarnation can change: an announcement may
+    /// arrive late or come from another writer, so the worker has to confirm any other one.
+    pub fn apply_announcement(&mut self, announcement: &Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
-        if self.past_incarnations.contains(incarnation) {
-            return false;
-        }
-        match &self.announced {
-            Some(known) if known.info.incarnation == *incarnation => {
-                if announcement.sequence <= known.sequence {
-                    return false;
-                }
-                let changed = known.info != announcement.info;
-                self.announced = Some(announcement);
-                changed
-            }
-            Some(_) => {
-                self.end_current_incarnation();
-                self.announced = Some(announcement);
-                true
-            }
-            None => {
-                // An earlier incarnation of this agent may have extended leases that are unknown to this one.
-                self.leased_until = self.leased_until.max(now + self.max_lease_ms);
-                self.announced = Some(announcement);
-                true
-            }
+        let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
+        let Some(known) = current else { return AnnouncementEffect::Unconfirmed };
+        match announcement.sequence.cmp(&known.sequence) {
+            Ordering::Less => return AnnouncementEffect::OlderSequence,
+            Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
+            Ordering::Greater => (),
         }
+        let changed = known.info != announcement.info || self.presence != Presence::Present;
+        *known = announcement.clone();
+        self.presence = Presence::Present;
+        if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
     }
 
-    /// Records that an incarnation of the worker has ended.
-    pub fn end_incarnation(&mut self, incarnation: &str) {
-        if self.incarnation() == Some(incarnation) {
+    /// Makes an incarnation the current one and ends the one before. The worker has answered a call that names it.
+    pub fn adopt_incarnation(&mut self, now: u64, announcement: Announcement) {
+        self.end_current_incarnation();
+        // An earlier incarnation of this agent may have extended leases that are unknown to this one.
+        self.leased_until = now + self.max_lease_ms;
+        self.announced = Some(announcement);
+    }
+
+    /// Records that an incarnation of the worker has ended; returns whether it was the current one.
+    pub fn end_incarnation(&mut self, incarnation: &str) -> bool {
+        let is_current = self.incarnation() == Some(incarnation);
+        if is_current {
             self.end_current_incarnation();
         }
+        is_current
     }
 
     fn end_current_incarnation(&mut self) {
-        if let Some(known) = self.announced.take() {
-            self.past_incarnations.insert(known.info.incarnation);
-        }
-        let past_incarnations = std::mem::take(&mut self.past_incarnations);
         *self = Self {
-            past_incarnations,
             epoch: self.epoch,
             granted_until: self.granted_until,
             polls_begun: self.polls_begun,
@@ -116,13 +176,25 @@
         };
     }
 
-    /// Records that the worker has announced its departure: everything that ran there has ended.
-    pub fn record_departure(&mut self, incarnation: &str) {
-        if self.incarnation() != Some(incarnation) {
-            return;
+    /// Records a departure notice; returns whether it names the current incarnation. Its runs count until its end is
+    /// confirmed, but nothing is started and no lease extended. A later announcement revokes the notice.
+    pub fn record_departure_notice(&mut self, incarnation: &str) -> bool {
+        let is_current = self.incarnation() == Some(incarnation);
+        if is_current && self.presence == Presence::Present {
+            self.presence = Presence::Leaving;
+        }
+        is_current
+    }
+
+    /// Records that nothing listens at the worker's address; returns whether this confirms a departure, so that
+    /// everything that ran there has ended.
+    pub fn record_refused_connection(&mut self, incarnation: &str) -> bool {
+        if self.incarnation() != Some(incarnation) || self.presence != Presence::Leaving {
+            return false;
         }
-        self.departed = true;
+        self.presence = Presence::Left;
         self.mark_runs_not_started("the worker has left");
+        true
     }
 
     fn mark_runs_not_started(&mut self, why: &str) {
@@ -146,6 +218,20 @@
         self.ended.iter().any(|end| end.task == *task && end.run == *run)
     }
 
+    /// Returns what is known of the worker, for the logs.
+    pub fn summary(&self, now: u64) -> Summary {
+        let runs = self.running.keys().chain(&self.start_attempts).chain(self.started.keys());
+        let known = self.announced.as_ref();
+        Summary {
+            current: known.map(|known| known.info.incarnation.clone()).unwrap_or_default(),
+            sequence: known.map_or(0, |known| known.sequence),
+            runs: runs.collect::<BTreeSet<_>>().len(),
+            lease_left_ms: self.leased_until.saturating_sub(now),
+            grant_left_ms: self.granted_until.saturating_sub(now),
+            presence: self.presence,
+        }
+    }
+
     pub fn incarnation(&self) -> Option<&str> {
         self.announced.as_ref().map(|known| known.info.incarnation.as_str())
     }
@@ -182,10 +268,14 @@
         true
     }
 
-    /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended.
+    /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended. Returns
+    /// `None` as well if the worker has not answered for as long as a lease lasts, so that its leases end.
     pub fn extend_lease(&mut self, now: u64) -> Option<u64> {
-        let (clock, read_at) = self.clock_reading?;
+        let (clock, read_at) = self.clock_reading.filter(|_| self.presence == Presence::Present)?;
         let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
+        if now > *self.unanswered_since.get_or_insert(now) + self.max_lease_ms {
+            return None;
+        }
         self.leased_until = self.leased_until.max(self.granted_until);
         let on_slow_clock = |ms: u64| ms * (100 - CLOCK_LAG_PERCENT) / 100;
         Some(clock + on_slow_clock(now.saturating_sub(read_at)) + on_slow_clock(remaining))
@@ -194,6 +284,10 @@
     /// Records the worker's clock from an answer that arrived at `now`.
     pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
         self.clock_reading = Some((clock_ms, now));
+        self.unanswered_since = None;
+        if self.presence == Presence::Silent {
+            self.presence = Presence::Present;
+        }
     }
 
     pub fn has_clock(&self) -> bool {
@@ -202,8 +296,8 @@
 
     /// Returns the starts to send now.
     pub fn due_starts(&self, now: u64) -> Vec<Start> {
-        let draining = self.departed || self.announced.as_ref().is_none_or(|known| known.info.draining);
-        if draining || now + MIN_START_GRANT_MS > self.granted_until {
+        let draining = self.announced.as_ref().is_none_or(|known| known.info.draining);
+        if draining || self.presence != Presence::Present || now + MIN_START_GRANT_MS > self.granted_until {
             return Vec::new();
         }
         let is_due = |start: &&Start| {
@@ -322,18 +416,36 @@
 
     /// Marks all runs as not started once every lease has certainly expired; returns whether there were any.
     pub fn expire_leases(&mut self, now: u64) -> bool {
-        let clock_lag_ms = self.max_lease_ms * CLOCK_LAG_PERCENT / 100;
-        let expired_at = self.leased_until + clock_lag_ms + self.stop_ms + LAPSE_MARGIN_MS;
+        let expired_at = self.leased_until + self.lapse_margin_ms();
         let has_runs =
             !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty();
         if now <= expired_at || !has_runs {
             return false;
         }
+        if self.unanswered_since.is_some() && self.presence == Presence::Present {
+            self.presence = Presence::Silent;
+        }
         self.mark_runs_not_started("its lease has run out");
         true
     }
 
+    /// Returns the time after the latest possible lease end until every lease has certainly expired.
+    fn lapse_margin_ms(&self) -> u64 {
+        self.max_lease_ms * CLOCK_LAG_PERCENT / 100 + self.stop_ms + LAPSE_MARGIN_MS
+    }
+
+    /// Returns the times on which [`Self::expire_leases`] decides: since the latest possible lease end, and the margin
+    /// after it.
+    pub fn lapse_bounds_ms(&self, now: u64) -> (u64, u64) {
+        (now.saturating_sub(self.leased_until), self.lapse_margin_ms())
+    }
+
     pub fn needs_poll(&self) -> bool {
+        self.presence != Presence::Left && self.expects_changes()
+    }
+
+    /// Returns whether a poll may show a change.
+    fn expects_changes(&self) -> bool {
         !self.running.is_empty()
             || !self.started.is_empty()
             || !self.start_attempts.is_empty()
@@ -375,7 +487,7 @@
             agent_incarnation,
             seq,
             worker: self.announced.as_ref().map(|known| WorkerInfo {
-                draining: known.info.draining || self.departed,
+                draining: known.info.draining || self.presence != Presence::Present,
                 ..known.info.clone()
             }),
             running,
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -1,6 +1,6 @@
 //! Tests an agent's state of its worker, without a network.
 
-use sorrelland_control::lease::WorkerState;
+use sorrelland_control::lease::{AnnouncementEffect, Presence, WorkerState};
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Stop};
 use sorrelland_fleet::report::{Running, WorkerInfo};
@@ -16,7 +16,7 @@
         service: "svc".to_owned(),
         ..WorkerInfo::default()
     };
-    Announcement { info, sequence }
+    Announcement { info, sequence, ..Announcement::default() }
 }
 
 fn task() -> Task {
@@ -42,7 +42,7 @@
 #[test]
 fn expire_leases_waits_for_leases_of_an_earlier_agent_incarnation() {
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
-    state.apply_announcement(10_000, announcement(7));
+    state.adopt_incarnation(10_000, announcement(7));
     let poll = state.begin_poll();
     state.apply_listing(10_010, poll, INCARNATION, listing(500));
     // The earlier incarnation may have extended the lease just before it ended.
@@ -55,7 +55,7 @@
 #[test]
 fn expire_leases_ends_runs_of_a_worker_that_no_longer_answers() {
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
-    state.apply_announcement(0, announcement(1));
+    state.adopt_incarnation(0, announcement(1));
     let poll = state.begin_poll();
     state.apply_listing(10, poll, INCARNATION, listing(500));
     let silent_from = 10;
@@ -75,12 +75,16 @@
         state.expire_leases(now)
     });
     assert!(expired, "the run of a lost worker is never given up");
+    assert!(state.build_report("agent", 1, 1).worker.unwrap().draining, "work is placed on a lost worker");
+    let poll = state.begin_poll();
+    state.apply_listing(30_000, poll, INCARNATION, listing(600));
+    assert!(!state.build_report("agent", 1, 2).worker.unwrap().draining);
 }
 
 #[test]
 fn due_stops_leaves_out_a_stop_in_progress() {
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
-    state.apply_announcement(0, announcement(1));
+    state.adopt_incarnation(0, announcement(1));
     let poll = state.begin_poll();
     state.apply_listing(10, poll, INCARNATION, listing(500));
     state.apply_assignments(20, 1, Some(stop_assignments(1)));
@@ -97,3 +101,79 @@
     // The stop is repeated in case the worker has lost it.
     assert_eq!(state.due_stops(5_000), stops);
 }
+
+fn other_announcement(sequence: u64) -> Announcement {
+    let mut other = announcement(sequence);
+    other.info.incarnation = "w-2".to_owned();
+    other
+}
+
+#[test]
+fn apply_announcement_names_its_effect() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Unconfirmed);
+    state.adopt_incarnation(0, announcement(2));
+    assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::Unchanged);
+    assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::RepeatedSequence);
+    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::OlderSequence);
+    let mut draining = announcement(4);
+    draining.info.draining = true;
+    assert_eq!(state.apply_announcement(&draining), AnnouncementEffect::Updated);
+    assert!(state.end_incarnation(INCARNATION));
+    assert!(!state.end_incarnation(INCARNATION));
+    assert_eq!(state.apply_announcement(&announcement(5)), AnnouncementEffect::Unconfirmed);
+}
+
+#[test]
+fn apply_announcement_keeps_runs_until_another_incarnation_answers() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    assert_eq!(state.apply_announcement(&other_announcement(9)), AnnouncementEffect::Unconfirmed);
+    assert_eq!((state.incarnation(), state.summary(20).runs), (Some(INCARNATION), 1));
+    state.adopt_incarnation(30, other_announcement(9));
+    assert_eq!((state.incarnation(), state.summary(30).runs), (Some("w-2"), 0));
+}
+
+#[test]
+fn summary_shows_what_an_agent_gives_up() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    assert_eq!(
+        state.summary(0).to_string(),
+        "current=\"\" current_seq=0 runs=0 lease_left_ms=0 grant_left_ms=0 presence=present"
+    );
+    state.adopt_incarnation(1_000, announcement(7));
+    let poll = state.begin_poll();
+    state.apply_listing(1_000, poll, INCARNATION, listing(500));
+    state.apply_assignments(1_000, 1, Some(stop_assignments(1)));
+    let summary = state.summary(2_000);
+    assert_eq!((summary.current.as_str(), summary.sequence, summary.runs), (INCARNATION, 7, 1));
+    assert_eq!((summary.lease_left_ms, summary.grant_left_ms), (MAX_LEASE_MS - 1_000, 4_000));
+    assert!(state.record_departure_notice(INCARNATION));
+    assert!(!state.record_departure_notice("w-2"));
+    assert_eq!((state.summary(2_000).runs, state.summary(2_000).presence), (1, Presence::Leaving));
+    assert!(state.record_refused_connection(INCARNATION));
+    assert_eq!((state.summary(2_000).runs, state.summary(2_000).presence), (0, Presence::Left));
+}
+
+#[test]
+fn record_departure_notice_keeps_runs_until_the_worker_ends() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    state.apply_assignments(20, 1, Some(stop_assignments(1)));
+    // A refused connection alone doesn't show that the worker has ended.
+    assert!(!state.record_refused_connection(INCARNATION));
+    assert!(state.record_departure_notice(INCARNATION));
+    assert_eq!(state.build_report("agent", 1, 1).not_started, Vec::new());
+    assert_eq!(state.extend_lease(30), None);
+    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Updated);
+    assert!(state.extend_lease(40).is_some());
+    assert!(!state.record_refused_connection(INCARNATION));
+    state.record_departure_notice(INCARNATION);
+    assert!(state.record_refused_connection(INCARNATION));
+    assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
+    assert!(!state.needs_poll());
+}
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use derive_more::Display;
+
 use crate::job::{Job, Outcome, Step};
 use crate::planner::{Agent, Planner, mark_ending, set_state};
 use crate::report::{End, EndReason, NotStarted, Report};
@@ -12,6 +14,44 @@
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
+/// The report that a change is based on, displayed as keys of a log line.
+#[derive(Clone, Debug, Default, Display)]
+#[display("agent={agent} agent_incarnation={agent_incarnation} seq={seq} replaced_by={replaced_by:?}")]
+pub(crate) struct Source {
+    agent: String,
+    agent_incarnation: u64,
+    /// Sequence number of the report; of the newest one if it is the lack of reports that led to the change.
+    seq: u64,
+    /// The worker incarnation that it names instead; empty for none.
+    replaced_by: String,
+}
+
+/// Why an incarnation of a worker is removed.
+pub(crate) struct RemovalCause {
+    reason: &'static str,
+    source: Source,
+}
+
+impl Source {
+    fn new(report: &Report) -> Self {
+        Self {
+            agent: report.agent.clone(),
+            agent_incarnation: report.agent_incarnation,
+            seq: report.seq,
+            replaced_by: String::new(),
+        }
+    }
+}
+
+impl RemovalCause {
+    fn replacement(report: &Report, replaced_by: &str) -> Self {
+        Self {
+            reason: "its worker was replaced by a new incarnation",
+            source: Source { replaced_by: replaced_by.to_owned(), ..Source::new(report) },
+        }
+    }
+}
+
 impl Planner {
     /// Applies the report of an agent; returns whether it is current. `connected_at` is when the connection that
     /// delivered it was accepted, on the monotonic clock.
@@ -22,25 +62,37 @@
         let known = self.agents.get(&report.agent).cloned();
         if let Some(known) = &known {
             if known.incarnation != report.agent_incarnation && connected_at <= known.connected_at {
-                return self.ignore_report(report, "a newer process of the agent has reported");
+                self.record_ignored(now, report, "older_connection");
+                return false;
             }
             if known.incarnation == report.agent_incarnation && known.seq >= report.seq {
+                self.record_ignored(now, report, "older_seq");
                 return true;
             }
         }
+        let older = self.unreported_workers(report);
+        if !older.is_empty() && connected_at <= self.created_at {
+            // An earlier planner may have heard of a newer worker.
+            self.record_ignored(now, report, "connected_before_planner");
+            return false;
+        }
+        if let Some(known) = known.as_ref().filter(|known| known.incarnation != report.agent_incarnation) {
+            self.log_restarted_agent(report, known);
+        }
         let newest_connection = known.as_ref().map_or(0, |known| known.connected_at).max(connected_at);
         let mut worker = known.and_then(|known| known.worker);
         if let Some(info) = &report.worker {
-            let older = self.unreported_workers(&report.agent, &info.incarnation);
-            if !older.is_empty() && connected_at <= self.created_at {
-                return self.ignore_report(report, "an earlier planner may have heard of a newer worker");
-            }
             let replaced = worker.replace(info.incarnation.clone()).filter(|old| {
                 *old != info.incarnation
                     && self.workers.get(old).is_some_and(|worker| worker.agent == report.agent)
             });
             for old in replaced.into_iter().chain(older) {
-                self.remove_incarnation(now, wall, &old, "its worker was replaced by a new incarnation");
+                self.remove_incarnation(
+                    now,
+                    wall,
+                    &old,
+                    &RemovalCause::replacement(report, &info.incarnation),
+                );
             }
             self.unreported.remove(&info.incarnation);
             self.apply_worker_report(now, wall, report);
@@ -52,37 +104,78 @@
         true
     }
 
-    fn ignore_report(&mut self, report: &Report, reason: &str) -> bool {
-        let worker = report.worker.as_ref().map_or("", |info| &info.incarnation);
-        let (agent, life, seq) = (&report.agent, report.agent_incarnation, report.seq);
+    fn log_restarted_agent(&mut self, report: &Report, known: &Agent) {
         self.log_line(format!(
-            "event=report_ignored agent={agent} life={life} seq={seq} worker={worker} why={reason:?}"
+            "event=agent_restarted agent={} agent_incarnation={} seq={} known_incarnation={} known_seq={} worker={:?}",
+            report.agent,
+            report.agent_incarnation,
+            report.seq,
+            known.incarnation,
+            known.seq,
+            reported_worker(report)
         ));
-        false
     }
 
-    /// Returns the other workers than `incarnation` that an earlier planner placed runs on through the same agent, and
-    /// that have not reported to this planner.
-    fn unreported_workers(&self, agent: &str, incarnation: &str) -> BTreeSet<String> {
+    /// Returns the other workers than the reported one that an earlier planner placed runs on through the same agent,
+    /// and that have not reported to this planner.
+    fn unreported_workers(&self, report: &Report) -> BTreeSet<String> {
+        let Some(info) = &report.worker else { return BTreeSet::new() };
         if self.unreported.is_empty() {
             return BTreeSet::new();
         }
         let members = self.live.iter().filter_map(|name| self.jobs.get(name));
         let members = members.flat_map(|job| job.units.values()).flat_map(|unit| &unit.members);
         members
-            .filter(|member| !member.released && member.agent == agent && member.worker != incarnation)
+            .filter(|member| {
+                !member.released && member.agent == report.agent && member.worker != info.incarnation
+            })
             .filter(|member| self.unreported.contains_key(&member.worker))
             .map(|member| member.worker.clone())
             .collect()
     }
 
+    /// Counts a report that is ignored, and logs it if a line is due.
+    fn record_ignored(&mut self, now: u64, report: &Report, reason: &'static str) {
+        *self.ignored_reports.entry(reason).or_default() += 1;
+        let Some(count) = self.line_limit.record(now, reason) else { return };
+        let known = self.agents.get(&report.agent);
+        let (known_incarnation, known_seq) = known.map_or((0, 0), |agent| (agent.incarnation, agent.seq));
+        self.log_line(format!(
+            "event=report_ignored agent={} agent_incarnation={} seq={} reason={reason} worker={:?} \
+             known_incarnation={known_incarnation} known_seq={known_seq} known_worker={:?} count={count}",
+            report.agent,
+            report.agent_incarnation,
+            report.seq,
+            reported_worker(report),
+            known.and_then(|agent| agent.worker.as_deref()).unwrap_or_default(),
+        ));
+    }
+
+    /// Returns the cause of the removal of an incarnation whose agent hasn't reported in time.
+    pub(crate) fn expiry_cause(&self, reason: &'static str, incarnation: &str) -> RemovalCause {
+        let members = self.live.iter().filter_map(|name| self.jobs.get(name));
+        let mut members = members.flat_map(|job| job.units.values()).flat_map(|unit| &unit.members);
+        let agent = match self.workers.get(incarnation) {
+            Some(worker) => Some(&worker.agent),
+            None => members.find(|member| member.worker == incarnation).map(|member| &member.agent),
+        };
+        let agent = agent.cloned().unwrap_or_default();
+        let known = self.agents.get(&agent);
+        let (agent_incarnation, seq) = known.map_or((0, 0), |known| (known.incarnation, known.seq));
+        let source = Source { agent, agent_incarnation, seq, replaced_by: String::new() };
+        RemovalCause { reason, source }
+    }
+
     fn apply_worker_report(&mut self, now: u64, wall: u64, report: &Report) {
         let Some(info) = &report.worker else { return };
         let incarnation = info.incarnation.clone();
         if !self.workers.contains_key(&incarnation) {
             let mut worker = Worker::new(info.clone(), report.agent.clone(), now);
             self.adopt_members(&mut worker);
-            self.log_line(format!("event=worker_joined worker={incarnation} agent={}", report.agent));
+            self.log_line(format!(
+                "event=worker_joined worker={incarnation} agent={} agent_incarnation={} seq={}",
+                report.agent, report.agent_incarnation, report.seq
+            ));
             self.workers.insert(incarnation.clone(), worker);
         }
         let running = report.running.iter().map(|run| ((run.task.clone(), run.run), run.clone())).collect();
@@ -108,7 +201,7 @@
             }
         }
         for entry in &report.not_started {
-            self.record_not_started(now, wall, &incarnation, entry);
+            self.record_not_started(now, wall, &incarnation, entry, &Source::new(report));
         }
     }
 
@@ -211,7 +304,14 @@
         true
     }
 
-    fn record_not_started(&mut self, now: u64, wall: u64, incarnation: &str, entry: &NotStarted) {
+    fn record_not_started(
+        &mut self,
+        now: u64,
+        wall: u64,
+        incarnation: &str,
+        entry: &NotStarted,
+        source: &Source,
+    ) {
         let Some((job, key, _)) = self.member_mut(incarnation, &entry.task, entry.run) else { return };
         let mut ran_ms = 0;
         if let Some(unit) = job.units.get_mut(&key) {
@@ -223,7 +323,7 @@
         }
         let (task, run, reason) = (&entry.task, entry.run, &entry.reason);
         self.log_line(format!(
-            "event=run_gone job={} task={task} run={run} worker={incarnation} ran_ms={ran_ms} why={reason:?}",
+            "event=run_gone job={} task={task} run={run} worker={incarnation} ran_ms={ran_ms} why={reason:?} {source}",
             task.job
         ));
         self.release_member(now, incarnation, task, run);
@@ -267,7 +367,14 @@
         }
     }
 
-    pub(crate) fn remove_incarnation(&mut self, now: u64, wall: u64, incarnation: &str, reason: &str) {
+    pub(crate) fn remove_incarnation(
+        &mut self,
+        now: u64,
+        wall: u64,
+        incarnation: &str,
+        cause: &RemovalCause,
+    ) {
+        let RemovalCause { reason, source } = cause;
         self.unreported.remove(incarnation);
         let mut lost = Vec::new();
         for name in &self.live {
@@ -278,19 +385,24 @@
                         lost.push(NotStarted {
                             task: key.task(name, offset),
                             run: unit.run,
-                            reason: reason.to_owned(),
+                            reason: (*reason).to_owned(),
                         });
                     }
                 }
             }
         }
         for entry in &lost {
-            self.record_not_started(now, wall, incarnation, entry);
+            self.record_not_started(now, wall, incarnation, entry, source);
         }
         self.workers.remove(incarnation);
         self.log_line(format!(
-            "event=worker_lost worker={incarnation} runs_lost={} why={reason:?}",
+            "event=worker_lost worker={incarnation} runs_lost={} why={reason:?} {source}",
             lost.len()
         ));
     }
 }
+
+/// Returns the worker incarnation in a report; empty if there is none.
+fn reported_worker(report: &Report) -> &str {
+    report.worker.as_ref().map_or("", |info| &info.incarnation)
+}
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -568,6 +568,79 @@
     assert_eq!(fleet.planner.state("a"), None);
 }
 
+/// Returns the logged lines of an event.
+fn logged(fleet: &mut Fleet, event: &str) -> Vec<String> {
+    let prefix = format!("event={event} ");
+    fleet.planner.take_log().into_iter().filter(|line| line.starts_with(&prefix)).collect()
+}
+
+#[test]
+fn report_logs_source_of_lost_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(10);
+    let joined = logged(&mut fleet, "worker_joined");
+    assert!(joined[0].ends_with("worker=w0 agent=agent-0 agent_incarnation=0 seq=1"), "{joined:?}");
+    fleet.reports[0].running.clear();
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w9".to_owned();
+    fleet.advance(10);
+    let lines = fleet.planner.take_log();
+    let source = "agent=agent-0 agent_incarnation=0 seq=4 replaced_by=\"w9\"";
+    for event in ["event=run_gone ", "event=worker_lost worker=w0 runs_lost=1 "] {
+        let line = lines.iter().find(|line| line.starts_with(event)).unwrap_or_else(|| panic!("{lines:?}"));
+        assert!(line.ends_with(source), "{line}");
+    }
+}
+
+#[test]
+fn tick_logs_newest_report_of_expired_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(10);
+    fleet.planner.tick(fleet.now + 60_000, fleet.now);
+    let lost = logged(&mut fleet, "worker_lost");
+    let source = "why=\"no report from its agent before the grant expired\" agent=agent-0 agent_incarnation=0 \
+                  seq=2 replaced_by=\"\"";
+    assert!(lost[0].ends_with(source), "{lost:?}");
+}
+
+#[test]
+fn report_logs_why_it_is_ignored() {
+    let mut fleet = Fleet::new(1);
+    let old = fleet.reports[0].clone();
+    fleet.reports[0].agent_incarnation = 77;
+    fleet.advance(10);
+    let restarted = logged(&mut fleet, "agent_restarted");
+    let expected = "event=agent_restarted agent=agent-0 agent_incarnation=77 seq=2 known_incarnation=0 \
+                    known_seq=1 worker=\"w0\"";
+    assert_eq!(restarted, [expected]);
+    for seq in 3..100 {
+        fleet.planner.apply_report(fleet.now, fleet.now, 0, &Report { seq, ..old.clone() });
+    }
+    let same = fleet.reports[0].clone();
+    fleet.planner.apply_report(fleet.now, fleet.now, fleet.now, &same);
+    let ignored = logged(&mut fleet, "report_ignored");
+    let reasons: Vec<&str> =
+        ignored.iter().filter_map(|line| line.split(" reason=").nth(1)?.split(' ').next()).collect();
+    assert_eq!(reasons, ["older_connection", "older_seq"], "{ignored:?}");
+    assert!(ignored[0].contains("agent_incarnation=0 seq=3 "), "{ignored:?}");
+    let counts = fleet.planner.take_ignored_reports();
+    assert_eq!(counts, BTreeMap::from([("older_connection", 97), ("older_seq", 1)]));
+    assert!(fleet.planner.take_ignored_reports().is_empty());
+}
+
+#[test]
+fn report_logs_restarted_agent_once() {
+    let mut fleet = Fleet::new(1);
+    fleet.reports[0].agent_incarnation = 77;
+    for _ in 0..100 {
+        fleet.advance(10);
+    }
+    assert_eq!(logged(&mut fleet, "agent_restarted").len(), 1);
+    assert!(fleet.planner.take_ignored_reports().is_empty());
+}
+
 /// Replaces an agent and its worker after a takeover, and lets the new worker run a subtask. Returns a report of the
 /// earlier agent process and when its connection was accepted.
 fn replace_agent_and_worker(fleet: &mut Fleet) -> (Report, u64) {
@@ -623,6 +696,8 @@
     let (jobs, _) = record::read(rows);
     fleet.planner = Planner::new(TIMING, Arc::new(desired()), jobs, fleet.now);
     fleet.planner.apply_report(fleet.now, fleet.now, connected_at, &earlier);
+    let ignored = fleet.planner.take_ignored_reports();
+    assert_eq!(ignored, BTreeMap::from([("connected_before_planner", 1)]));
     fleet.reports[1].worker.as_mut().unwrap().draining = false;
     let assignments = fleet.advance(10);
     let placed = starts(&assignments).iter().map(|(worker, start)| (*worker, start.run)).collect::<Vec<_>>();
