Stop unanswered starts before leases are extended again

Callers could see a subtask run twice after a worker had answered nothing for the length of a lease: its runs were given up, among them starts without an answer, and its leases extended again with its next answer, under which such a start, executed late, ran beside the next run. The same holds for a worker that the planner gives up and its agent reports again.

The state of the worker now holds the starts that may still arrive: those that were given up, by the agent when all leases had ended or by the planner when its assignments leave them out. They are stopped first, and no lease is extended before the worker has answered that. A refused start is held the same way until its stop is answered, which moves that rule from the agent's calls to the state.

A changed announcement no longer cancels the poll in flight, whose answer ends the time without an answer.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -48,9 +48,6 @@
 
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Why a run was not started that the planner has stopped.
-const STOPPED: &str = "stopped before it was there";
-
 /// Reports in flight at a time: one that waits at the planner, and newer ones that overtake it.
 const MAX_CONCURRENT_REPORTS: usize = 3;
 
@@ -230,7 +227,7 @@
                 self.poll_worker(&incarnation, Duration::ZERO).await;
             }
             // Stops go first: the starts may need the resources that they free.
-            let stops = join_all(stops.iter().map(|stop| self.send_stop(&incarnation, stop, STOPPED))).await;
+            let stops = join_all(stops.iter().map(|stop| self.send_stop(&incarnation, stop))).await;
             let starts = join_all(starts.iter().map(|start| self.send_start(&incarnation, start))).await;
             let paces = join_all(paces.iter().map(|pace| self.send_pace(&incarnation, pace))).await;
             let any_final = stops.iter().chain(&starts).any(|answered| *answered);
@@ -290,8 +287,8 @@
                 log::warn!(
                     "event=start_refused job={job} task={task} run={run} worker={incarnation} why={why}"
                 );
-                let stop = Stop { task: task.clone(), run };
-                self.send_stop(incarnation, &stop, &why).await
+                lock(&self.worker_state).record_start_refusal(incarnation, start, &why);
+                true
             }
             Ok((StartOutcome::Deferred(why), clock_ms)) => {
                 log::warn!(
@@ -312,9 +309,8 @@
         }
     }
 
-    /// Sends a stop; returns whether it was answered. The worker then rejects a start that arrives later, so the run is
-    /// reported as not started, for the reason `why`, unless the next poll shows it.
-    async fn send_stop(&self, incarnation: &str, stop: &Stop, why: &str) -> bool {
+    /// Sends a stop; returns whether it was answered.
+    async fn send_stop(&self, incarnation: &str, stop: &Stop) -> bool {
         let token = lock(&self.worker_state).epoch();
         let (job, task, run) = (&stop.task.job, &stop.task, stop.run);
         match self.worker.stop(incarnation, task, run, token).await {
@@ -322,9 +318,7 @@
                 log::info!(
                     "event=stop_ordered job={job} task={task} run={run} worker={incarnation} token={token}"
                 );
-                let mut state = lock(&self.worker_state);
-                state.record_stop_answer(incarnation, stop, now_ms());
-                state.expect_absence(incarnation, task, run, why);
+                lock(&self.worker_state).record_stop_answer(incarnation, stop, now_ms());
                 true
             }
             Err(e) => {
--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -85,7 +85,6 @@
             AnnouncementEffect::Updated => {
                 log_announced(&received, "updated", "", &after);
                 self.report_due.notify_one();
-                self.poll_due.notify_one();
             }
             AnnouncementEffect::Unchanged => (),
             AnnouncementEffect::Unconfirmed => {
@@ -131,10 +130,11 @@
 
     /// Calls an announced incarnation without extending its leases; returns its runs, if it lists them.
     async fn call_announced(&self, incarnation: &str) -> worker::Result<Option<Listing>> {
-        let token = lock(&self.worker_state).epoch();
+        // A new process of the agent knows the leader before it has received assignments.
+        let token = lock(&self.worker_state).epoch().max(self.leadership.epoch());
         match self.worker.poll(incarnation, token, 0, None, Duration::ZERO).await {
             Ok(listing) => Ok(Some(listing)),
-            // Only the named incarnation compares tokens. A new process of the agent learns the current one later.
+            // Only the named incarnation compares tokens.
             Err(Error::Fenced) => Ok(None),
             Err(e) => Err(e),
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -20,6 +20,9 @@
 /// the users' deployments.
 const STOP_RETRY_DELAY_MS: u64 = 1_500;
 
+/// Why a run was not started that the planner has stopped.
+const STOPPED: &str = "stopped before it was there";
+
 /// Margin on top of all bounds before a lease counts as expired.
 const LAPSE_MARGIN_MS: u64 = 300;
 
@@ -113,6 +116,12 @@
     started: BTreeMap<RunKey, u64>,
     /// Runs for which a start was sent and no final answer has arrived.
     start_attempts: BTreeSet<RunKey>,
+    /// Runs whose start the worker has refused, with the reason. An earlier start may still arrive, so they are stopped
+    /// before they count as not started.
+    refused: BTreeMap<RunKey, String>,
+    /// Runs that the planner may have placed elsewhere and whose start may still arrive. No lease is extended before the
+    /// worker has answered their stops.
+    given_up: BTreeSet<RunKey>,
     ended: Vec<End>,
     /// Runs that the worker will not start from now on, with the reason and the number of polls begun by then. The
     /// first poll begun later shows whether the run is present.
@@ -203,7 +212,8 @@
             .keys()
             .chain(&self.start_attempts)
             .chain(self.started.keys())
-            .chain(self.absence_checks.keys());
+            .chain(self.absence_checks.keys())
+            .chain(self.refused.keys());
         let runs: Vec<RunKey> = runs.filter(|run| !self.is_ended(run)).cloned().collect();
         for run in runs {
             self.not_started.insert(run, why.to_owned());
@@ -211,9 +221,20 @@
         self.running.clear();
         self.started.clear();
         self.start_attempts.clear();
+        self.refused.clear();
         self.absence_checks.clear();
     }
 
+    /// Returns whether it is known, or is being found out, if a run is on the worker.
+    fn is_known(&self, run: &RunKey) -> bool {
+        self.running.contains_key(run)
+            || self.started.contains_key(run)
+            || self.not_started.contains_key(run)
+            || self.absence_checks.contains_key(run)
+            || self.refused.contains_key(run)
+            || self.is_ended(run)
+    }
+
     fn is_ended(&self, (task, run): &RunKey) -> bool {
         self.ended.iter().any(|end| end.task == *task && end.run == *run)
     }
@@ -263,6 +284,10 @@
                 || assignments.stops.iter().any(|stop| stop.task == run.0 && stop.run == run.1)
         };
         self.not_started.retain(|run, _| assigned(run));
+        let given_up: Vec<RunKey> =
+            self.start_attempts.iter().filter(|run| !self.is_known(run) && !assigned(run)).cloned().collect();
+        self.start_attempts.retain(|run| !given_up.contains(run));
+        self.given_up.extend(given_up);
         self.answered_stops.retain(|run, _| assigned(run));
         self.assignments = Some(assignments);
         true
@@ -271,7 +296,8 @@
     /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended. Returns
     /// `None` as well if the worker has not answered for as long as a lease lasts, so that its leases end.
     pub fn extend_lease(&mut self, now: u64) -> Option<u64> {
-        let (clock, read_at) = self.clock_reading.filter(|_| self.presence == Presence::Present)?;
+        let may_extend = self.presence == Presence::Present && self.given_up.is_empty();
+        let (clock, read_at) = self.clock_reading.filter(|_| may_extend)?;
         let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
         if now > *self.unanswered_since.get_or_insert(now) + self.max_lease_ms {
             return None;
@@ -306,6 +332,7 @@
                 && !self.started.contains_key(&run)
                 && !self.not_started.contains_key(&run)
                 && !self.absence_checks.contains_key(&run)
+                && !self.refused.contains_key(&run)
                 && !self.is_ended(&run)
         };
         self.assignments.iter().flat_map(|assignments| &assignments.starts).filter(is_due).cloned().collect()
@@ -313,15 +340,21 @@
 
     /// Returns the stops to send now.
     pub fn due_stops(&self, now: u64) -> Vec<Stop> {
+        let may_send =
+            |run: &RunKey| self.answered_stops.get(run).is_none_or(|at| now >= at + STOP_RETRY_DELAY_MS);
         let is_due = |stop: &&Stop| {
             let run = (stop.task.clone(), stop.run);
-            let may_retry = self.answered_stops.get(&run).is_none_or(|at| now >= at + STOP_RETRY_DELAY_MS);
-            may_retry
+            may_send(&run)
                 && !self.not_started.contains_key(&run)
                 && !self.absence_checks.contains_key(&run)
                 && !self.is_ended(&run)
         };
-        self.assignments.iter().flat_map(|assignments| &assignments.stops).filter(is_due).cloned().collect()
+        let assigned = self.assignments.iter().flat_map(|assignments| &assignments.stops).filter(is_due);
+        let given_up = self.given_up.iter().filter(|_| self.presence == Presence::Present);
+        let unresolved = self.refused.keys().chain(given_up).filter(|run| may_send(run));
+        let unresolved = unresolved.map(|(task, run)| Stop { task: task.clone(), run: *run });
+        let due: BTreeSet<Stop> = assigned.cloned().chain(unresolved).collect();
+        due.into_iter().collect()
     }
 
     /// Returns the speed shares to send now.
@@ -358,10 +391,23 @@
         }
     }
 
-    /// Records that the worker has answered a stop.
-    pub fn record_stop_answer(&mut self, incarnation: &str, stop: &Stop, now: u64) {
+    /// Records that the worker has refused a start, but may still execute an earlier one of the run.
+    pub fn record_start_refusal(&mut self, incarnation: &str, start: &Start, why: &str) {
         if self.incarnation() == Some(incarnation) {
-            self.answered_stops.insert((stop.task.clone(), stop.run), now);
+            self.refused.insert((start.task.clone(), start.run), why.to_owned());
+        }
+    }
+
+    /// Records that the worker has answered a stop. From now on it rejects a start of the run.
+    pub fn record_stop_answer(&mut self, incarnation: &str, stop: &Stop, now: u64) {
+        if self.incarnation() != Some(incarnation) {
+            return;
+        }
+        let run = (stop.task.clone(), stop.run);
+        self.answered_stops.insert(run.clone(), now);
+        if !self.given_up.remove(&run) {
+            let why = self.refused.remove(&run).unwrap_or_else(|| STOPPED.to_owned());
+            self.expect_absence(incarnation, &stop.task, stop.run, &why);
         }
     }
 
@@ -409,8 +455,11 @@
                 self.not_started.insert(run.clone(), why);
             }
         }
-        self.start_attempts
-            .retain(|run| !self.running.contains_key(run) && !self.not_started.contains_key(run));
+        self.refused.retain(|run, _| !self.running.contains_key(run));
+        let ended: BTreeSet<RunKey> = self.ended.iter().map(|end| (end.task.clone(), end.run)).collect();
+        self.start_attempts.retain(|run| {
+            !self.running.contains_key(run) && !self.not_started.contains_key(run) && !ended.contains(run)
+        });
         updated || !checked.is_empty()
     }
 
@@ -425,6 +474,10 @@
         if self.unanswered_since.is_some() && self.presence == Presence::Present {
             self.presence = Presence::Silent;
         }
+        // The worker may still execute these starts once its leases are extended again.
+        let attempts = std::mem::take(&mut self.start_attempts);
+        self.given_up.extend(attempts.iter().filter(|run| !self.started.contains_key(run)).cloned());
+        self.start_attempts = attempts;
         self.mark_runs_not_started("its lease has run out");
         true
     }
--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -342,7 +342,7 @@
             Delivery::AnswerLost => _ = self.worker.start(self.now, &key, lease_end),
             Delivery::Late(ms) => self.late.push((self.now + ms, LateCall::Start(key, lease_end))),
             Delivery::Lost => (),
-            Delivery::Refused => self.agent.expect_absence(INCARNATION, &start.task, start.run, "room"),
+            Delivery::Refused => self.agent.record_start_refusal(INCARNATION, &start, "room"),
         }
     }
 
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use sorrelland_control::lease::{AnnouncementEffect, Presence, WorkerState};
 use sorrelland_fleet::Task;
-use sorrelland_fleet::assignments::{Assignments, Stop};
+use sorrelland_fleet::assignments::{Assignments, Start, Stop};
 use sorrelland_fleet::report::{Running, WorkerInfo};
 use sorrelland_platform::worker::{Announcement, Listing};
 
@@ -177,3 +177,40 @@
     assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
     assert!(!state.needs_poll());
 }
+
+fn start_assignments(number: u64, runs: &[u64]) -> Assignments {
+    let start = |run: &u64| Start {
+        task: task(),
+        run: *run,
+        spec: String::new(),
+        saved: String::new(),
+        ticket: None,
+    };
+    Assignments {
+        incarnation: INCARNATION.to_owned(),
+        number,
+        grant_ms: 5_000,
+        starts: runs.iter().map(start).collect(),
+        ..Assignments::default()
+    }
+}
+
+#[test]
+fn extend_lease_waits_for_stop_of_start_that_may_still_be_executed() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    state.apply_listing(10, 1, INCARNATION, Listing { running: Vec::new(), ..listing(500) });
+    state.apply_assignments(20, 1, Some(start_assignments(1, &[2])));
+    assert!(state.extend_lease(30).is_some());
+    // The start is not answered, and the planner is out of reach until it has given the run up.
+    state.record_start_attempt(&start_assignments(1, &[2]).starts[0]);
+    assert!((1_000..9_000).step_by(150).any(|now| state.expire_leases(now)));
+    // The worker and the planner are back, less than twelve seconds after the start.
+    state.apply_listing(9_000, 2, INCARNATION, Listing { running: Vec::new(), ..listing(9_500) });
+    state.apply_assignments(9_010, 1, Some(start_assignments(2, &[])));
+    let stops = state.due_stops(9_020);
+    assert!(
+        state.extend_lease(9_020).is_none() || stops.iter().any(|stop| stop.run == 2),
+        "run 2 may start late under the new lease"
+    );
+}
