Report assigned starts that a worker no longer takes

Callers could see jobs that never began: a start that was assigned but not yet sent when the agent stopped sending any, because the worker left or no longer answered, was neither sent nor reported as not started, and the planner waited for it as long as the worker was reported.

Such starts are now reported as not started, at once and whenever new assignments bring one: they were never sent, so they can't run.

expire_leases_reports_assigned_start_that_was_never_sent and record_refused_connection_reports_assigned_start_that_was_never_sent failed before ("run 2 waits for ever: []") and pass now.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -191,6 +191,7 @@
         let is_current = self.incarnation() == Some(incarnation);
         if is_current && self.presence == Presence::Present {
             self.presence = Presence::Leaving;
+            self.reject_assigned_starts();
         }
         is_current
     }
@@ -203,6 +204,7 @@
         }
         self.presence = Presence::Left;
         self.mark_runs_not_started("the worker has left");
+        self.reject_assigned_starts();
         true
     }
 
@@ -225,6 +227,23 @@
         self.absence_checks.clear();
     }
 
+    /// Marks assigned starts as not started that have never been sent, if none is sent to the worker any more.
+    fn reject_assigned_starts(&mut self) {
+        let why = match self.presence {
+            Presence::Present => return,
+            Presence::Leaving | Presence::Left => "the worker leaves",
+            Presence::Silent => "the worker does not answer",
+        };
+        let starts = self.assignments.iter().flat_map(|assignments| &assignments.starts);
+        let starts = starts.map(|start| (start.task.clone(), start.run));
+        let never_sent = starts
+            .filter(|run| !self.start_attempts.contains(run) && !self.is_known(run))
+            .collect::<Vec<_>>();
+        for run in never_sent {
+            self.not_started.insert(run, why.to_owned());
+        }
+    }
+
     /// Returns whether it is known, or is being found out, if a run is on the worker.
     fn is_known(&self, run: &RunKey) -> bool {
         self.running.contains_key(run)
@@ -290,6 +309,7 @@
         self.given_up.extend(given_up);
         self.answered_stops.retain(|run, _| assigned(run));
         self.assignments = Some(assignments);
+        self.reject_assigned_starts();
         true
     }
 
@@ -479,6 +499,7 @@
         self.given_up.extend(attempts.iter().filter(|run| !self.started.contains_key(run)).cloned());
         self.start_attempts = attempts;
         self.mark_runs_not_started("its lease has run out");
+        self.reject_assigned_starts();
         true
     }
 
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -195,6 +195,52 @@
     }
 }
 
+/// Returns the state of a worker that has run 1 and answers nothing from time 10 on, and has been polled until all its
+/// leases were over; run 2 is assigned shortly before.
+fn silent_worker() -> (WorkerState, u64) {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    let mut number = 0;
+    for now in (10..4 * MAX_LEASE_MS).step_by(150) {
+        number += 1;
+        let runs: &[u64] = if now > MAX_LEASE_MS + 1_000 { &[2] } else { &[] };
+        state.apply_assignments(now, 1, Some(start_assignments(number, runs)));
+        for start in state.due_starts(now) {
+            if state.extend_lease(now).is_some() {
+                state.record_start_attempt(&start);
+            }
+        }
+        state.begin_poll();
+        state.extend_lease(now);
+        if state.expire_leases(now) {
+            return (state, now);
+        }
+    }
+    panic!("the leases never end");
+}
+
+#[test]
+fn expire_leases_reports_assigned_start_that_was_never_sent() {
+    let (state, _) = silent_worker();
+    let not_started = state.build_report("agent", 1, 1).not_started;
+    assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
+}
+
+#[test]
+fn record_refused_connection_reports_assigned_start_that_was_never_sent() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    state.record_departure_notice(INCARNATION);
+    // The planner has placed the run before it hears of the notice.
+    state.apply_assignments(20, 1, Some(start_assignments(1, &[2])));
+    assert_eq!(state.due_starts(20), Vec::new());
+    assert!(state.record_refused_connection(INCARNATION));
+    let not_started = state.build_report("agent", 1, 1).not_started;
+    assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
+}
+
 #[test]
 fn extend_lease_waits_for_stop_of_start_that_may_still_be_executed() {
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
