Ignore a check-in of the worker's incarnation that names another service

A check-in of another writer with the id of the current incarnation, another service and a high sequence number kept the worker without work until its agent was restarted: its own check-ins counted as older.

An incarnation belongs to one service, so a check-in with another one is not the worker's. What remains is a writer that knows id and service.

apply_announcement_of_another_service_keeps_the_workers_own_valid failed before (left: ("elsewhere", true), right: ("svc", false)) and passes now.

--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -93,7 +93,9 @@
                     self.log_ignored(&received, "queue_full");
                 }
             }
-            AnnouncementEffect::OlderSequence | AnnouncementEffect::RepeatedSequence => {
+            AnnouncementEffect::OtherService
+            | AnnouncementEffect::OlderSequence
+            | AnnouncementEffect::RepeatedSequence => {
                 self.log_ignored(&received, effect.name());
             }
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -36,6 +36,8 @@
     /// The current incarnation announced a change.
     Updated,
     Unchanged,
+    /// Ignored: an incarnation belongs to one service.
+    OtherService,
     /// Ignored: a newer announcement of the incarnation is known.
     OlderSequence,
     /// Ignored: the same announcement is known.
@@ -49,6 +51,7 @@
             Self::Unconfirmed => "unconfirmed",
             Self::Updated => "updated",
             Self::Unchanged => "unchanged",
+            Self::OtherService => "other_service",
             Self::OlderSequence => "older_sequence",
             Self::RepeatedSequence => "repeated_sequence",
         }
@@ -148,6 +151,9 @@
         let incarnation = &announcement.info.incarnation;
         let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
         let Some(known) = current else { return AnnouncementEffect::Unconfirmed };
+        if announcement.info.service != known.info.service {
+            return AnnouncementEffect::OtherService;
+        }
         match announcement.sequence.cmp(&known.sequence) {
             Ordering::Less => return AnnouncementEffect::OlderSequence,
             Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -260,3 +260,16 @@
         "run 2 may start late under the new lease"
     );
 }
+
+#[test]
+fn apply_announcement_of_another_service_keeps_the_workers_own_valid() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let mut other = announcement(u64::MAX);
+    other.info.service = "elsewhere".to_owned();
+    other.info.draining = true;
+    state.apply_announcement(&other);
+    state.apply_announcement(&announcement(2));
+    let worker = state.build_report("agent", 1, 1).worker.unwrap();
+    assert_eq!((worker.service.as_str(), worker.draining), ("svc", false));
+}
