--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -70,8 +70,6 @@
     Store { faults: Value, ms: u64 },
     /// Sets rules of a proxy.
     Link { side: Side, rules: Rules, ms: u64 },
-    /// Resets the connections through a proxy.
-    Reset { side: Side },
     /// Sends an unexpected check-in to an agent.
     Checkin { worker: usize, kind: Kind, seed: u64, restart_agent: bool },
     /// Publishes desired states in a row.
@@ -93,7 +91,6 @@
             Self::Link { side: Side::Store, .. } => "store-link".to_owned(),
             Self::Link { side: Side::Calls(_), .. } => "calls-link".to_owned(),
             Self::Link { side: Side::Checkins(_), .. } => "checkins-link".to_owned(),
-            Self::Reset { .. } => "reset".to_owned(),
             Self::Checkin { kind, .. } => format!("checkin-{kind:?}"),
             Self::Publish { .. } => "publish".to_owned(),
         }
@@ -160,7 +157,6 @@
         0 => Fault::Store { faults: json!({"down": true}), ms },
         1 => Fault::Store { faults: json!({"slow_ms": rng.random_range(50..900)}), ms },
         2 => Fault::Store { faults: json!({"lose_every": rng.random_range(2..6)}), ms },
-        3 => Fault::Reset { side: Side::Store },
         _ => Fault::Link { side: Side::Store, rules: draw_rules(rng), ms },
     }
 }
@@ -168,10 +164,7 @@
 fn draw_links(rng: &mut StdRng, _: usize, workers: usize) -> Fault {
     let worker = rng.random_range(1..=workers);
     let side = if rng.random_bool(0.6) { Side::Calls(worker) } else { Side::Checkins(worker) };
-    match rng.random_range(0..5) {
-        0 => Fault::Reset { side },
-        _ => Fault::Link { side, rules: draw_rules(rng), ms: rng.random_range(300..9_000) },
-    }
+    Fault::Link { side, rules: draw_rules(rng), ms: rng.random_range(300..9_000) }
 }
 
 fn draw_checkins(rng: &mut StdRng, _: usize, workers: usize) -> Fault {
@@ -210,11 +203,12 @@
 
 fn draw_rules(rng: &mut StdRng) -> Rules {
     let mut rules = Rules { one_in: rng.random_range(1..4), ..Rules::default() };
-    match rng.random_range(0..5) {
+    match rng.random_range(0..6) {
         0 => rules.delay = Duration::from_millis(rng.random_range(20..1_500)),
         1 => rules.hold_requests = true,
         2 => rules.hold_responses = true,
         3 => (rules.hold_requests, rules.hold_responses) = (true, true),
+        4 => rules.reset = true,
         _ => rules.refuse = true,
     }
     rules
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,7 +2,9 @@
 
 use std::process::ExitCode;
 
-use sorrelland_soak::{args, run};
+use sorrelland_soak::args::{self, Args};
+use sorrelland_soak::run;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -17,6 +19,15 @@
         print!("{}", args::HELP);
         return ExitCode::SUCCESS;
     }
+    tokio::select! {
+        kept = run_seeds(args) => if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE },
+        // The processes end with the runtime.
+        () = interrupted() => ExitCode::FAILURE,
+    }
+}
+
+/// Runs the seeds and returns whether they all kept the promises.
+async fn run_seeds(args: Args) -> bool {
     let mut all_kept = true;
     for seed in args.seeds {
         match run::run_seed(&args.cfg, seed).await {
@@ -30,5 +41,14 @@
             }
         }
     }
-    if all_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    all_kept
+}
+
+/// Waits for SIGINT or SIGTERM.
+async fn interrupted() {
+    let mut terminate = signal(SignalKind::terminate()).expect("handler for SIGTERM");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
 }
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -108,10 +108,6 @@
                 })
                 .await
             }
-            Fault::Reset { side } => {
-                let proxy = self.deployment.proxy(side);
-                self.impair(&format!("{side:?}"), &impaired_part(side), async { proxy.reset() }).await
-            }
             Fault::Checkin { worker, kind, seed, restart_agent } => {
                 if kind == Kind::Late && self.deployment.count_lives(worker) < 2 {
                     self.stop(Machine::Worker(worker), Stop::Kill, 0).await;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -19,24 +19,23 @@
     pub hold_requests: bool,
     /// Data towards the client is held back, and delivered when this is cleared.
     pub hold_responses: bool,
-    /// New connections are closed at once.
+    /// New connections are reset.
     pub refuse: bool,
+    /// Open and new connections are reset.
+    pub reset: bool,
     /// The rules apply to one connection in this many; 0 and 1 for all.
     pub one_in: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct State {
-    rules: Rules,
-    /// Number of resets; each closes the connections that are open.
-    resets: u64,
+impl Rules {
+    fn apply_to(&self, number: u64) -> bool {
+        self.one_in <= 1 || number.is_multiple_of(self.one_in)
+    }
 }
 
 /// Running proxy; it ends with the runtime.
 #[derive(Debug)]
-pub struct Proxy {
-    state: watch::Sender<State>,
-}
+pub struct Proxy(watch::Sender<Rules>);
 
 impl Proxy {
     /// Starts to forward connections from `listen` to `target`.
@@ -46,58 +45,48 @@
     /// Fails if the address can't be used.
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
-        let state = watch::Sender::new(State::default());
-        let receiver = state.subscribe();
+        let sender = watch::Sender::new(Rules::default());
+        let receiver = sender.subscribe();
         tokio::spawn(async move {
             for number in 0.. {
                 // A failed accept concerns one connection; the client retries.
                 let Ok((client, _)) = listener.accept().await else { continue };
-                let rules = receiver.borrow().rules;
-                if rules.refuse && applies(rules, number) {
+                let rules = *receiver.borrow();
+                if (rules.refuse || rules.reset) && rules.apply_to(number) {
                     abort(&client);
                     continue;
                 }
                 tokio::spawn(forward(client, target, receiver.clone(), number));
             }
         });
-        Ok(Self { state })
+        Ok(Self(sender))
     }
 
     /// Sets the rules for open and new connections.
     pub fn set(&self, rules: Rules) {
-        self.state.send_modify(|state| state.rules = rules);
-    }
-
-    /// Resets all open connections.
-    pub fn reset(&self) {
-        self.state.send_modify(|state| state.resets += 1);
+        self.0.send_replace(rules);
     }
 }
 
-fn applies(rules: Rules, number: u64) -> bool {
-    rules.one_in <= 1 || number.is_multiple_of(rules.one_in)
-}
-
 /// Makes the end of a connection a reset.
 fn abort(stream: &TcpStream) {
     // Fails only on a connection that is closed already.
     let _ = stream.set_zero_linger();
 }
 
-async fn forward(mut client: TcpStream, target: SocketAddr, state: watch::Receiver<State>, number: u64) {
+async fn forward(mut client: TcpStream, target: SocketAddr, rules: watch::Receiver<Rules>, number: u64) {
     let Ok(mut server) = TcpStream::connect(target).await else { return abort(&client) };
     // Without it small messages are delayed, which is harmless.
     let _ = client.set_nodelay(true).and_then(|()| server.set_nodelay(true));
-    let resets = state.borrow().resets;
     let was_reset = {
-        let mut reset = state.clone();
+        let mut reset = rules.clone();
         let (from_client, to_client) = client.split();
         let (from_server, to_server) = server.split();
-        let pump_requests = pump(from_client, to_server, state.clone(), number, |rules| rules.hold_requests);
-        let pump_responses = pump(from_server, to_client, state, number, |rules| rules.hold_responses);
+        let pump_requests = pump(from_client, to_server, rules.clone(), number, |rules| rules.hold_requests);
+        let pump_responses = pump(from_server, to_client, rules, number, |rules| rules.hold_responses);
         tokio::select! {
             _ = async { tokio::join!(pump_requests, pump_responses) } => false,
-            _ = reset.wait_for(|state| state.resets != resets) => true,
+            _ = reset.wait_for(|rules| rules.reset && rules.apply_to(number)) => true,
         }
     };
     if was_reset {
@@ -110,17 +99,17 @@
 async fn pump(
     mut from: impl AsyncReadExt + Unpin,
     mut to: impl AsyncWriteExt + Unpin,
-    mut state: watch::Receiver<State>,
+    mut rules: watch::Receiver<Rules>,
     number: u64,
     held: impl Fn(&Rules) -> bool,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let n = from.read(&mut buf).await.unwrap_or(0);
-        let is_open = |state: &State| !(held(&state.rules) && applies(state.rules, number));
-        let Ok(rules) = state.wait_for(is_open).await.map(|state| state.rules) else { return };
-        if applies(rules, number) && !rules.delay.is_zero() {
-            tokio::time::sleep(rules.delay).await;
+        let is_open = |rules: &Rules| !(held(rules) && rules.apply_to(number));
+        let Ok(now) = rules.wait_for(is_open).await.map(|rules| *rules) else { return };
+        if now.apply_to(number) && !now.delay.is_zero() {
+            tokio::time::sleep(now.delay).await;
         }
         if n == 0 {
             // The other side may have closed already.
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -48,12 +48,15 @@
 }
 
 #[tokio::test]
-async fn reset_ends_open_connections_only() {
+async fn reset_ends_open_and_new_connections() {
     let (proxy, address) = start().await;
     let mut stream = TcpStream::connect(address).await.unwrap();
     exchange(&mut stream).await.unwrap();
-    proxy.reset();
+    proxy.set(Rules { reset: true, ..Rules::default() });
     assert!(timeout(WAIT, stream.read_exact(&mut [0])).await.unwrap().is_err());
+    let mut new = TcpStream::connect(address).await.unwrap();
+    assert!(timeout(WAIT, exchange(&mut new)).await.unwrap().is_err());
+    proxy.set(Rules::default());
     exchange(&mut TcpStream::connect(address).await.unwrap()).await.unwrap();
 }
 
--- a/crates/sorrelland/tests/soak.rs
+++ b/crates/sorrelland/tests/soak.rs
@@ -21,8 +21,8 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn soak_with_strange_checkins_keeps_promises() {
-    assert_promises_kept(1).await;
+async fn soak_with_unexpected_checkins_keeps_promises() {
+    assert_promises_kept(3).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
