Take a silent worker back only when it answers a call

Callers could see jobs that never began: a worker that answered no call but still sent check-ins counted as present again with the next of them, so the planner placed work there that was neither sent nor reported as not started. The same held behind a stop that the worker doesn't answer, which keeps all starts back.

A check-in of a silent worker now has to be confirmed by an answered call, as that of another incarnation, and a stop unanswered for the length of a lease makes the worker silent.

--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -113,7 +113,7 @@
         let incarnation = &received.announcement.info.incarnation;
         for attempt in 1..=MAX_ATTEMPTS {
             // An earlier announcement of this incarnation may have been confirmed meanwhile.
-            if lock(&self.worker_state).incarnation() == Some(incarnation) {
+            if lock(&self.worker_state).is_confirmed(incarnation) {
                 return self.apply_announcement(received);
             }
             let poll = lock(&self.worker_state).begin_poll();
@@ -154,10 +154,15 @@
             }
             (before, state.summary(now))
         };
-        let effect = if before.current.is_empty() { "adopted" } else { "replaced" };
+        let effect = match before.current.as_str() {
+            "" => "adopted",
+            current if current == incarnation => "confirmed",
+            _ => "replaced",
+        };
         metrics::count_announcement(effect);
-        log_announced(received, effect, &before.current, &after);
-        if !before.current.is_empty() {
+        let replaced = if effect == "replaced" { before.current.as_str() } else { "" };
+        log_announced(received, effect, replaced, &after);
+        if !replaced.is_empty() {
             record_end("replaced", &format!("replaced_by={incarnation:?} {received}"), &before);
         }
         self.report_due.notify_one();
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -146,7 +146,7 @@
     }
 
     /// Applies an announcement and returns its effect. Only the current incarnation can change: an announcement may
-    /// arrive late or come from another writer, so the worker has to confirm any other one.
+    /// arrive late or come from another writer, so the worker has to confirm any other one, and one that is silent.
     pub fn apply_announcement(&mut self, announcement: &Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
         let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
@@ -161,12 +161,18 @@
         }
         let changed = known.info != announcement.info || self.presence != Presence::Present;
         *known = announcement.clone();
+        if self.presence == Presence::Silent {
+            return AnnouncementEffect::Unconfirmed;
+        }
         self.presence = Presence::Present;
         if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
     }
 
     /// Makes an incarnation the current one and ends the one before. The worker has answered a call that names it.
     pub fn adopt_incarnation(&mut self, now: u64, announcement: Announcement) {
+        if self.incarnation() == Some(&announcement.info.incarnation) {
+            return self.record_answer();
+        }
         self.end_current_incarnation();
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
         self.leased_until = now + self.max_lease_ms;
@@ -278,6 +284,11 @@
         }
     }
 
+    /// Returns whether an incarnation is the current one and answers calls.
+    pub fn is_confirmed(&self, incarnation: &str) -> bool {
+        self.incarnation() == Some(incarnation) && self.presence != Presence::Silent
+    }
+
     pub fn incarnation(&self) -> Option<&str> {
         self.announced.as_ref().map(|known| known.info.incarnation.as_str())
     }
@@ -322,26 +333,35 @@
     /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended. Returns
     /// `None` as well if the worker has not answered for as long as a lease lasts, so that its leases end.
     pub fn extend_lease(&mut self, now: u64) -> Option<u64> {
-        let may_extend = self.presence == Presence::Present && self.given_up.is_empty();
-        let (clock, read_at) = self.clock_reading.filter(|_| may_extend)?;
-        let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
-        if now > *self.unanswered_since.get_or_insert(now) + self.max_lease_ms {
+        self.unanswered_since.get_or_insert(now);
+        if self.presence != Presence::Present || !self.given_up.is_empty() || self.is_unresponsive(now) {
             return None;
         }
+        let (clock, read_at) = self.clock_reading?;
+        let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
         self.leased_until = self.leased_until.max(self.granted_until);
         let on_slow_clock = |ms: u64| ms * (100 - CLOCK_LAG_PERCENT) / 100;
         Some(clock + on_slow_clock(now.saturating_sub(read_at)) + on_slow_clock(remaining))
     }
 
-    /// Records the worker's clock from an answer that arrived at `now`.
-    pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
-        self.clock_reading = Some((clock_ms, now));
+    /// Returns whether the worker has not answered for as long as a lease lasts.
+    fn is_unresponsive(&self, now: u64) -> bool {
+        self.unanswered_since.is_some_and(|since| now > since + self.max_lease_ms)
+    }
+
+    fn record_answer(&mut self) {
         self.unanswered_since = None;
         if self.presence == Presence::Silent {
             self.presence = Presence::Present;
         }
     }
 
+    /// Records the worker's clock from an answer that arrived at `now`.
+    pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
+        self.clock_reading = Some((clock_ms, now));
+        self.record_answer();
+    }
+
     pub fn has_clock(&self) -> bool {
         self.clock_reading.is_some()
     }
@@ -492,9 +512,10 @@
     /// Marks all runs as not started once every lease has certainly expired; returns whether there were any.
     pub fn expire_leases(&mut self, now: u64) -> bool {
         let expired_at = self.leased_until + self.lapse_margin_ms();
-        let has_runs =
-            !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty();
-        if now <= expired_at || !has_runs {
+        // A stop that the worker doesn't answer keeps all starts back.
+        let waits_for_stop = !self.given_up.is_empty() && self.is_unresponsive(now);
+        let may_lose_runs = self.has_runs() || (self.presence == Presence::Present && waits_for_stop);
+        if now <= expired_at || !may_lose_runs {
             return false;
         }
         if self.unanswered_since.is_some() && self.presence == Presence::Present {
@@ -521,16 +542,20 @@
     }
 
     pub fn needs_poll(&self) -> bool {
-        self.presence != Presence::Left && self.expects_changes()
+        !matches!(self.presence, Presence::Silent | Presence::Left) && self.expects_changes()
+    }
+
+    /// Returns whether runs may be on the worker.
+    fn has_runs(&self) -> bool {
+        !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty()
     }
 
     /// Returns whether a poll may show a change.
     fn expects_changes(&self) -> bool {
-        !self.running.is_empty()
-            || !self.started.is_empty()
-            || !self.start_attempts.is_empty()
+        self.has_runs()
             || !self.ended.is_empty()
             || !self.absence_checks.is_empty()
+            || !self.given_up.is_empty()
             || self.assignments.as_ref().is_some_and(|assignments| !assignments.starts.is_empty())
     }
 
