Show that a start never sent to a silent worker is kept (failing)

Callers saw nothing yet: found in review. A start that is assigned while a worker has been silent for as long as a lease lasts is never sent, so it is neither an attempt nor a run, and expire_leases leaves it out of not_started. The agent goes on reporting the worker, so the planner renews the grant and waits for the run.

--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use sorrelland_control::lease::{AnnouncementEffect, Presence, WorkerState};
 use sorrelland_fleet::Task;
-use sorrelland_fleet::assignments::{Assignments, Stop};
+use sorrelland_fleet::assignments::{Assignments, Start, Stop};
 use sorrelland_fleet::report::{Running, WorkerInfo};
 use sorrelland_platform::worker::{Announcement, Listing};
 
@@ -177,3 +177,53 @@
     assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
     assert!(!state.needs_poll());
 }
+
+fn start_assignments(number: u64, runs: &[u64]) -> Assignments {
+    let start = |run: &u64| Start {
+        task: task(),
+        run: *run,
+        spec: String::new(),
+        saved: String::new(),
+        ticket: None,
+    };
+    Assignments {
+        incarnation: INCARNATION.to_owned(),
+        number,
+        grant_ms: 5_000,
+        starts: runs.iter().map(start).collect(),
+        ..Assignments::default()
+    }
+}
+
+/// Returns the state of a worker that has run 1 and answers nothing from time 10 on, and has been polled until all its
+/// leases were over; run 2 is assigned shortly before.
+fn silent_worker() -> (WorkerState, u64) {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    let mut number = 0;
+    for now in (10..4 * MAX_LEASE_MS).step_by(150) {
+        number += 1;
+        let runs: &[u64] = if now > MAX_LEASE_MS + 1_000 { &[2] } else { &[] };
+        state.apply_assignments(now, 1, Some(start_assignments(number, runs)));
+        for start in state.due_starts(now) {
+            if state.extend_lease(now).is_some() {
+                state.record_start_attempt(&start);
+            }
+        }
+        state.begin_poll();
+        state.extend_lease(now);
+        if state.expire_leases(now) {
+            return (state, now);
+        }
+    }
+    panic!("the leases never end");
+}
+
+#[test]
+fn expire_leases_reports_assigned_start_that_was_never_sent() {
+    let (state, _) = silent_worker();
+    let not_started = state.build_report("agent", 1, 1).not_started;
+    assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
+}
