Show that a start assigned to a leaving worker is kept (failing)

A run that is placed before the planner hears of the departure is never sent, and the end of the worker doesn't report it as not started. Fails on: not_started is empty.

--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -227,3 +227,16 @@
     let not_started = state.build_report("agent", 1, 1).not_started;
     assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
 }
+
+#[test]
+fn record_refused_connection_reports_assigned_start_that_was_never_sent() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    state.record_departure_notice(INCARNATION);
+    // The planner has placed the run before it hears of the notice.
+    state.apply_assignments(20, 1, Some(start_assignments(1, &[2])));
+    assert_eq!(state.due_starts(20), Vec::new());
+    assert!(state.record_refused_connection(INCARNATION));
+    let not_started = state.build_report("agent", 1, 1).not_started;
+    assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
+}
