Show that another writer's check-in shuts the worker's own out (failing)

A check-in with the current id and a higher sequence is taken without confirmation: service, state and capacity, and the worker's own check-ins count as older from then on. Fails on: the worker is reported with the other service, as draining.

--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -240,3 +240,16 @@
     let not_started = state.build_report("agent", 1, 1).not_started;
     assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
 }
+
+#[test]
+fn apply_announcement_of_another_writer_keeps_the_workers_own_valid() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let mut other = announcement(u64::MAX);
+    other.info.service = "elsewhere".to_owned();
+    other.info.draining = true;
+    state.apply_announcement(&other);
+    state.apply_announcement(&announcement(2));
+    let worker = state.build_report("agent", 1, 1).worker.unwrap();
+    assert_eq!((worker.service.as_str(), worker.draining), ("svc", false));
+}
