Show that a lease is extended while a given-up start may arrive (failing)

A start without an answer is given up when the leases are over, but no stop makes the worker reject it. Once worker and planner are back, the lease of the same incarnation is extended, and a start that is executed late runs beside the next run. Fails on: the lease is extended and no stop is due.

--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -253,3 +253,23 @@
     let worker = state.build_report("agent", 1, 1).worker.unwrap();
     assert_eq!((worker.service.as_str(), worker.draining), ("svc", false));
 }
+
+#[test]
+fn extend_lease_waits_for_stop_of_start_that_may_still_be_executed() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    state.apply_listing(10, 1, INCARNATION, Listing { running: Vec::new(), ..listing(500) });
+    state.apply_assignments(20, 1, Some(start_assignments(1, &[2])));
+    assert!(state.extend_lease(30).is_some());
+    // The start is not answered, and the planner is out of reach until it has given the run up.
+    state.record_start_attempt(&start_assignments(1, &[2]).starts[0]);
+    assert!((1_000..9_000).step_by(150).any(|now| state.expire_leases(now)));
+    // The worker and the planner are back, less than twelve seconds after the start.
+    state.apply_listing(9_000, 2, INCARNATION, Listing { running: Vec::new(), ..listing(9_500) });
+    state.apply_assignments(9_010, 1, Some(start_assignments(2, &[])));
+    let stops = state.due_stops(9_020);
+    assert!(
+        state.extend_lease(9_020).is_none() || stops.iter().any(|stop| stop.run == 2),
+        "run 2 may start late under the new lease"
+    );
+}
