Show that a readmitted worker is granted leases over an unaccounted start (failing)

A worker whose agent didn't report in time loses its runs and is readmitted with the next report. The start that was in flight is not stopped there before leases are granted again, so it may be executed late beside the next run. Fails on: the first assignments have a grant and no stop.

--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -752,3 +752,25 @@
     }
     assert!(fleet.now > granted_at + lease_duration_ms);
 }
+
+#[test]
+fn assignments_stop_unreported_start_of_readmitted_worker() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    let (worker, start) = starts(&assignments)[0];
+    let (worker, task, run) = (worker.to_owned(), start.task.clone(), start.run);
+    // The agent sends the start, gets no answer and ends.
+    let is_worker = |report: &Report| report.worker.as_ref().unwrap().incarnation == worker;
+    let at = fleet.reports.iter().position(is_worker).unwrap();
+    let mut restarted = fleet.reports.remove(at);
+    while starts(&fleet.advance(100)).is_empty() {}
+    // Its next process finds the worker without the run, which may still be started late.
+    restarted.agent_incarnation = 77;
+    fleet.reports.push(restarted);
+    let assignments = fleet.advance(10);
+    let granted = assignments.iter().find(|assigned| assigned.incarnation == worker);
+    let is_stopped =
+        granted.is_none_or(|assigned| assigned.stops.iter().any(|stop| stop.task == task && stop.run == run));
+    assert!(is_stopped, "run {run} may start on {worker} under a new grant: {granted:?}");
+}
