Show that frequent check-ins end a worker's leases (failing)

Each check-in with a change cancels the poll in flight. If they come faster than a poll's wait, no poll is ever answered, the worker counts as silent after max_lease_ms, and its leases aren't extended though it is healthy.

--- a/crates/sorrelland/tests/membership.rs
+++ b/crates/sorrelland/tests/membership.rs
@@ -99,3 +99,21 @@
     // Without the departure the runs would count until their leases have ended.
     platform.await_event("run_gone", JOB, Duration::from_secs(2)).await;
 }
+
+#[tokio::test]
+async fn frequent_check_ins_of_running_worker_keep_its_leases() {
+    const LONG_RUN: Duration = Duration::from_secs(14);
+    let platform = Platform::start(1, 1).await;
+    let spec = format!("run_ms={}", LONG_RUN.as_millis());
+    assert_eq!(platform.submit(1, JOB, json!([step(1)]), &spec).await, 200);
+    platform.await_state(JOB, "running", Duration::from_secs(5)).await;
+    // Each check-in has a change, like those of a worker that drains.
+    for sequence in 0..20 {
+        let mut body = check_in("svc", "draining", 1_000 + sequence);
+        body["remaining_ms"] = json!(60_000 - 700 * sequence);
+        platform.check_in(1, "w-1-1", &body).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    let events = platform.history().await;
+    assert!(!events.iter().any(|event| event.0 == "lapsed"), "the lease has ended: {events:?}");
+}
