Show that a silent worker's start isn't stopped before the next run (failing)

A start that a silent worker didn't answer is given up after the leases have ended. Once the worker answers again, its lease is extended and the next run started, without a stop of the former one, which may still be executed. Fails on: run 2 is started and no stop of run 1 was sent.

--- a/crates/sorrelland/tests/orders.rs
+++ b/crates/sorrelland/tests/orders.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use std::fs;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, LazyLock, Mutex};
+use std::time::{Duration, Instant};
 
 use common::eventually;
 use common::platform::{Platform, step};
@@ -15,6 +15,9 @@
 
 const JOB: &str = "00000000000000a1";
 
+/// Clock of the worker.
+static CLOCK: LazyLock<Instant> = LazyLock::new(Instant::now);
+
 /// Paths and run numbers of the orders that the worker has received.
 type Orders = Arc<Mutex<Vec<(String, u64)>>>;
 
@@ -84,3 +87,91 @@
     let (stop, next) = (position("/run-stop", refused), position("/run-start", next));
     assert!(stop.is_some() && stop < next, "run {refused} may still be started: {received:?}");
 }
+
+/// Time for which the worker answers nothing: its leases have ended by then, and a start is executed up to 12 s late.
+const SILENCE: Duration = Duration::from_millis(12_500);
+
+/// Answers like a worker that has the first job's run, then is silent for [`SILENCE`], and has no run afterwards.
+async fn answer_after_silence(
+    orders: Orders,
+    silent_from: Arc<Mutex<Option<Instant>>>,
+    request: Request,
+) -> Response {
+    let is_order = request.path != "/hold";
+    if is_order {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let task = body["task"].as_str().unwrap_or_default();
+        let order = (format!("{} {task}", request.path), body["run"].as_u64().unwrap_or_default());
+        orders.lock().unwrap().push(order);
+    }
+    let silent = || silent_from.lock().unwrap().is_some_and(|from| from.elapsed() < SILENCE);
+    if silent() {
+        // Longer than any time-out of the caller.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+    } else if !is_order {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let clock_ms = CLOCK.elapsed().as_millis() as u64;
+    let first = format!("{JOB}.0.0.0");
+    let started = orders.lock().unwrap().iter().any(|(order, _)| *order == format!("/run-start {first}"));
+    let running = if started && silent_from.lock().unwrap().is_none() {
+        vec![json!([first, 1, "", 1, 0])]
+    } else {
+        Vec::new()
+    };
+    Response::new(StatusCode::OK).json(&json!({"clock_ms": clock_ms, "running": running, "finished": []}))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn start_unanswered_by_silent_worker_is_stopped_before_next_run() {
+    const OTHER_JOB: &str = "00000000000000a2";
+    let mut platform = Platform::start(1, 1).await;
+    platform.env.kill("worker-1");
+    let orders = Orders::default();
+    let silent_from: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let handler = {
+        let (orders, silent_from) = (orders.clone(), silent_from.clone());
+        Arc::new(move |request: Request| {
+            answer_after_silence(orders.clone(), silent_from.clone(), request).boxed()
+        })
+    };
+    let address = platform.env.address(101, 8_000);
+    let _server = serve::start(address.parse().unwrap(), handler).unwrap();
+    let check_in = |sequence: u64| {
+        json!({
+            "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8, "state": "ready",
+            "cold_remaining_ms": 0, "labels": ["a", "r1"], "sequence": sequence, "clock_ms": 1_000,
+            "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 8},
+        })
+    };
+    platform.check_in(1, "w-1-2", &check_in(1)).await;
+    let log = platform.env.dir().join("entry-1.log");
+    eventually(Duration::from_secs(5), "the planner knows the worker", async || {
+        fs::read_to_string(&log).is_ok_and(|log| log.contains("event=worker_joined worker=w-1-2 "))
+    })
+    .await;
+    platform.submit_until_accepted(JOB, &json!([step(1)]), "").await;
+    eventually(Duration::from_secs(5), "the first run is started", async || {
+        !orders.lock().unwrap().is_empty()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    *silent_from.lock().unwrap() = Some(Instant::now());
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    platform.submit_until_accepted(OTHER_JOB, &json!([step(1)]), "").await;
+    platform.await_event("run_gone", OTHER_JOB, Duration::from_secs(9)).await;
+    let silent = SILENCE.saturating_sub(silent_from.lock().unwrap().unwrap().elapsed());
+    tokio::time::sleep(silent).await;
+    // The worker lives: it takes orders again.
+    platform.check_in(1, "w-1-2", &check_in(2)).await;
+    let task = format!("{OTHER_JOB}.0.0.0");
+    let received = |path: &str, run: u64| {
+        orders.lock().unwrap().iter().position(|order| *order == (format!("{path} {task}"), run))
+    };
+    eventually(Duration::from_secs(10), "the next run is started", async || {
+        received("/run-start", 2).is_some()
+    })
+    .await;
+    let (stop, next) = (received("/run-stop", 1), received("/run-start", 2));
+    assert!(stop.is_some() && stop < next, "run 1 may still be started: {:?}", orders.lock().unwrap());
+}
