Show that a worker restarted under its name loses ends (failing)

A worker may start again under the id that it had, with a later born and all its numbers starting anew. The agent knows ids only: its listings count as older by their clock, its check-ins by their sequence, and polls go on acknowledging the former process's ends, so that the worker forgets new ones unread. A subtask that is done is then started again.

--- a/crates/sorrelland/tests/orders.rs
+++ b/crates/sorrelland/tests/orders.rs
@@ -175,3 +175,121 @@
     let (stop, next) = (received("/run-stop", 1), received("/run-start", 2));
     assert!(stop.is_some() && stop < next, "run 1 may still be started: {:?}", orders.lock().unwrap());
 }
+
+/// A worker whose runs are done at once, and which can start again under the same name.
+struct RestartingWorker {
+    born_ms: u64,
+    clock: Instant,
+    clock_offset_ms: u64,
+    ended: Vec<String>,
+    starts: Vec<(String, u64)>,
+    acknowledged: u64,
+}
+
+impl RestartingWorker {
+    fn clock_ms(&self) -> u64 {
+        self.clock_offset_ms + self.clock.elapsed().as_millis() as u64
+    }
+
+    /// Starts again: holds nothing of before, and all its numbers start anew.
+    fn restart(&mut self) {
+        (self.born_ms, self.clock, self.clock_offset_ms) = (self.born_ms + 60_000, Instant::now(), 0);
+        (self.ended, self.acknowledged) = (Vec::new(), 0);
+    }
+
+    fn answer(&mut self, request: &Request) -> Response {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let mut listing = json!({"clock_ms": self.clock_ms(), "born": self.born_ms});
+        match request.path.as_str() {
+            "/hold" => {
+                self.acknowledged = self.acknowledged.max(body["last_seen"].as_u64().unwrap_or_default());
+                let ends = (1..).zip(&self.ended).filter(|(number, _)| *number > self.acknowledged);
+                let ends = ends.map(|(number, task)| json!([number, task, 1, "done", ""]));
+                listing["finished"] = ends.collect();
+                listing["running"] = json!([]);
+            }
+            "/run-start" => {
+                let task = body["task"].as_str().unwrap_or_default().to_owned();
+                if body["run"] == 1 && !self.ended.contains(&task) {
+                    self.ended.push(task.clone());
+                }
+                self.starts.push((task, body["run"].as_u64().unwrap_or_default()));
+            }
+            _ => (),
+        }
+        Response::new(StatusCode::OK).json(&listing)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn end_of_worker_restarted_under_same_name_is_read() {
+    const OTHER_JOB: &str = "00000000000000a2";
+    let mut platform = Platform::start(1, 2).await;
+    platform.env.kill("worker-1");
+    let worker = Arc::new(Mutex::new(RestartingWorker {
+        born_ms: 1_700_000_000_000,
+        clock: Instant::now(),
+        clock_offset_ms: 600_000,
+        ended: Vec::new(),
+        starts: Vec::new(),
+        acknowledged: 0,
+    }));
+    let handler = {
+        let worker = worker.clone();
+        Arc::new(move |request: Request| {
+            let worker = worker.clone();
+            async move {
+                if request.path == "/hold" {
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                worker.lock().unwrap().answer(&request)
+            }
+            .boxed()
+        })
+    };
+    let address = platform.env.address(101, 8_000);
+    let _server = serve::start(address.parse().unwrap(), handler).unwrap();
+    let check_in = |sequence: u64| {
+        let worker = worker.lock().unwrap();
+        json!({
+            "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8, "state": "ready",
+            "cold_remaining_ms": 0, "labels": ["a", "r9"], "sequence": sequence, "clock_ms": worker.clock_ms(),
+            "born": worker.born_ms, "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 8},
+        })
+    };
+    platform.check_in(1, "w-1-2", &check_in(50)).await;
+    let log = platform.env.dir().join("entry-1.log");
+    eventually(Duration::from_secs(5), "the planner knows the worker", async || {
+        fs::read_to_string(&log).is_ok_and(|log| log.contains("event=worker_joined worker=w-1-2 "))
+    })
+    .await;
+    // Both jobs prefer this worker's rack.
+    let mut near = step(1);
+    near["affinity"] = json!("r9");
+    platform.submit_until_accepted(JOB, &json!([near]), "").await;
+    platform.await_state(JOB, "completed", Duration::from_secs(5)).await;
+    eventually(Duration::from_secs(5), "the end is acknowledged", async || {
+        worker.lock().unwrap().acknowledged == 1
+    })
+    .await;
+    worker.lock().unwrap().restart();
+    platform.check_in(1, "w-1-2", &check_in(1)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.submit_until_accepted(OTHER_JOB, &json!([near]), "").await;
+    let task = format!("{OTHER_JOB}.0.0.0");
+    for sequence in 2..20 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        platform.check_in(1, "w-1-2", &check_in(sequence)).await;
+        if platform.state(1, OTHER_JOB).await == "completed" {
+            break;
+        }
+    }
+    let again: Vec<_> = platform.history().await.into_iter().filter(|event| event.1 == task).collect();
+    let worker = worker.lock().unwrap();
+    assert!(worker.starts.contains(&(task.clone(), 1)), "{:?}", worker.starts);
+    assert!(
+        again.is_empty(),
+        "started again, ends up to {} are acknowledged: {again:?}",
+        worker.acknowledged
+    );
+}
