Show that a silent worker's check-in brings it new work (failing)

The check-in of a worker that answers no call makes it count as present again. The planner places runs on it, which are never sent, since its leases are not extended, and never reported as not started. Fails on: the worker is reported as ready while no lease can be extended.

--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -273,3 +273,12 @@
         "run 2 may start late under the new lease"
     );
 }
+
+#[test]
+fn apply_announcement_of_silent_worker_takes_no_work() {
+    let (mut state, now) = silent_worker();
+    // The worker announces itself and still answers no call.
+    state.apply_announcement(&announcement(2));
+    assert_eq!(state.extend_lease(now), None);
+    assert!(state.build_report("agent", 1, 1).worker.unwrap().draining, "work is placed that is never sent");
+}
