--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -273,3 +273,12 @@
     let worker = state.build_report("agent", 1, 1).worker.unwrap();
     assert_eq!((worker.service.as_str(), worker.draining), ("svc", false));
 }
+
+#[test]
+fn apply_announcement_of_silent_worker_takes_no_work() {
+    let (mut state, now) = silent_worker();
+    // The worker announces itself and still answers no call.
+    state.apply_announcement(&announcement(2));
+    assert_eq!(state.extend_lease(now), None);
+    assert!(state.build_report("agent", 1, 1).worker.unwrap().draining, "work is placed that is never sent");
+}
