Stop the runs given up on a worker that comes back

Callers could see a subtask run twice: a start without an answer, whose agent then ended, was given up with its worker when the grant had expired. When the worker was reported again, its leases were extended, and the start, executed late, ran beside the next run. A new process of the agent knows nothing of it.

The planner keeps the runs that it gave up on a removed incarnation and lists them as stops if the incarnation is reported again, until the agent reports their end or that they can't start, or their job is no longer kept.

Still open is a takeover between the two: a new planner doesn't know what its predecessor gave up.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -192,6 +192,11 @@
         for run in &report.running {
             self.record_running(&incarnation, &run.task, run.run, run.percent, &run.saved);
         }
+        let accounted = report.ended.iter().map(|end| (&end.task, end.run));
+        let accounted = accounted.chain(report.not_started.iter().map(|entry| (&entry.task, entry.run)));
+        if let Some(given_up) = self.given_up.get_mut(&incarnation) {
+            accounted.for_each(|(task, run)| _ = given_up.remove(&(task.clone(), run)));
+        }
         for end in report.ended.iter().filter(|end| end.number > last_applied) {
             let changed = self.record_end(now, wall, &incarnation, end);
             let change = self.change;
@@ -395,6 +400,8 @@
             self.record_not_started(now, wall, incarnation, entry, source);
         }
         self.workers.remove(incarnation);
+        let runs = lost.iter().map(|entry| (entry.task.clone(), entry.run));
+        self.given_up.entry(incarnation.to_owned()).or_default().extend(runs);
         self.log_line(format!(
             "event=worker_lost worker={incarnation} runs_lost={} why={reason:?} {source}",
             lost.len()
--- a/crates/fleet/src/assign.rs
+++ b/crates/fleet/src/assign.rs
@@ -1,5 +1,7 @@
 //! Computes the assignments of a worker.
 
+use std::collections::BTreeSet;
+
 use crate::assignments::{Assignments, Pace, Start, Stop};
 use crate::planner::Planner;
 use crate::task::Task;
@@ -60,8 +62,9 @@
             .map(|worker| worker.paces.iter().map(pace).collect())
             .unwrap_or_default();
         // A run that is not placed here was started late, or the planner has given it up.
-        let unexpected = running.into_iter().filter(|run| !placed.contains(run));
-        assigned.stops.extend(unexpected.map(|(task, run)| Stop { task, run }));
+        let mut unexpected: BTreeSet<_> = running.into_iter().filter(|run| !placed.contains(run)).collect();
+        unexpected.extend(self.given_up.get(&incarnation).into_iter().flatten().cloned());
+        assigned.stops.extend(unexpected.into_iter().map(|(task, run)| Stop { task, run }));
         Some(assigned)
     }
 }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -11,6 +11,7 @@
 use crate::place::Claims;
 use crate::record::{self, Record, new_job};
 use crate::resources::Resources;
+use crate::task::Task;
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::value::{MeanWork, PreemptionOutcomes, Timeliness, attainable_value, estimated_work_core_s};
 use crate::view::Refusals;
@@ -82,6 +83,8 @@
     /// Worker incarnations that may still run members of stored jobs but have not reported to this planner, with the
     /// time at which their runs are considered lost.
     pub(crate) unreported: BTreeMap<String, u64>,
+    /// Runs given up on worker incarnations that were removed. Their starts may still arrive if the worker comes back.
+    pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
     /// Jobs that have not ended or whose members still occupy resources.
     pub(crate) live: BTreeSet<String>,
     /// When the newest urgent job was submitted, on the monotonic clock.
@@ -133,6 +136,7 @@
             preemption_outcomes: BTreeMap::new(),
             agents: BTreeMap::new(),
             unreported,
+            given_up: BTreeMap::new(),
             live,
             last_urgent_at: None,
             change: 1,
@@ -430,6 +434,10 @@
             self.changed_jobs.remove(&name);
             self.removals.extend(record::deletions(&name));
         }
+        self.given_up.retain(|_, runs| {
+            runs.retain(|(task, _)| self.jobs.contains_key(&task.job));
+            !runs.is_empty()
+        });
     }
 
     /// Starts a new run of a unit on the given worker incarnations, whose resources are reserved from now on.
