histories: refuse starts, and stop the refused run as the agent does

The agent now stops a run after a refusal before it counts as not started. The generated histories refuse starts as well and send that stop; before, the one case with a refusal only expected the absence, as the agent did then. The property stays: a run that is reported as not started is never on the worker.

--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -32,7 +32,7 @@
     /// Executed after this many milliseconds; no answer arrives.
     Late(u64),
     Lost,
-    /// The worker refuses a start for want of room, and does nothing.
+    /// The worker refuses a start for want of room and does nothing; the agent stops the run.
     Refused,
 }
 
@@ -63,6 +63,7 @@
         1 => Just(Delivery::AnswerLost),
         1 => (100_u64..12_000).prop_map(Delivery::Late),
         1 => Just(Delivery::Lost),
+        1 => Just(Delivery::Refused),
     ]
 }
 
@@ -342,7 +343,12 @@
             Delivery::AnswerLost => _ = self.worker.start(self.now, &key, lease_end),
             Delivery::Late(ms) => self.late.push((self.now + ms, LateCall::Start(key, lease_end))),
             Delivery::Lost => (),
-            Delivery::Refused => self.agent.expect_absence(INCARNATION, &start.task, start.run, "room"),
+            Delivery::Refused => {
+                self.worker.stop(self.now, &key);
+                let stop = Stop { task: start.task, run: start.run };
+                self.agent.record_stop_answer(INCARNATION, &stop, self.now);
+                self.agent.expect_absence(INCARNATION, &stop.task, stop.run, "room");
+            }
         }
     }
 
