--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -32,7 +32,7 @@
     /// Executed after this many milliseconds; no answer arrives.
     Late(u64),
     Lost,
-    /// The worker refuses a start for want of room, and does nothing.
+    /// The worker refuses a start for want of room and does nothing; the agent stops the run.
     Refused,
 }
 
@@ -63,6 +63,7 @@
         1 => Just(Delivery::AnswerLost),
         1 => (100_u64..12_000).prop_map(Delivery::Late),
         1 => Just(Delivery::Lost),
+        1 => Just(Delivery::Refused),
     ]
 }
 
