Let the model of an agent's histories drop reports left in flight

The generated histories failed on a start that an agent had reported as not started because the worker was silent, and that the next process of the agent sent: [Assign(1), Poll, Wait, Report, Call, Poll unanswered, Assign(0), Wait 6.8 s, Report, RestartAgent, Poll, Report, Call]. The start was never sent before, the planner hadn't received the report, and it ignores what an ended process left in flight once its successor has reported, so it had the run placed there still.

The check now forgets, at a restart, just the runs that were neither sent nor received by the planner. All others must stay off the worker as before.

--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -182,6 +182,10 @@
     number: u64,
     /// Runs that must not be on the worker any more.
     absent: BTreeSet<RunKey>,
+    /// Runs for which a start was sent.
+    sent: BTreeSet<RunKey>,
+    /// Runs that the planner has received as not started.
+    received: BTreeSet<RunKey>,
 }
 
 impl History {
@@ -198,6 +202,8 @@
             acknowledged: 0,
             number: 0,
             absent: BTreeSet::new(),
+            sent: BTreeSet::new(),
+            received: BTreeSet::new(),
         };
         history.announce();
         history
@@ -266,6 +272,7 @@
             self.acknowledged = end.number;
         }
         for run in &report.not_started {
+            self.received.insert((run.task.clone(), run.run));
             self.release(&run.task, run.run);
         }
         let listed = |task: &Task, run: u64| report.running.iter().any(|r| r.task == *task && r.run == run);
@@ -332,6 +339,7 @@
         let Some(lease_end) = self.agent.extend_lease(self.now) else { return };
         self.agent.record_start_attempt(&start);
         let key = (start.task.clone(), start.run);
+        self.sent.insert(key.clone());
         match delivery {
             Delivery::Answered => match self.worker.start(self.now, &key, lease_end) {
                 true => {
@@ -384,6 +392,9 @@
             Op::RestartAgent => {
                 self.agent = WorkerState::new(MAX_LEASE_MS, STOP_MS);
                 self.agent_incarnation += 1;
+                // The planner ignores reports that this process left in flight, so the next one may send their starts.
+                let (sent, received) = (&self.sent, &self.received);
+                self.absent.retain(|run| sent.contains(run) || received.contains(run));
                 self.announce();
             }
             Op::Fail(index) => {
