--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -85,7 +85,6 @@
             AnnouncementEffect::Updated => {
                 log_announced(&received, "updated", "", &after);
                 self.report_due.notify_one();
-                self.poll_due.notify_one();
             }
             AnnouncementEffect::Unchanged => (),
             AnnouncementEffect::Unconfirmed => {
@@ -94,7 +93,9 @@
                     self.log_ignored(&received, "queue_full");
                 }
             }
-            AnnouncementEffect::OlderSequence | AnnouncementEffect::RepeatedSequence => {
+            AnnouncementEffect::OtherService
+            | AnnouncementEffect::OlderSequence
+            | AnnouncementEffect::RepeatedSequence => {
                 self.log_ignored(&received, effect.name());
             }
         }
@@ -112,7 +113,7 @@
         let incarnation = &received.announcement.info.incarnation;
         for attempt in 1..=MAX_ATTEMPTS {
             // An earlier announcement of this incarnation may have been confirmed meanwhile.
-            if lock(&self.worker_state).incarnation() == Some(incarnation) {
+            if lock(&self.worker_state).is_confirmed(incarnation) {
                 return self.apply_announcement(received);
             }
             let poll = lock(&self.worker_state).begin_poll();
@@ -131,10 +132,11 @@
 
     /// Calls an announced incarnation without extending its leases; returns its runs, if it lists them.
     async fn call_announced(&self, incarnation: &str) -> worker::Result<Option<Listing>> {
-        let token = lock(&self.worker_state).epoch();
+        // A new process of the agent knows the leader before it has received assignments.
+        let token = lock(&self.worker_state).epoch().max(self.leadership.epoch());
         match self.worker.poll(incarnation, token, 0, None, Duration::ZERO).await {
             Ok(listing) => Ok(Some(listing)),
-            // Only the named incarnation compares tokens. A new process of the agent learns the current one later.
+            // Only the named incarnation compares tokens.
             Err(Error::Fenced) => Ok(None),
             Err(e) => Err(e),
         }
@@ -152,10 +154,15 @@
             }
             (before, state.summary(now))
         };
-        let effect = if before.current.is_empty() { "adopted" } else { "replaced" };
+        let effect = match before.current.as_str() {
+            "" => "adopted",
+            current if current == incarnation => "confirmed",
+            _ => "replaced",
+        };
         metrics::count_announcement(effect);
-        log_announced(received, effect, &before.current, &after);
-        if !before.current.is_empty() {
+        let replaced = if effect == "replaced" { before.current.as_str() } else { "" };
+        log_announced(received, effect, replaced, &after);
+        if !replaced.is_empty() {
             record_end("replaced", &format!("replaced_by={incarnation:?} {received}"), &before);
         }
         self.report_due.notify_one();
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -20,6 +20,9 @@
 /// the users' deployments.
 const STOP_RETRY_DELAY_MS: u64 = 1_500;
 
+/// Why a run was not started that the planner has stopped.
+const STOPPED: &str = "stopped before it was there";
+
 /// Margin on top of all bounds before a lease counts as expired.
 const LAPSE_MARGIN_MS: u64 = 300;
 
@@ -33,6 +36,8 @@
     /// The current incarnation announced a change.
     Updated,
     Unchanged,
+    /// Ignored: an incarnation belongs to one service.
+    OtherService,
     /// Ignored: a newer announcement of the incarnation is known.
     OlderSequence,
     /// Ignored: the same announcement is known.
@@ -46,6 +51,7 @@
             Self::Unconfirmed => "unconfirmed",
             Self::Updated => "updated",
             Self::Unchanged => "unchanged",
+            Self::OtherService => "other_service",
             Self::OlderSequence => "older_sequence",
             Self::RepeatedSequence => "repeated_sequence",
         }
@@ -113,6 +119,12 @@
     started: BTreeMap<RunKey, u64>,
     /// Runs for which a start was sent and no final answer has arrived.
     start_attempts: BTreeSet<RunKey>,
+    /// Runs whose start the worker has refused, with the reason. An earlier start may still arrive, so they are stopped
+    /// before they count as not started.
+    refused: BTreeMap<RunKey, String>,
+    /// Runs that the planner may have placed elsewhere and whose start may still arrive. No lease is extended before the
+    /// worker has answered their stops.
+    given_up: BTreeSet<RunKey>,
     ended: Vec<End>,
     /// Runs that the worker will not start from now on, with the reason and the number of polls begun by then. The
     /// first poll begun later shows whether the run is present.
@@ -134,11 +146,14 @@
     }
 
     /// Applies an announcement and returns its effect. Only the current incarnation can change: an announcement may
-    /// arrive late or come from another writer, so the worker has to confirm any other one.
+    /// arrive late or come from another writer, so the worker has to confirm any other one, and one that is silent.
     pub fn apply_announcement(&mut self, announcement: &Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
         let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
         let Some(known) = current else { return AnnouncementEffect::Unconfirmed };
+        if announcement.info.service != known.info.service {
+            return AnnouncementEffect::OtherService;
+        }
         match announcement.sequence.cmp(&known.sequence) {
             Ordering::Less => return AnnouncementEffect::OlderSequence,
             Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
@@ -146,12 +161,18 @@
         }
         let changed = known.info != announcement.info || self.presence != Presence::Present;
         *known = announcement.clone();
+        if self.presence == Presence::Silent {
+            return AnnouncementEffect::Unconfirmed;
+        }
         self.presence = Presence::Present;
         if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
     }
 
     /// Makes an incarnation the current one and ends the one before. The worker has answered a call that names it.
     pub fn adopt_incarnation(&mut self, now: u64, announcement: Announcement) {
+        if self.incarnation() == Some(&announcement.info.incarnation) {
+            return self.record_answer();
+        }
         self.end_current_incarnation();
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
         self.leased_until = now + self.max_lease_ms;
@@ -182,6 +203,7 @@
         let is_current = self.incarnation() == Some(incarnation);
         if is_current && self.presence == Presence::Present {
             self.presence = Presence::Leaving;
+            self.reject_assigned_starts();
         }
         is_current
     }
@@ -194,6 +216,7 @@
         }
         self.presence = Presence::Left;
         self.mark_runs_not_started("the worker has left");
+        self.reject_assigned_starts();
         true
     }
 
@@ -203,7 +226,8 @@
             .keys()
             .chain(&self.start_attempts)
             .chain(self.started.keys())
-            .chain(self.absence_checks.keys());
+            .chain(self.absence_checks.keys())
+            .chain(self.refused.keys());
         let runs: Vec<RunKey> = runs.filter(|run| !self.is_ended(run)).cloned().collect();
         for run in runs {
             self.not_started.insert(run, why.to_owned());
@@ -211,9 +235,37 @@
         self.running.clear();
         self.started.clear();
         self.start_attempts.clear();
+        self.refused.clear();
         self.absence_checks.clear();
     }
 
+    /// Marks assigned starts as not started that have never been sent, if none is sent to the worker any more.
+    fn reject_assigned_starts(&mut self) {
+        let why = match self.presence {
+            Presence::Present => return,
+            Presence::Leaving | Presence::Left => "the worker leaves",
+            Presence::Silent => "the worker does not answer",
+        };
+        let starts = self.assignments.iter().flat_map(|assignments| &assignments.starts);
+        let starts = starts.map(|start| (start.task.clone(), start.run));
+        let never_sent = starts
+            .filter(|run| !self.start_attempts.contains(run) && !self.is_known(run))
+            .collect::<Vec<_>>();
+        for run in never_sent {
+            self.not_started.insert(run, why.to_owned());
+        }
+    }
+
+    /// Returns whether it is known, or is being found out, if a run is on the worker.
+    fn is_known(&self, run: &RunKey) -> bool {
+        self.running.contains_key(run)
+            || self.started.contains_key(run)
+            || self.not_started.contains_key(run)
+            || self.absence_checks.contains_key(run)
+            || self.refused.contains_key(run)
+            || self.is_ended(run)
+    }
+
     fn is_ended(&self, (task, run): &RunKey) -> bool {
         self.ended.iter().any(|end| end.task == *task && end.run == *run)
     }
@@ -232,6 +284,11 @@
         }
     }
 
+    /// Returns whether an incarnation is the current one and answers calls.
+    pub fn is_confirmed(&self, incarnation: &str) -> bool {
+        self.incarnation() == Some(incarnation) && self.presence != Presence::Silent
+    }
+
     pub fn incarnation(&self) -> Option<&str> {
         self.announced.as_ref().map(|known| known.info.incarnation.as_str())
     }
@@ -263,33 +320,48 @@
                 || assignments.stops.iter().any(|stop| stop.task == run.0 && stop.run == run.1)
         };
         self.not_started.retain(|run, _| assigned(run));
+        let given_up: Vec<RunKey> =
+            self.start_attempts.iter().filter(|run| !self.is_known(run) && !assigned(run)).cloned().collect();
+        self.start_attempts.retain(|run| !given_up.contains(run));
+        self.given_up.extend(given_up);
         self.answered_stops.retain(|run, _| assigned(run));
         self.assignments = Some(assignments);
+        self.reject_assigned_starts();
         true
     }
 
     /// Returns the lease end, on the worker's clock, that the grant allows now, and records the lease as extended. Returns
     /// `None` as well if the worker has not answered for as long as a lease lasts, so that its leases end.
     pub fn extend_lease(&mut self, now: u64) -> Option<u64> {
-        let (clock, read_at) = self.clock_reading.filter(|_| self.presence == Presence::Present)?;
-        let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
-        if now > *self.unanswered_since.get_or_insert(now) + self.max_lease_ms {
+        self.unanswered_since.get_or_insert(now);
+        if self.presence != Presence::Present || !self.given_up.is_empty() || self.is_unresponsive(now) {
             return None;
         }
+        let (clock, read_at) = self.clock_reading?;
+        let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
         self.leased_until = self.leased_until.max(self.granted_until);
         let on_slow_clock = |ms: u64| ms * (100 - CLOCK_LAG_PERCENT) / 100;
         Some(clock + on_slow_clock(now.saturating_sub(read_at)) + on_slow_clock(remaining))
     }
 
-    /// Records the worker's clock from an answer that arrived at `now`.
-    pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
-        self.clock_reading = Some((clock_ms, now));
+    /// Returns whether the worker has not answered for as long as a lease lasts.
+    fn is_unresponsive(&self, now: u64) -> bool {
+        self.unanswered_since.is_some_and(|since| now > since + self.max_lease_ms)
+    }
+
+    fn record_answer(&mut self) {
         self.unanswered_since = None;
         if self.presence == Presence::Silent {
             self.presence = Presence::Present;
         }
     }
 
+    /// Records the worker's clock from an answer that arrived at `now`.
+    pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
+        self.clock_reading = Some((clock_ms, now));
+        self.record_answer();
+    }
+
     pub fn has_clock(&self) -> bool {
         self.clock_reading.is_some()
     }
@@ -306,6 +378,7 @@
                 && !self.started.contains_key(&run)
                 && !self.not_started.contains_key(&run)
                 && !self.absence_checks.contains_key(&run)
+                && !self.refused.contains_key(&run)
                 && !self.is_ended(&run)
         };
         self.assignments.iter().flat_map(|assignments| &assignments.starts).filter(is_due).cloned().collect()
@@ -313,15 +386,21 @@
 
     /// Returns the stops to send now.
     pub fn due_stops(&self, now: u64) -> Vec<Stop> {
+        let may_send =
+            |run: &RunKey| self.answered_stops.get(run).is_none_or(|at| now >= at + STOP_RETRY_DELAY_MS);
         let is_due = |stop: &&Stop| {
             let run = (stop.task.clone(), stop.run);
-            let may_retry = self.answered_stops.get(&run).is_none_or(|at| now >= at + STOP_RETRY_DELAY_MS);
-            may_retry
+            may_send(&run)
                 && !self.not_started.contains_key(&run)
                 && !self.absence_checks.contains_key(&run)
                 && !self.is_ended(&run)
         };
-        self.assignments.iter().flat_map(|assignments| &assignments.stops).filter(is_due).cloned().collect()
+        let assigned = self.assignments.iter().flat_map(|assignments| &assignments.stops).filter(is_due);
+        let given_up = self.given_up.iter().filter(|_| self.presence == Presence::Present);
+        let unresolved = self.refused.keys().chain(given_up).filter(|run| may_send(run));
+        let unresolved = unresolved.map(|(task, run)| Stop { task: task.clone(), run: *run });
+        let due: BTreeSet<Stop> = assigned.cloned().chain(unresolved).collect();
+        due.into_iter().collect()
     }
 
     /// Returns the speed shares to send now.
@@ -358,10 +437,23 @@
         }
     }
 
-    /// Records that the worker has answered a stop.
-    pub fn record_stop_answer(&mut self, incarnation: &str, stop: &Stop, now: u64) {
+    /// Records that the worker has refused a start, but may still execute an earlier one of the run.
+    pub fn record_start_refusal(&mut self, incarnation: &str, start: &Start, why: &str) {
         if self.incarnation() == Some(incarnation) {
-            self.answered_stops.insert((stop.task.clone(), stop.run), now);
+            self.refused.insert((start.task.clone(), start.run), why.to_owned());
+        }
+    }
+
+    /// Records that the worker has answered a stop. From now on it rejects a start of the run.
+    pub fn record_stop_answer(&mut self, incarnation: &str, stop: &Stop, now: u64) {
+        if self.incarnation() != Some(incarnation) {
+            return;
+        }
+        let run = (stop.task.clone(), stop.run);
+        self.answered_stops.insert(run.clone(), now);
+        if !self.given_up.remove(&run) {
+            let why = self.refused.remove(&run).unwrap_or_else(|| STOPPED.to_owned());
+            self.expect_absence(incarnation, &stop.task, stop.run, &why);
         }
     }
 
@@ -409,23 +501,32 @@
                 self.not_started.insert(run.clone(), why);
             }
         }
-        self.start_attempts
-            .retain(|run| !self.running.contains_key(run) && !self.not_started.contains_key(run));
+        self.refused.retain(|run, _| !self.running.contains_key(run));
+        let ended: BTreeSet<RunKey> = self.ended.iter().map(|end| (end.task.clone(), end.run)).collect();
+        self.start_attempts.retain(|run| {
+            !self.running.contains_key(run) && !self.not_started.contains_key(run) && !ended.contains(run)
+        });
         updated || !checked.is_empty()
     }
 
     /// Marks all runs as not started once every lease has certainly expired; returns whether there were any.
     pub fn expire_leases(&mut self, now: u64) -> bool {
         let expired_at = self.leased_until + self.lapse_margin_ms();
-        let has_runs =
-            !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty();
-        if now <= expired_at || !has_runs {
+        // A stop that the worker doesn't answer keeps all starts back.
+        let waits_for_stop = !self.given_up.is_empty() && self.is_unresponsive(now);
+        let may_lose_runs = self.has_runs() || (self.presence == Presence::Present && waits_for_stop);
+        if now <= expired_at || !may_lose_runs {
             return false;
         }
         if self.unanswered_since.is_some() && self.presence == Presence::Present {
             self.presence = Presence::Silent;
         }
+        // The worker may still execute these starts once its leases are extended again.
+        let attempts = std::mem::take(&mut self.start_attempts);
+        self.given_up.extend(attempts.iter().filter(|run| !self.started.contains_key(run)).cloned());
+        self.start_attempts = attempts;
         self.mark_runs_not_started("its lease has run out");
+        self.reject_assigned_starts();
         true
     }
 
@@ -441,16 +542,20 @@
     }
 
     pub fn needs_poll(&self) -> bool {
-        self.presence != Presence::Left && self.expects_changes()
+        !matches!(self.presence, Presence::Silent | Presence::Left) && self.expects_changes()
+    }
+
+    /// Returns whether runs may be on the worker.
+    fn has_runs(&self) -> bool {
+        !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty()
     }
 
     /// Returns whether a poll may show a change.
     fn expects_changes(&self) -> bool {
-        !self.running.is_empty()
-            || !self.started.is_empty()
-            || !self.start_attempts.is_empty()
+        self.has_runs()
             || !self.ended.is_empty()
             || !self.absence_checks.is_empty()
+            || !self.given_up.is_empty()
             || self.assignments.as_ref().is_some_and(|assignments| !assignments.starts.is_empty())
     }
 
--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -32,6 +32,8 @@
     /// Executed after this many milliseconds; no answer arrives.
     Late(u64),
     Lost,
+    /// The worker refuses a start for want of room and does nothing; the agent stops the run.
+    Refused,
 }
 
 #[derive(Clone, Debug)]
@@ -61,6 +63,7 @@
         1 => Just(Delivery::AnswerLost),
         1 => (100_u64..12_000).prop_map(Delivery::Late),
         1 => Just(Delivery::Lost),
+        1 => Just(Delivery::Refused),
     ]
 }
 
@@ -179,6 +182,10 @@
     number: u64,
     /// Runs that must not be on the worker any more.
     absent: BTreeSet<RunKey>,
+    /// Runs for which a start was sent.
+    sent: BTreeSet<RunKey>,
+    /// Runs that the planner has received as not started.
+    received: BTreeSet<RunKey>,
 }
 
 impl History {
@@ -195,6 +202,8 @@
             acknowledged: 0,
             number: 0,
             absent: BTreeSet::new(),
+            sent: BTreeSet::new(),
+            received: BTreeSet::new(),
         };
         history.announce();
         history
@@ -263,6 +272,7 @@
             self.acknowledged = end.number;
         }
         for run in &report.not_started {
+            self.received.insert((run.task.clone(), run.run));
             self.release(&run.task, run.run);
         }
         let listed = |task: &Task, run: u64| report.running.iter().any(|r| r.task == *task && r.run == run);
@@ -318,7 +328,7 @@
                 }
                 Delivery::AnswerLost => self.worker.stop(self.now, &key),
                 Delivery::Late(ms) => self.late.push((self.now + ms, LateCall::Stop(key))),
-                Delivery::Lost => (),
+                Delivery::Lost | Delivery::Refused => (),
             }
             return;
         }
@@ -329,6 +339,7 @@
         let Some(lease_end) = self.agent.extend_lease(self.now) else { return };
         self.agent.record_start_attempt(&start);
         let key = (start.task.clone(), start.run);
+        self.sent.insert(key.clone());
         match delivery {
             Delivery::Answered => match self.worker.start(self.now, &key, lease_end) {
                 true => {
@@ -340,6 +351,7 @@
             Delivery::AnswerLost => _ = self.worker.start(self.now, &key, lease_end),
             Delivery::Late(ms) => self.late.push((self.now + ms, LateCall::Start(key, lease_end))),
             Delivery::Lost => (),
+            Delivery::Refused => self.agent.record_start_refusal(INCARNATION, &start, "room"),
         }
     }
 
@@ -380,6 +392,9 @@
             Op::RestartAgent => {
                 self.agent = WorkerState::new(MAX_LEASE_MS, STOP_MS);
                 self.agent_incarnation += 1;
+                // The planner ignores reports that this process left in flight, so the next one may send their starts.
+                let (sent, received) = (&self.sent, &self.received);
+                self.absent.retain(|run| sent.contains(run) || received.contains(run));
                 self.announce();
             }
             Op::Fail(index) => {
@@ -430,3 +445,19 @@
         Op::Wait(1),
     ]);
 }
+
+/// Guards against taking a run for not started after a refusal, while an earlier start of it may still arrive.
+#[test]
+fn build_report_waits_for_an_unanswered_start_after_a_refusal() {
+    run_history(&[
+        Op::Poll { answered: true },
+        Op::Assign(0),
+        Op::Report { answered: true },
+        Op::Call(Delivery::Late(1_500)),
+        Op::Wait(700),
+        Op::Call(Delivery::Refused),
+        Op::Poll { answered: true },
+        Op::Report { answered: true },
+        Op::Wait(2_000),
+    ]);
+}
