ctl: take a confirmed departure for the end of a run

The report on the runs of a subtask doubted an end after a departure and named its sender. An agent gives up a worker that leaves only once its address refuses connections, so that end is certain, and its line has that call instead.

--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -195,7 +195,7 @@
             (state.summary(now_ms()), state.record_refused_connection(incarnation))
         };
         if has_left {
-            record_end("departure", "", &before);
+            record_end("departure", "call=refused", &before);
             self.report_due.notify_one();
         }
     }
--- a/crates/ctl/src/runs.rs
+++ b/crates/ctl/src/runs.rs
@@ -29,8 +29,8 @@
 /// Events of the leadership.
 const LEADERSHIP_EVENTS: [&str; 2] = ["office_taken", "office_ended"];
 
-/// Causes on which an agent gives up runs without an answer from the worker that they have ended.
-const UNCONFIRMED_CAUSES: [&str; 2] = ["announcement", "departure"];
+/// Cause on which an agent gave up runs without an answer from the worker that they had ended.
+const UNCONFIRMED_CAUSE: &str = "announcement";
 
 /// The log of a process.
 #[derive(Clone, Copy, Debug)]
@@ -225,7 +225,7 @@
             && (earliest_ms..=at_ms + MAX_CLOCK_DIFFERENCE_MS).contains(&line.parsed.at_ms)
     });
     let doubt = match given_up {
-        Some(line) if UNCONFIRMED_CAUSES.contains(&line.parsed.field("cause")) => Some(Doubt {
+        Some(line) if line.parsed.field("cause") == UNCONFIRMED_CAUSE => Some(Doubt {
             cause: format!(
                 "{} gave it up at {}: {}",
                 line.process,
@@ -265,7 +265,6 @@
             field("seq"),
             field("from")
         ),
-        "departure" => format!("a departure from {} named it", field("from")),
         other => other.to_owned(),
     }
 }
