Let a leaving worker come back only when it answers a call

A check-in that arrived late, after the notice of its worker's departure, made the worker present again: work was placed where nothing runs, and the end of the worker wasn't taken for a departure any more. Operators would see runs that start elsewhere only after the length of a lease.

A check-in of a worker that leaves, has left or is silent now has to be confirmed by an answered call, in one way for the three. And starts that wait for an answer of a worker that didn't give one for long are polled for at once, not by a poll that waits a second for an end.

record_departure_notice_keeps_runs_until_the_worker_ends, extended by the late check-in, failed before (left: Updated, right: Unconfirmed) and passes now.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -371,7 +371,7 @@
 
     async fn run_polls(self: Arc<Self>) {
         loop {
-            let (incarnation, needed, checks_absence) = {
+            let (incarnation, needed, urgent) = {
                 let mut state = lock(&self.worker_state);
                 let now = now_ms();
                 let before = state.summary(now);
@@ -382,13 +382,15 @@
                     record_end("lease_expiry", &details, &before);
                     self.report_due.notify_one();
                 }
-                (state.incarnation().map(str::to_owned), state.needs_poll(), state.has_absence_checks())
+                // Starts wait for an answer.
+                let urgent = state.has_absence_checks() || state.is_unresponsive(now);
+                (state.incarnation().map(str::to_owned), state.needs_poll(), urgent)
             };
             let Some(incarnation) = incarnation.filter(|_| needed) else {
                 let _ = tokio::time::timeout(LAPSE_CHECK_INTERVAL, self.poll_due.notified()).await;
                 continue;
             };
-            let wait = if checks_absence { Duration::ZERO } else { MAX_POLL_WAIT };
+            let wait = if urgent { Duration::ZERO } else { MAX_POLL_WAIT };
             let answered = tokio::select! {
                 answered = self.poll_worker(&incarnation, wait) => answered,
                 // A change that the poll in flight can't show.
@@ -397,7 +399,7 @@
             if lock(&self.worker_state).has_unacknowledged_ends() {
                 // A poll would return at once until the planner has stored the ends.
                 let _ = tokio::time::timeout(ACKNOWLEDGE_WAIT, self.poll_due.notified()).await;
-            } else if !answered || checks_absence {
+            } else if !answered || urgent {
                 tokio::time::sleep(CALL_RETRY_DELAY).await;
             }
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -146,7 +146,8 @@
     }
 
     /// Applies an announcement and returns its effect. Only the current incarnation can change: an announcement may
-    /// arrive late or come from another writer, so the worker has to confirm any other one, and one that is silent.
+    /// arrive late or come from another writer, so the worker has to confirm any other one, and the return of one that
+    /// leaves or is silent.
     pub fn apply_announcement(&mut self, announcement: &Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
         let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
@@ -159,19 +160,20 @@
             Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
             Ordering::Greater => (),
         }
-        let changed = known.info != announcement.info || self.presence != Presence::Present;
+        let changed = known.info != announcement.info;
         *known = announcement.clone();
-        if self.presence == Presence::Silent {
+        if self.presence != Presence::Present {
             return AnnouncementEffect::Unconfirmed;
         }
-        self.presence = Presence::Present;
         if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
     }
 
     /// Makes an incarnation the current one and ends the one before. The worker has answered a call that names it.
     pub fn adopt_incarnation(&mut self, now: u64, announcement: Announcement) {
         if self.incarnation() == Some(&announcement.info.incarnation) {
-            return self.record_answer();
+            self.presence = Presence::Present;
+            self.unanswered_since = None;
+            return;
         }
         self.end_current_incarnation();
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
@@ -198,7 +200,8 @@
     }
 
     /// Records a departure notice; returns whether it names the current incarnation. Its runs count until its end is
-    /// confirmed, but nothing is started and no lease extended. A later announcement revokes the notice.
+    /// confirmed, but nothing is started and no lease extended. A later announcement that the worker confirms revokes the
+    /// notice.
     pub fn record_departure_notice(&mut self, incarnation: &str) -> bool {
         let is_current = self.incarnation() == Some(incarnation);
         if is_current && self.presence == Presence::Present {
@@ -284,9 +287,9 @@
         }
     }
 
-    /// Returns whether an incarnation is the current one and answers calls.
+    /// Returns whether an incarnation is the current one, and neither leaves nor is silent.
     pub fn is_confirmed(&self, incarnation: &str) -> bool {
-        self.incarnation() == Some(incarnation) && self.presence != Presence::Silent
+        self.incarnation() == Some(incarnation) && self.presence == Presence::Present
     }
 
     pub fn incarnation(&self) -> Option<&str> {
@@ -345,23 +348,19 @@
     }
 
     /// Returns whether the worker has not answered for as long as a lease lasts.
-    fn is_unresponsive(&self, now: u64) -> bool {
+    pub fn is_unresponsive(&self, now: u64) -> bool {
         self.unanswered_since.is_some_and(|since| now > since + self.max_lease_ms)
     }
 
-    fn record_answer(&mut self) {
+    /// Records the worker's clock from an answer that arrived at `now`.
+    pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
+        self.clock_reading = Some((clock_ms, now));
         self.unanswered_since = None;
         if self.presence == Presence::Silent {
             self.presence = Presence::Present;
         }
     }
 
-    /// Records the worker's clock from an answer that arrived at `now`.
-    pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
-        self.clock_reading = Some((clock_ms, now));
-        self.record_answer();
-    }
-
     pub fn has_clock(&self) -> bool {
         self.clock_reading.is_some()
     }
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -169,13 +169,17 @@
     assert!(state.record_departure_notice(INCARNATION));
     assert_eq!(state.build_report("agent", 1, 1).not_started, Vec::new());
     assert_eq!(state.extend_lease(30), None);
-    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Updated);
+    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Unconfirmed);
+    assert_eq!(state.extend_lease(35), None, "a check-in that came late brings a leaving worker back");
+    state.adopt_incarnation(40, announcement(2));
     assert!(state.extend_lease(40).is_some());
     assert!(!state.record_refused_connection(INCARNATION));
     state.record_departure_notice(INCARNATION);
     assert!(state.record_refused_connection(INCARNATION));
     assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
     assert!(!state.needs_poll());
+    assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::Unconfirmed);
+    assert!(state.build_report("agent", 1, 3).worker.unwrap().draining);
 }
 
 fn start_assignments(number: u64, runs: &[u64]) -> Assignments {
