--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -20,7 +20,8 @@
 use crate::calls::{EntryPool, Ping, ReportReply, call};
 use crate::clock::now_ms;
 use crate::election::{CLAIMS, Leadership};
-use crate::lease::{Summary, WorkerState};
+use crate::lease::WorkerState;
+use crate::presence::Summary;
 use crate::signals::{self, wait_for_stop};
 use crate::{Error as RunError, Result, follow, lock, metrics, reload};
 
--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -14,7 +14,7 @@
 
 use super::{Agent, CALL_RETRY_DELAY, record_end};
 use crate::clock::now_ms;
-use crate::lease::{AnnouncementEffect, Presence, Summary};
+use crate::presence::{AnnouncementEffect, Presence, Summary};
 use crate::{lock, metrics};
 
 const PATH_PREFIX: &str = "/instances/";
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -4,12 +4,13 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
-use derive_more::Display;
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, NotStarted, Report, Running, WorkerInfo};
 use sorrelland_platform::worker::{Announcement, Listing};
 
+use crate::presence::{AnnouncementEffect, Presence, Summary};
+
 /// Remaining time of a grant below which nothing is started: a shorter lease would end before the next report.
 const MIN_START_GRANT_MS: u64 = 1_000;
 
@@ -28,73 +29,6 @@
 
 type RunKey = (Task, u64);
 
-/// Effect of an announcement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AnnouncementEffect {
-    /// None: the worker has to confirm the incarnation first.
-    Unconfirmed,
-    /// The current incarnation announced a change.
-    Updated,
-    Unchanged,
-    /// Ignored: an incarnation belongs to one service.
-    OtherService,
-    /// Ignored: a newer announcement of the incarnation is known.
-    OlderSequence,
-    /// Ignored: the same announcement is known.
-    RepeatedSequence,
-}
-
-impl AnnouncementEffect {
-    /// Returns the name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Unconfirmed => "unconfirmed",
-            Self::Updated => "updated",
-            Self::Unchanged => "unchanged",
-            Self::OtherService => "other_service",
-            Self::OlderSequence => "older_sequence",
-            Self::RepeatedSequence => "repeated_sequence",
-        }
-    }
-}
-
-/// Whether the current incarnation of the worker is there.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
-pub enum Presence {
-    #[default]
-    #[display("present")]
-    Present,
-    /// It has announced its departure and may still run.
-    #[display("leaving")]
-    Leaving,
-    /// It answered no call until all its leases had ended.
-    #[display("silent")]
-    Silent,
-    /// It has ended.
-    #[display("left")]
-    Left,
-}
-
-/// What an agent knows of its worker at one time, displayed as keys of a log line. Durations are in milliseconds.
-#[derive(Clone, Debug, Default, Display, PartialEq, Eq)]
-#[display(
-    "current={current:?} current_seq={sequence} runs={runs} lease_left_ms={lease_left_ms} \
-     grant_left_ms={grant_left_ms} presence={presence}"
-)]
-pub struct Summary {
-    /// Name of the current incarnation; empty if there is none.
-    pub current: String,
-    /// Sequence number of its newest announcement.
-    pub sequence: u64,
-    /// Runs that it has or may have.
-    pub runs: usize,
-    /// Time until the latest end that any of its leases may have.
-    pub lease_left_ms: u64,
-    /// Time until the newest grant ends.
-    pub grant_left_ms: u64,
-    pub presence: Presence,
-}
-
 /// State of one worker as its agent knows it. All times are in milliseconds.
 #[derive(Debug, Default)]
 pub struct WorkerState {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operators;
+pub mod presence;
 pub mod reload;
 pub mod signals;
 mod stored;
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -1,6 +1,7 @@
 //! Tests an agent's state of its worker, without a network.
 
-use sorrelland_control::lease::{AnnouncementEffect, Presence, WorkerState};
+use sorrelland_control::lease::WorkerState;
+use sorrelland_control::presence::{AnnouncementEffect, Presence};
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Start, Stop};
 use sorrelland_fleet::report::{Running, WorkerInfo};
