Use the project's word for announcements in the tests

Check-in is the platform's word for them. The tests of log lines send theirs by the functions that the other process tests use. No check changes.

--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -138,18 +138,18 @@
         format!("http://{}/instances/{incarnation}", self.env.address(100 + index, 8_526))
     }
 
-    /// Sends a check-in to an agent, as any writer may; returns the HTTP status, 0 if there is no response.
-    pub async fn check_in(&self, index: usize, incarnation: &str, body: &Value) -> u16 {
+    /// Sends an announcement of a worker to an agent, as any writer may; returns the HTTP status, 0 if there is no response.
+    pub async fn announce(&self, index: usize, incarnation: &str, body: &Value) -> u16 {
         let client = Client::new(Duration::from_secs(2));
         let url = self.instance_url(index, incarnation);
         let reply = client.send(Method::PUT, &url, &[], Bytes::from(body.to_string())).await;
         reply.map_or(0, |reply| reply.status.as_u16())
     }
 
-    /// Sends a check-in to an agent as soon as it listens.
-    pub async fn check_in_once_up(&self, index: usize, incarnation: &str, body: &Value) {
+    /// Sends an announcement to an agent as soon as it listens.
+    pub async fn announce_once_up(&self, index: usize, incarnation: &str, body: &Value) {
         let deadline = Instant::now() + Duration::from_secs(5);
-        while self.check_in(index, incarnation, body).await == 0 {
+        while self.announce(index, incarnation, body).await == 0 {
             assert!(Instant::now() < deadline, "agent {index} listens");
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
--- a/crates/sorrelland/tests/incarnations.rs
+++ b/crates/sorrelland/tests/incarnations.rs
@@ -15,13 +15,6 @@
 
 const LOG_DELAY: Duration = Duration::from_secs(10);
 
-/// Sends a request about a worker incarnation to the address at which an agent receives announcements.
-async fn send(platform: &Platform, agent: usize, method: Method, incarnation: &str, body: &Value) -> u16 {
-    let url = format!("http://{}/instances/{incarnation}", platform.env.address(100 + agent, 8_526));
-    let bytes = if body.is_null() { Bytes::new() } else { Bytes::from(body.to_string()) };
-    Client::new(Duration::from_secs(2)).send(method, &url, &[], bytes).await.unwrap().status.as_u16()
-}
-
 fn announcement(sequence: u64) -> Value {
     json!({
         "service": "svc", "address": "127.0.0.9:8000", "zone": "z", "version": "v1", "state": "ready",
@@ -68,7 +61,7 @@
     let platform = Platform::start(1, 2).await;
     let adopted = await_line(&platform, "agent-1", "worker_announced", &[("worker", "w-1-1")]).await;
     assert_eq!((adopted.field("effect"), adopted.field("replaced")), ("adopted", ""));
-    assert_eq!(send(&platform, 1, Method::PUT, "w-1-1", &announcement(0)).await, 200);
+    assert_eq!(platform.announce(1, "w-1-1", &announcement(0)).await, 200);
     let older = [("worker", "w-1-1"), ("reason", "older_sequence"), ("seq", "0")];
     let older = await_line(&platform, "agent-1", "announcement_ignored", &older).await;
     assert_eq!((older.field("current"), older.field("address")), ("w-1-1", "127.0.0.9:8000"));
@@ -76,7 +69,7 @@
     let mut malformed = announcement(1);
     malformed["service"] = json!(1);
     for _ in 0..20 {
-        assert_eq!(send(&platform, 1, Method::PUT, "w-9-1", &malformed).await, 400);
+        assert_eq!(platform.announce(1, "w-9-1", &malformed).await, 400);
     }
     let skipped = await_line(&platform, "agent-1", "announcement_skipped", &[("worker", "w-9-1")]).await;
     assert_eq!(skipped.field("count"), "1");
@@ -90,11 +83,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn logs_tell_departures_apart() {
     let mut platform = Platform::start(1, 2).await;
-    assert_eq!(send(&platform, 1, Method::DELETE, "w-9-1", &Value::Null).await, 200);
+    platform.depart(1, "w-9-1").await;
     let other = [("worker", "w-9-1"), ("is_current", "false"), ("current", "w-1-1")];
     await_line(&platform, "agent-1", "worker_left", &other).await;
     platform.env.kill("worker-2");
-    assert_eq!(send(&platform, 2, Method::DELETE, "w-2-1", &Value::Null).await, 200);
+    platform.depart(2, "w-2-1").await;
     let own = [("worker", "w-2-1"), ("is_current", "true"), ("current", "w-2-1")];
     let own = await_line(&platform, "agent-2", "worker_left", &own).await;
     assert!(own.field("from").starts_with("127."), "{own:?}");
@@ -118,7 +111,7 @@
     let lost = await_line(&platform, "entry-1", "worker_lost", &lost).await;
     assert_eq!(lost.field("agent_incarnation"), started.field("life"));
     assert!(lost.number::<u64>("seq") > joined.number("seq"), "{lost:?}");
-    assert_eq!(send(&platform, 1, Method::PUT, "w-1-1", &announcement(1_000)).await, 200);
+    assert_eq!(platform.announce(1, "w-1-1", &announcement(1_000)).await, 200);
     let late = [("worker", "w-1-1"), ("reason", "other_incarnation"), ("current", "w-1-2")];
     await_line(&platform, "agent-1", "announcement_ignored", &late).await;
     let ended = counter(&platform, 1, "sorrelland_incarnations_ended", ended.field("cause")).await;
--- a/crates/sorrelland/tests/membership.rs
+++ b/crates/sorrelland/tests/membership.rs
@@ -1,4 +1,4 @@
-//! What an agent believes of its worker, with separate processes: check-ins and departures that are not the worker's
+//! What an agent believes of its worker, with separate processes: announcements and departures that are not the worker's
 //! own must not end its runs.
 
 mod common;
@@ -17,7 +17,7 @@
 /// Time for the job beyond one run of its subtasks.
 const COMPLETION_BOUND: Duration = Duration::from_secs(10);
 
-fn check_in(service: &str, state: &str, sequence: u64) -> Value {
+fn announcement(service: &str, state: &str, sequence: u64) -> Value {
     json!({
         "service": service, "address": "127.0.0.1:9", "zone": "elsewhere", "version": "v1", "slots": 8,
         "state": state, "cold_remaining_ms": 0, "labels": ["a", "r9"], "sequence": sequence,
@@ -50,33 +50,33 @@
 }
 
 #[tokio::test]
-async fn check_in_of_unknown_service_starts_no_run_twice() {
+async fn announcement_of_unknown_service_starts_no_run_twice() {
     let platform = Platform::start(2, 3).await;
     start_job(&platform).await;
     for sequence in 1..=4 {
-        platform.check_in(1, "i-other", &check_in("elsewhere", "ready", sequence)).await;
+        platform.announce(1, "i-other", &announcement("elsewhere", "ready", sequence)).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
     check_runs_and_workers(&platform).await;
 }
 
 #[tokio::test]
-async fn check_in_of_unknown_worker_starts_no_run_twice() {
+async fn announcement_of_unknown_worker_starts_no_run_twice() {
     let platform = Platform::start(2, 3).await;
     start_job(&platform).await;
-    platform.check_in(1, "i-other", &check_in("svc", "ready", 1)).await;
+    platform.announce(1, "i-other", &announcement("svc", "ready", 1)).await;
     check_runs_and_workers(&platform).await;
 }
 
 #[tokio::test]
-async fn check_in_at_restarted_agent_starts_no_run_twice() {
+async fn announcement_at_restarted_agent_starts_no_run_twice() {
     let mut platform = Platform::start(2, 3).await;
     start_job(&platform).await;
-    // Without check-ins of its worker, the new process hears the other writer first.
+    // Without announcements of its worker, the new process hears the other writer first.
     platform.env.signal("worker-1", Signal::SIGSTOP);
     assert!(platform.env.stop("agent-1", Duration::from_secs(6)).await);
     platform.start_agent(1);
-    platform.check_in_once_up(1, "i-other", &check_in("elsewhere", "ready", 1)).await;
+    platform.announce_once_up(1, "i-other", &announcement("elsewhere", "ready", 1)).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     platform.env.signal("worker-1", Signal::SIGCONT);
     check_runs_and_workers(&platform).await;
@@ -101,17 +101,17 @@
 }
 
 #[tokio::test]
-async fn frequent_check_ins_of_running_worker_keep_its_leases() {
+async fn frequent_announcements_of_running_worker_keep_its_leases() {
     const LONG_RUN: Duration = Duration::from_secs(14);
     let platform = Platform::start(1, 1).await;
     let spec = format!("run_ms={}", LONG_RUN.as_millis());
     assert_eq!(platform.submit(1, JOB, json!([step(1)]), &spec).await, 200);
     platform.await_state(JOB, "running", Duration::from_secs(5)).await;
-    // Each check-in has a change, like those of a worker that drains.
+    // Each announcement has a change, like those of a worker that drains.
     for sequence in 0..20 {
-        let mut body = check_in("svc", "draining", 1_000 + sequence);
+        let mut body = announcement("svc", "draining", 1_000 + sequence);
         body["remaining_ms"] = json!(60_000 - 700 * sequence);
-        platform.check_in(1, "w-1-1", &body).await;
+        platform.announce(1, "w-1-1", &body).await;
         tokio::time::sleep(Duration::from_millis(700)).await;
     }
     let events = platform.history().await;
--- a/crates/sorrelland/tests/orders.rs
+++ b/crates/sorrelland/tests/orders.rs
@@ -60,12 +60,12 @@
     };
     let address = platform.env.address(101, 8_000);
     let _server = serve::start(address.parse().unwrap(), handler).unwrap();
-    let check_in = json!({
+    let announcement = json!({
         "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8, "state": "ready",
         "cold_remaining_ms": 0, "labels": ["a", "r1"], "sequence": 1, "clock_ms": 1_000,
         "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 8},
     });
-    platform.check_in(1, "w-1-2", &check_in).await;
+    platform.announce(1, "w-1-2", &announcement).await;
     // A run placed before on the worker that has ended would not reach this one.
     let log = platform.env.dir().join("entry-1.log");
     eventually(Duration::from_secs(5), "the planner knows the worker", async || {
@@ -134,14 +134,14 @@
     };
     let address = platform.env.address(101, 8_000);
     let _server = serve::start(address.parse().unwrap(), handler).unwrap();
-    let check_in = |sequence: u64| {
+    let announcement = |sequence: u64| {
         json!({
             "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8, "state": "ready",
             "cold_remaining_ms": 0, "labels": ["a", "r1"], "sequence": sequence, "clock_ms": 1_000,
             "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 8},
         })
     };
-    platform.check_in(1, "w-1-2", &check_in(1)).await;
+    platform.announce(1, "w-1-2", &announcement(1)).await;
     let log = platform.env.dir().join("entry-1.log");
     eventually(Duration::from_secs(5), "the planner knows the worker", async || {
         fs::read_to_string(&log).is_ok_and(|log| log.contains("event=worker_joined worker=w-1-2 "))
@@ -160,7 +160,7 @@
     let silent = SILENCE.saturating_sub(silent_from.lock().unwrap().unwrap().elapsed());
     tokio::time::sleep(silent).await;
     // The worker lives: it takes orders again.
-    platform.check_in(1, "w-1-2", &check_in(2)).await;
+    platform.announce(1, "w-1-2", &announcement(2)).await;
     let task = format!("{OTHER_JOB}.0.0.0");
     let received = |path: &str, run: u64| {
         orders.lock().unwrap().iter().position(|order| *order == (format!("{path} {task}"), run))
@@ -246,7 +246,7 @@
     };
     let address = platform.env.address(101, 8_000);
     let _server = serve::start(address.parse().unwrap(), handler).unwrap();
-    let check_in = |sequence: u64| {
+    let announcement = |sequence: u64| {
         let worker = worker.lock().unwrap();
         json!({
             "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8, "state": "ready",
@@ -254,7 +254,7 @@
             "born": worker.born_ms, "capacity": {"cpu": 130_000, "memory_request_mb": 262_144, "gpu": 8},
         })
     };
-    platform.check_in(1, "w-1-2", &check_in(50)).await;
+    platform.announce(1, "w-1-2", &announcement(50)).await;
     let log = platform.env.dir().join("entry-1.log");
     eventually(Duration::from_secs(5), "the planner knows the worker", async || {
         fs::read_to_string(&log).is_ok_and(|log| log.contains("event=worker_joined worker=w-1-2 "))
@@ -270,13 +270,13 @@
     })
     .await;
     worker.lock().unwrap().restart();
-    platform.check_in(1, "w-1-2", &check_in(1)).await;
+    platform.announce(1, "w-1-2", &announcement(1)).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     platform.submit_until_accepted(OTHER_JOB, &json!([near]), "").await;
     let task = format!("{OTHER_JOB}.0.0.0");
     for sequence in 2..20 {
         tokio::time::sleep(Duration::from_secs(1)).await;
-        platform.check_in(1, "w-1-2", &check_in(sequence)).await;
+        platform.announce(1, "w-1-2", &announcement(sequence)).await;
         if platform.state(1, OTHER_JOB).await == "completed" {
             break;
         }
