Tell two lives of a worker that keeps its name apart

Cause: an incarnation was named after the worker's id alone. A worker that restarts under its id counts its ends anew, so the planner took the end of a new run for one that it had applied, and the agent acknowledged it unread. Change: where a worker tells when it started, the time is part of the incarnation's name, and a reply of another life is answered like one of another incarnation. A departure notice names the worker, whichever life is current.

--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -44,14 +44,12 @@
 impl Agent {
     /// Handles an announcement of the worker, or its notice that it leaves.
     pub(super) fn handle_announcement(&self, request: &Request) -> Response {
-        let Some(incarnation) =
-            request.path.strip_prefix(PATH_PREFIX).filter(|incarnation| !incarnation.is_empty())
-        else {
+        let Some(worker) = request.path.strip_prefix(PATH_PREFIX).filter(|worker| !worker.is_empty()) else {
             return Response::new(StatusCode::NOT_FOUND);
         };
         let peer = request.peer;
         match request.method {
-            Method::PUT => match decode_announcement(incarnation, &request.body) {
+            Method::PUT => match decode_announcement(worker, &request.body) {
                 Ok(announcement) => {
                     self.apply_announcement(Received { announcement, peer });
                     Response::new(StatusCode::OK).json(&serde_json::json!({}))
@@ -60,14 +58,14 @@
                     metrics::count_announcement("malformed");
                     if let Some(count) = self.due_line("malformed") {
                         log::warn!(
-                            "event=announcement_skipped worker={incarnation} cause=\"{e}\" from={peer} count={count}"
+                            "event=announcement_skipped worker={worker} cause=\"{e}\" from={peer} count={count}"
                         );
                     }
                     Response::new(StatusCode::BAD_REQUEST)
                 }
             },
             Method::DELETE => {
-                self.record_departure(peer, incarnation);
+                self.record_departure(peer, worker);
                 Response::new(StatusCode::OK)
             }
             _ => Response::new(StatusCode::METHOD_NOT_ALLOWED),
@@ -170,16 +168,16 @@
     }
 
     /// Records a departure notice, which takes effect once nothing listens at the worker's address.
-    fn record_departure(&self, peer: SocketAddr, incarnation: &str) {
+    fn record_departure(&self, peer: SocketAddr, worker: &str) {
         let (before, is_current) = {
             let mut state = lock(&self.worker_state);
-            (state.summary(now_ms()), state.record_departure_notice(incarnation))
+            (state.summary(now_ms()), state.record_departure_notice(worker))
         };
         let has_effect = is_current && before.presence == Presence::Present;
         let count = if has_effect { Some(1) } else { self.due_line("departure") };
         if let Some(count) = count {
             log::info!(
-                "event=worker_left worker={incarnation} is_current={is_current} from={peer} {before} count={count}"
+                "event=worker_left worker={worker} is_current={is_current} from={peer} {before} count={count}"
             );
         }
         if has_effect {
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -4,9 +4,9 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
-use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, NotStarted, Report, Running, WorkerInfo};
+use sorrelland_fleet::{Task, incarnation};
 use sorrelland_platform::worker::{Announcement, Listing};
 
 use crate::presence::{AnnouncementEffect, Presence, Summary};
@@ -133,11 +133,12 @@
         };
     }
 
-    /// Records a departure notice; returns whether it names the current incarnation. Its runs count until its end is
+    /// Records a departure notice; returns whether it names the current worker. Its runs count until its end is
     /// confirmed, but nothing is started and no lease extended. A later announcement that the worker confirms revokes the
     /// notice.
-    pub fn record_departure_notice(&mut self, incarnation: &str) -> bool {
-        let is_current = self.incarnation() == Some(incarnation);
+    pub fn record_departure_notice(&mut self, worker: &str) -> bool {
+        // A notice doesn't tell which incarnation of the worker sent it.
+        let is_current = self.incarnation().is_some_and(|current| incarnation::split(current).0 == worker);
         if is_current && self.presence == Presence::Present {
             self.presence = Presence::Leaving;
             self.reject_assigned_starts();
--- a/crates/ctl/src/runs.rs
+++ b/crates/ctl/src/runs.rs
@@ -111,7 +111,7 @@
     let agents: BTreeSet<&str> = all
         .iter()
         .filter(|line| {
-            line.parsed.event() == "worker_joined" && workers.contains(line.parsed.field("worker"))
+            line.parsed.event() == "worker_joined" && workers.contains(joined_incarnation(&line.parsed))
         })
         .map(|line| line.parsed.field("agent"))
         .collect();
@@ -178,13 +178,21 @@
     line.field("task") == task || line.event() == "placed" && placed_on(line, task).is_some()
 }
 
+/// Returns the incarnation that joined; a line names it only where it differs from the worker's name.
+fn joined_incarnation(line: &LogLine) -> &str {
+    match line.field("incarnation") {
+        "" => line.field("worker"),
+        incarnation => incarnation,
+    }
+}
+
 /// Returns the runs in the order of their starts, without their ends.
 fn runs_of(lines: &[Line], task: &str) -> Vec<Run> {
     let mut runs: BTreeMap<(u64, &str), Run> = BTreeMap::new();
     let mut agents: BTreeMap<&str, &str> = BTreeMap::new();
     for Line { parsed, .. } in lines {
         if parsed.event() == "worker_joined" {
-            agents.insert(parsed.field("worker"), parsed.field("agent"));
+            agents.insert(joined_incarnation(parsed), parsed.field("agent"));
         }
         let worker = match parsed.event() {
             "placed" => placed_on(parsed, task),
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use crate::incarnation;
 use crate::job::{Job, Outcome, Step};
 use crate::planner::{Agent, Planner, mark_ending, set_state};
 use crate::report::{End, EndReason, NotStarted, Report};
@@ -172,8 +173,11 @@
         if !self.workers.contains_key(&incarnation) {
             let mut worker = Worker::new(info.clone(), report.agent.clone(), now);
             self.adopt_members(&mut worker);
+            let name = incarnation::split(&incarnation).0;
+            let differing =
+                if name == incarnation { String::new() } else { format!(" incarnation={incarnation}") };
             self.log_line(format!(
-                "event=worker_joined worker={incarnation} agent={} agent_incarnation={} seq={}",
+                "event=worker_joined worker={name}{differing} agent={} agent_incarnation={} seq={}",
                 report.agent, report.agent_incarnation, report.seq
             ));
             self.workers.insert(incarnation.clone(), worker);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod assign;
 pub mod assignments;
 pub mod desired;
+pub mod incarnation;
 pub mod job;
 pub mod line_limit;
 pub mod pace;
