Read the workers once a pass, and search for victims step by step

Cause: each waiting unit built its own map of the workers, each first wait summed up everything that was placed, and each unit that was due listed all victims anew and tried every set of them from scratch; 38 subtasks of one step did so 38 times a pass. Change: a pass reads the workers, the claims and the victims once and follows its own placements; what doesn't fit for a subtask isn't tried for the others of its step; a search for victims keeps the room that it has freed.

--- a/crates/fleet/src/approvals.rs
+++ b/crates/fleet/src/approvals.rs
@@ -35,6 +35,13 @@
         (*valid_until > now + MIN_REMAINING_VALIDITY_MS).then_some(ticket.as_str())
     }
 
+    /// Returns the workers whose tickets for a step are valid long enough for a placement.
+    pub fn approved_workers(&self, step: &StepKey, now: u64) -> BTreeSet<&str> {
+        let tickets = self.by_step.get(step).into_iter().flatten();
+        let valid = tickets.filter(|(_, (_, valid_until))| *valid_until > now + MIN_REMAINING_VALIDITY_MS);
+        valid.map(|(incarnation, _)| incarnation.as_str()).collect()
+    }
+
     /// Returns the newest ticket of a step on a worker for a start that was placed with it, even if it has expired.
     pub fn newest_ticket(&self, step: &StepKey, incarnation: &str) -> Option<String> {
         self.by_step.get(step)?.get(incarnation).map(|(ticket, _)| ticket.clone())
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,10 +5,10 @@
 
 use crate::admit;
 use crate::approvals::Approvals;
+use crate::claims::Claims;
 use crate::desired::{Desired, Queue};
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
-use crate::place::Claims;
 use crate::record::{self, Record, new_job};
 use crate::resources::Resources;
 use crate::task::Task;
--- /dev/null
+++ b/crates/fleet/src/pool.rs
@@ -0,0 +1,189 @@
+//! The workers as one placement pass sees them, and which of them have room for a step.
+//!
+//! Designed for hundreds of workers and long queues: a pass tries many units on the same workers, so it reads the
+//! workers once and then applies its own placements and claims.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::job::Step;
+use crate::planner::MAX_REPORT_AGE_MS;
+use crate::resources::Resources;
+use crate::worker::Worker;
+
+/// A worker during a pass.
+#[derive(Clone, Debug)]
+pub struct PoolWorker {
+    pub incarnation: String,
+    pub service: String,
+    pub labels: Vec<String>,
+    /// Index of its rack in the order of the racks' names.
+    pub rack: usize,
+    pub capacity: Resources,
+    /// Capacity that no run uses; negative amounts mean overcommitment.
+    pub free: Resources,
+    /// Whether nothing is placed on it.
+    pub is_idle: bool,
+    /// Whether runs may be placed on it.
+    pub is_usable: bool,
+    /// Resources that waiting units claim.
+    claimed: Resources,
+    /// The part of it that guaranteed units claim.
+    claimed_by_guaranteed: Resources,
+}
+
+impl PoolWorker {
+    pub fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| own == label)
+    }
+
+    /// Returns whether a step may be placed on it, apart from free resources.
+    pub fn accepts(&self, step: &Step) -> bool {
+        self.is_usable && step.label.as_deref().is_none_or(|label| self.has_label(label))
+    }
+
+    /// Returns the resources that no run uses and no other unit claims.
+    pub fn unclaimed(&self, is_guaranteed: bool) -> Resources {
+        let mut free = self.free;
+        free -= if is_guaranteed { self.claimed_by_guaranteed } else { self.claimed };
+        free
+    }
+}
+
+/// All known workers during a pass, in the order of their incarnations' names.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    pub workers: Vec<PoolWorker>,
+    racks: Vec<String>,
+    by_incarnation: BTreeMap<String, usize>,
+}
+
+impl Pool {
+    pub fn new(workers: &BTreeMap<String, Worker>, now: u64) -> Self {
+        let names: BTreeSet<&str> = workers.values().map(Worker::rack).collect();
+        let racks: Vec<String> = names.into_iter().map(str::to_owned).collect();
+        let pool_worker = |worker: &Worker| PoolWorker {
+            incarnation: worker.info.incarnation.clone(),
+            service: worker.info.service.clone(),
+            labels: worker.info.labels.clone(),
+            rack: racks.binary_search_by(|rack| rack.as_str().cmp(worker.rack())).unwrap_or_default(),
+            capacity: worker.info.capacity,
+            free: worker.free(),
+            is_idle: worker.used == Resources::default(),
+            is_usable: is_usable(worker, now),
+            claimed: Resources::default(),
+            claimed_by_guaranteed: Resources::default(),
+        };
+        let by_incarnation = workers.keys().cloned().zip(0..).collect();
+        Self { workers: workers.values().map(pool_worker).collect(), racks, by_incarnation }
+    }
+
+    pub fn index_of(&self, incarnation: &str) -> Option<usize> {
+        self.by_incarnation.get(incarnation).copied()
+    }
+
+    pub fn rack_count(&self) -> usize {
+        self.racks.len()
+    }
+
+    pub fn rack_name(&self, rack: usize) -> &str {
+        &self.racks[rack]
+    }
+
+    /// Returns the names of workers given by their indices.
+    pub fn incarnations(&self, workers: &[usize]) -> Vec<String> {
+        workers.iter().map(|worker| self.workers[*worker].incarnation.clone()).collect()
+    }
+
+    /// Reserves resources on each of the given workers for a member that is placed there.
+    pub fn place(&mut self, workers: &[usize], per_member: Resources) {
+        for worker in workers {
+            self.workers[*worker].free -= per_member;
+            self.workers[*worker].is_idle = false;
+        }
+    }
+
+    /// Adds a claim of `per_member` for every entry of `workers`.
+    pub fn claim(&mut self, workers: &[String], per_member: Resources, is_guaranteed: bool) {
+        self.change_claims(workers, is_guaranteed, |claimed| *claimed += per_member);
+    }
+
+    /// Removes a claim that was added before.
+    pub fn unclaim(&mut self, workers: &[String], per_member: Resources, is_guaranteed: bool) {
+        self.change_claims(workers, is_guaranteed, |claimed| *claimed -= per_member);
+    }
+
+    fn change_claims(&mut self, workers: &[String], is_guaranteed: bool, change: impl Fn(&mut Resources)) {
+        for incarnation in workers {
+            let Some(index) = self.index_of(incarnation) else { continue };
+            change(&mut self.workers[index].claimed);
+            if is_guaranteed {
+                change(&mut self.workers[index].claimed_by_guaranteed);
+            }
+        }
+    }
+}
+
+/// Returns whether runs may be placed on a worker.
+pub fn is_usable(worker: &Worker, now: u64) -> bool {
+    !worker.info.draining && worker.ejected_until <= now && worker.last_report_at + MAX_REPORT_AGE_MS >= now
+}
+
+/// Resources that one unit may use on a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Index of the worker in the pool.
+    pub worker: usize,
+    pub free: Resources,
+}
+
+/// Number and size of the members that need room at the same time.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    pub per_member: Resources,
+    pub members: i64,
+    pub max_per_worker: i64,
+}
+
+impl Need {
+    /// Returns the need of `members` subtasks of a step.
+    pub fn new(step: &Step, members: u32) -> Self {
+        Self {
+            per_member: step.reserved(),
+            members: i64::from(members),
+            max_per_worker: step.max_per_worker.map_or(i64::MAX, i64::from),
+        }
+    }
+
+    /// Returns how many members fit into `free` on one worker.
+    pub fn members_in(&self, free: &Resources) -> i64 {
+        free.copies_of(&self.per_member).min(self.max_per_worker).min(self.members)
+    }
+
+    /// Returns whether all members fit.
+    pub fn fits(&self, rooms: &[Room]) -> bool {
+        let mut missing = self.members;
+        for room in rooms {
+            missing -= self.members_in(&room.free);
+            if missing <= 0 {
+                return true;
+            }
+        }
+        missing <= 0
+    }
+
+    /// Returns the index of a worker for each member, the tightest fits first; `None` if they don't all fit.
+    pub fn assign(&self, rooms: &[Room]) -> Option<Vec<usize>> {
+        if !self.fits(rooms) {
+            return None;
+        }
+        let mut order: Vec<&Room> = rooms.iter().filter(|room| room.free.can_fit(&self.per_member)).collect();
+        order.sort_by_key(|room| (room.free.accelerators, room.free.millicores, room.worker));
+        let mut workers = Vec::new();
+        for room in order {
+            let missing = self.members - workers.len() as i64;
+            let copies = self.members_in(&room.free).min(missing);
+            workers.extend((0..copies).map(|_| room.worker));
+        }
+        Some(workers)
+    }
+}
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -3,15 +3,16 @@
 //! Designed for bursts of urgent gangs on a full fleet: resources have to be free within the bound of a guarantee, and
 //! every stop loses the work since the last checkpoint.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use crate::job::Step;
-use crate::place::{Candidate, assign_members};
+use crate::job::Job;
+use crate::pass::Pass;
+use crate::place::Candidate;
 use crate::planner::Planner;
+use crate::pool::{Need, Pool, Room};
 use crate::resources::Resources;
-use crate::unit::{UnitKey, UnitState};
+use crate::unit::{Unit, UnitKey, UnitState};
 use crate::value::{Timeliness, attainable_value};
-use crate::worker::Worker;
 
 /// Progress from which a run is not stopped: that would free its resources hardly earlier than its end.
 const NEARLY_DONE_PERCENT: u64 = 85;
@@ -21,61 +22,85 @@
 const PREEMPTION_LEAD_MS: u64 = 500;
 
 /// A placed unit that may be preempted.
-struct Victim {
+#[derive(Clone, Debug)]
+pub struct Victim {
     job: String,
     key: UnitKey,
+    /// Priority of its queue.
+    priority: u32,
+    /// Whether its account's guarantee covers its job.
+    is_covered: bool,
+    is_nearly_done: bool,
     /// Cost of stopping its run, in the unit of a job's value.
     stop_cost: f64,
-    /// Resources that it holds, by worker.
-    resources: BTreeMap<String, Resources>,
+    /// Resources that it holds, by the worker's index in the pool.
+    resources: Vec<(usize, Resources)>,
+}
+
+/// Runs to stop, and where the unit that needs their resources fits then.
+struct Plan {
+    cost: f64,
+    /// Indices of the victims.
+    victims: Vec<usize>,
+    /// Resources with those of the victims.
+    rooms: Vec<Room>,
 }
 
 /// Stops less urgent runs until a unit fits, and claims the freed resources for it. A job ends in time only with all
 /// its subtasks, so either all waiting units of a step get resources or none does, except where the bound of a
 /// guarantee is near.
-pub fn preempt_for(planner: &mut Planner, now: u64, wall: u64, candidate: &Candidate) {
-    let Some(max_cost) = max_cost(planner, wall, candidate) else { return };
+pub fn preempt_for(planner: &mut Planner, pass: &mut Pass, candidate: &Candidate) {
+    let Some(max_cost) = max_cost(planner, pass.wall, candidate) else { return };
     let Some(job) = planner.jobs.get(&candidate.job) else { return };
     let Some(step) = job.sub.steps.get(candidate.key.step as usize).cloned() else { return };
-    let units = match step.gang || candidate.must_start {
+    let is_single = step.gang || candidate.must_start;
+    if !is_single && pass.is_step_unpreemptable(candidate) {
+        return;
+    }
+    let units = match is_single {
         true => vec![candidate.key],
         false => waiting_units_of_step(planner, candidate),
     };
     let members = if step.gang { step.count } else { units.len() as u32 };
-    let required = Step { count: members, ..step.clone() };
-    let victims = victims(planner, now, wall, candidate);
-    let available = planner.available_workers(now, candidate, &step);
-    let mut groups: BTreeMap<&str, Vec<(&Worker, Resources)>> = BTreeMap::new();
-    for (worker, free) in available.by_id.values() {
-        let group = if step.prefers_one_rack { worker.rack() } else { "" };
-        groups.entry(group).or_default().push((worker, *free));
-    }
-    let plans = groups.values().filter_map(|workers| choose_victims(workers, &victims, &required));
-    let mut best = plans.min_by(|one, other| one.0.total_cmp(&other.0));
-    if best.is_none() && candidate.must_start {
+    let need = Need::new(&step, members);
+    let victims = pass.victims.take().unwrap_or_else(|| victims(planner, pass));
+    let rooms = planner.available_rooms(&pass.pool, pass.now, candidate, &step);
+    let eligible = eligible_victims(&victims, candidate);
+    let mut best = best_plan(&pass.pool, &rooms, &victims, &eligible, &need, step.prefers_one_rack);
+    if best.is_none() && candidate.must_start && step.prefers_one_rack {
         // No rack can be freed for it. Running slower over several racks is better than missing the bound.
-        let all: Vec<(&Worker, Resources)> = available.by_id.values().copied().collect();
-        best = choose_victims(&all, &victims, &required);
+        best = best_plan(&pass.pool, &rooms, &victims, &eligible, &need, false);
     }
-    let Some((cost, chosen, incarnations)) = best else { return };
-    if cost > max_cost {
+    pass.victims = Some(victims);
+    let workers =
+        best.as_ref().filter(|plan| plan.cost <= max_cost).and_then(|plan| need.assign(&plan.rooms));
+    let (Some(plan), Some(workers)) = (best, workers) else {
+        if !is_single {
+            pass.mark_step_unpreemptable(candidate);
+        }
         return;
-    }
-    let stopped_units: Vec<(String, UnitKey)> =
-        chosen.iter().map(|index| (victims[*index].job.clone(), victims[*index].key)).collect();
+    };
+    let incarnations = pass.pool.incarnations(&workers);
     if step.gang {
-        planner.claims.insert(candidate, candidate.key, incarnations, step.reserved(), now);
+        let key = candidate.key;
+        planner.claims.insert(&mut pass.pool, candidate, key, incarnations, need.per_member, pass.now);
     } else {
         for (key, incarnation) in units.into_iter().zip(incarnations) {
-            planner.claims.insert(candidate, key, vec![incarnation], step.reserved(), now);
+            let worker = vec![incarnation];
+            planner.claims.insert(&mut pass.pool, candidate, key, worker, need.per_member, pass.now);
         }
     }
-    if let Some(job) = planner.jobs.get_mut(&candidate.job).filter(|_| !stopped_units.is_empty()) {
+    if let Some(job) = planner.jobs.get_mut(&candidate.job).filter(|_| !plan.victims.is_empty()) {
         job.preempted_others = true;
     }
     let reason = format!("resources needed for {}", candidate.job);
-    for (name, key) in stopped_units {
-        planner.evict(now, &name, key, &reason);
+    for victim in plan.victims {
+        let Some(victim) = pass.victims.as_mut().and_then(|victims| victims.get_mut(victim)) else {
+            continue;
+        };
+        // From now on it is being stopped, which costs nothing more.
+        (victim.stop_cost, victim.is_nearly_done) = (0.0, false);
+        planner.evict(pass.now, &victim.job, victim.key, &reason);
     }
 }
 
@@ -110,94 +135,159 @@
         .then_some((current_value - later_value) * outcomes.expected_in_time_share())
 }
 
-fn victims(planner: &Planner, now: u64, wall: u64, candidate: &Candidate) -> Vec<Victim> {
+/// Returns the placed units that may be preempted for some unit.
+fn victims(planner: &Planner, pass: &Pass) -> Vec<Victim> {
+    let covered = planner.jobs_within_guarantees();
     let mut victims = Vec::new();
-    let covered = if candidate.guaranteed { planner.jobs_within_guarantees() } else { BTreeSet::new() };
     for name in &planner.live {
         let Some(job) = planner.jobs.get(name) else { continue };
         let priority = planner.desired.queue(&job.sub.queue).map_or(u32::MAX, |queue| queue.priority);
-        // Work of the same priority is preempted only for a guaranteed unit, and only if no guarantee covers it.
-        let outside_guarantees = candidate.guaranteed && !covered.contains(name.as_str());
-        if priority <= candidate.priority && !outside_guarantees {
-            continue;
-        }
+        let is_covered = covered.contains(name.as_str());
         for (key, unit) in &job.units {
-            let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
-            if unit.state != UnitState::Placed && unit.state != UnitState::Ending {
-                continue;
-            }
-            if step.max_unavailable.is_some() {
-                // The step limits how many of its subtasks may be down, so none is preempted.
-                continue;
+            if unit.state == UnitState::Placed || unit.state == UnitState::Ending {
+                victims.extend(victim(planner, pass, (job, *key, unit), priority, is_covered));
             }
-            let percent = unit.members.iter().map(|member| member.percent).max().unwrap_or(0);
-            if unit.state == UnitState::Placed
-                && percent >= NEARLY_DONE_PERCENT
-                && !step.long_running
-                && !candidate.must_start
-            {
-                continue;
-            }
-            let mut resources: BTreeMap<String, Resources> = BTreeMap::new();
-            for member in unit.members.iter().filter(|member| !member.released) {
-                *resources.entry(member.worker.clone()).or_default() += step.reserved();
-            }
-            let stop_cost = planner.stop_cost(now, wall, job, *key, unit);
-            victims.push(Victim { job: name.clone(), key: *key, stop_cost, resources });
         }
     }
     victims
 }
 
-/// Returns the cheapest set of victims found in a group of workers, as its cost, the victims' indices, and a worker
-/// for each member. The search is greedy and may miss the optimum.
+fn victim(
+    planner: &Planner,
+    pass: &Pass,
+    (job, key, unit): (&Job, UnitKey, &Unit),
+    priority: u32,
+    is_covered: bool,
+) -> Option<Victim> {
+    let step = job.sub.steps.get(key.step as usize)?;
+    if step.max_unavailable.is_some() {
+        // The step limits how many of its subtasks may be down, so none is preempted.
+        return None;
+    }
+    let percent = unit.members.iter().map(|member| member.percent).max().unwrap_or(0);
+    let is_nearly_done =
+        unit.state == UnitState::Placed && percent >= NEARLY_DONE_PERCENT && !step.long_running;
+    let mut resources: Vec<(usize, Resources)> = Vec::new();
+    for member in unit.members.iter().filter(|member| !member.released) {
+        let Some(worker) = pass.pool.index_of(&member.worker) else { continue };
+        match resources.iter_mut().find(|(other, _)| *other == worker) {
+            Some((_, held)) => *held += step.reserved(),
+            None => resources.push((worker, step.reserved())),
+        }
+    }
+    Some(Victim {
+        job: job.sub.job.clone(),
+        key,
+        priority,
+        is_covered,
+        is_nearly_done,
+        stop_cost: planner.stop_cost(pass.now, pass.wall, job, key, unit),
+        resources,
+    })
+}
+
+/// Returns the indices of the units that may be preempted for a candidate.
+fn eligible_victims(victims: &[Victim], candidate: &Candidate) -> Vec<usize> {
+    let is_eligible = |victim: &Victim| {
+        // Work of the same priority is preempted only for a guaranteed unit, and only if no guarantee covers it.
+        let is_less_urgent =
+            victim.priority > candidate.priority || (candidate.guaranteed && !victim.is_covered);
+        is_less_urgent && (candidate.must_start || !victim.is_nearly_done)
+    };
+    victims.iter().enumerate().filter(|(_, victim)| is_eligible(victim)).map(|(at, _)| at).collect()
+}
+
+/// Returns the cheapest plan over all groups of workers: the racks if `by_rack`, otherwise all of them together.
+fn best_plan(
+    pool: &Pool,
+    rooms: &[Room],
+    victims: &[Victim],
+    eligible: &[usize],
+    need: &Need,
+    by_rack: bool,
+) -> Option<Plan> {
+    let groups = if by_rack { pool.rack_count() } else { 1 };
+    let group_of = |worker: usize| if by_rack { pool.workers[worker].rack } else { 0 };
+    let mut rooms_by_group: Vec<Vec<Room>> = vec![Vec::new(); groups];
+    // Position of each worker within its group; `None` for one that doesn't accept the unit.
+    let mut positions: Vec<Option<usize>> = vec![None; pool.workers.len()];
+    for room in rooms {
+        let group = &mut rooms_by_group[group_of(room.worker)];
+        positions[room.worker] = Some(group.len());
+        group.push(*room);
+    }
+    let mut victims_by_group: Vec<Vec<usize>> = vec![Vec::new(); groups];
+    for index in eligible {
+        let held = victims[*index].resources.iter().filter(|(worker, _)| positions[*worker].is_some());
+        let held_in: BTreeSet<usize> = held.map(|(worker, _)| group_of(*worker)).collect();
+        for group in held_in {
+            victims_by_group[group].push(*index);
+        }
+    }
+    let groups = (0..groups).zip(rooms_by_group).zip(victims_by_group);
+    let plans = groups.filter_map(|((group, rooms), held_by)| {
+        let position = |worker: usize| positions[worker].filter(|_| group_of(worker) == group);
+        choose_victims(rooms, victims, held_by, need, position)
+    });
+    plans.min_by(|one, other| one.cost.total_cmp(&other.cost))
+}
+
+/// Returns the cheapest plan found in a group of workers. `held_by` has the victims that hold resources there, `position`
+/// gives the position of a worker in `rooms`. The search is greedy and may miss the optimum.
 fn choose_victims(
-    workers: &[(&Worker, Resources)],
+    mut rooms: Vec<Room>,
     victims: &[Victim],
-    step: &Step,
-) -> Option<(f64, Vec<usize>, Vec<String>)> {
-    let group: BTreeSet<&str> = workers.iter().map(|(worker, _)| worker.info.incarnation.as_str()).collect();
-    let mut order: Vec<usize> = (0..victims.len())
-        .filter(|index| victims[*index].resources.keys().any(|worker| group.contains(worker.as_str())))
-        .collect();
-    // Cost per core freed in this group. A gang that also runs elsewhere counts with its whole cost.
-    let per_core = |index: &usize| {
-        let victim = &victims[*index];
-        let here = victim.resources.iter().filter(|(incarnation, _)| group.contains(incarnation.as_str()));
-        let freed: i64 = here.map(|(_, resources)| resources.weight()).sum();
-        victim.stop_cost / freed.max(1) as f64
+    held_by: Vec<usize>,
+    need: &Need,
+    position: impl Fn(usize) -> Option<usize>,
+) -> Option<Plan> {
+    let held_here = |victim: usize| {
+        let held = victims[victim].resources.iter();
+        held.filter_map(|(worker, held)| Some((position(*worker)?, *held)))
     };
-    order.sort_by(|one, other| per_core(one).total_cmp(&per_core(other)));
-    let free_without = |chosen: &[usize]| -> Vec<(&Worker, Resources)> {
-        let mut free = workers.to_vec();
-        for (worker, resources) in &mut free {
-            for index in chosen {
-                if let Some(freed) = victims[*index].resources.get(&worker.info.incarnation) {
-                    *resources += *freed;
-                }
+    // Members that fit in the group; changed with the rooms.
+    let mut fitting: i64 = rooms.iter().map(|room| need.members_in(&room.free)).sum();
+    let free_or_take = |rooms: &mut [Room], fitting: &mut i64, victim: usize, free: bool| {
+        for (at, held) in held_here(victim) {
+            let room = &mut rooms[at].free;
+            *fitting -= need.members_in(room);
+            if free {
+                *room += held;
+            } else {
+                *room -= held;
             }
+            *fitting += need.members_in(room);
         }
-        free
     };
+    // Cost per core freed in this group. A gang that also runs elsewhere counts with its whole cost.
+    let per_core = |victim: usize| {
+        let freed: i64 = held_here(victim).map(|(_, held)| held.weight()).sum();
+        victims[victim].stop_cost / freed.max(1) as f64
+    };
+    let mut order: Vec<(f64, usize)> = held_by.into_iter().map(|victim| (per_core(victim), victim)).collect();
+    order.sort_by(|(one, _), (other, _)| one.total_cmp(other));
     let mut chosen = Vec::new();
-    let mut assigned = assign_members(&free_without(&chosen), step);
-    for index in order {
-        if assigned.is_some() {
+    for (_, victim) in order {
+        if fitting >= need.members {
             break;
         }
-        chosen.push(index);
-        assigned = assign_members(&free_without(&chosen), step);
+        free_or_take(&mut rooms, &mut fitting, victim, true);
+        chosen.push(victim);
+    }
+    if fitting < need.members {
+        return None;
     }
-    let mut incarnations = assigned?;
     // Drops the victims that are not needed, the most expensive first.
     let mut by_cost = chosen.clone();
     by_cost.sort_by(|one, other| victims[*other].stop_cost.total_cmp(&victims[*one].stop_cost));
-    for index in by_cost {
-        let fewer: Vec<usize> = chosen.iter().copied().filter(|other| *other != index).collect();
-        if let Some(found) = assign_members(&free_without(&fewer), step) {
-            (chosen, incarnations) = (fewer, found);
+    for victim in by_cost {
+        free_or_take(&mut rooms, &mut fitting, victim, false);
+        if fitting >= need.members {
+            chosen.retain(|other| *other != victim);
+        } else {
+            free_or_take(&mut rooms, &mut fitting, victim, true);
         }
     }
-    let cost = chosen.iter().map(|index| victims[*index].stop_cost).sum();
-    Some((cost, chosen, incarnations))
+    let cost = chosen.iter().map(|victim| victims[*victim].stop_cost).sum();
+    Some(Plan { cost, victims: chosen, rooms })
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -7,7 +7,8 @@
 
 use crate::admit::critical_path_ms;
 use crate::job::{Job, JobState, Outcome};
-use crate::place::{Candidate, accepts_step, peak_accelerators};
+use crate::pass::Pass;
+use crate::place::{Candidate, peak_accelerators};
 use crate::planner::{MAX_REPORT_AGE_MS, Planner};
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::worker::Worker;
@@ -340,7 +341,9 @@
         for worker in self.workers.values().filter(|worker| Some(worker.info.service.as_str()) == service) {
             let availability = availability(worker, now);
             let category = match availability {
-                "usable" if !accepts_step(worker, step, now) => "without its label",
+                "usable" if step.label.as_deref().is_some_and(|label| !worker.has_label(label)) => {
+                    "without its label"
+                }
                 "usable" if !worker.free().can_fit(&step.reserved()) => "without room",
                 "usable" => "with room",
                 other => other,
@@ -349,7 +352,7 @@
         }
         let counts: Vec<String> =
             workers_by_category.iter().map(|(category, count)| format!("{count} {category}")).collect();
-        let reserve = if self.would_use_reserve(now, wall, candidate, step) {
+        let reserve = if self.would_use_reserve(&Pass::new(self, now, wall), candidate, step) {
             "; the free accelerators are reserved for urgent jobs"
         } else {
             ""
