Pause after a pass, and show the planner's load in the logs

Cause: every submission ran a pass of its own, in its own task, and every report with a result triggered another, so under load passes followed each other without end while reports and callers waited. Change: submissions and cancels request a pass that starts at once and serves all that have arrived; after a pass the others wait for as long as it took. A line every 10 s has the number and the time of passes, reports and replies; a pass over 50 ms has one of its own; histograms of both times are at the metrics address.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -18,6 +18,7 @@
 use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest};
 use crate::clock::{now_ms, wall_ms};
 use crate::election::{MAX_STORE_OUTAGE_MS, RENEWAL_INTERVAL, renew};
+use crate::planner_load::PlannerLoad;
 use crate::stored::{APPEND_RETRY_DELAY, JOBS, PRODUCER, append_outcome, load_jobs, split_into_appends};
 use crate::{lock, metrics};
 
@@ -25,6 +26,13 @@
 /// this late.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum pause after a pass. Passes pause for as long as they took, so that they use at most half of the processor and
+/// the reports in between are handled together.
+const MAX_PASS_PAUSE: Duration = Duration::from_millis(100);
+
+/// Duration of a pass from which it is logged.
+const SLOW_PASS: Duration = Duration::from_millis(50);
+
 /// Maximum time for which an agent's report waits for new assignments.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(500);
 
@@ -39,8 +47,11 @@
     /// This process as the leader, with the epoch of its claim.
     pub leader: Leader,
     planner: Mutex<Planner>,
-    /// Triggers a planning pass.
+    /// Triggers a planning pass once the pause after the last one is over.
     pass: Notify,
+    /// Triggers a planning pass at once, for a caller who waits for it.
+    urgent_pass: Notify,
+    load: Mutex<PlannerLoad>,
     /// Triggers an append of the changes.
     append: Notify,
     /// Triggers requests to the policy service.
@@ -77,6 +88,8 @@
             leader,
             planner: Mutex::new(planner),
             pass: Notify::new(),
+            urgent_pass: Notify::new(),
+            load: Mutex::new(PlannerLoad::new(Instant::now())),
             append: Notify::new(),
             approval_requests: Notify::new(),
             stored: watch::Sender::new(0),
@@ -120,14 +133,29 @@
 
     async fn run_passes(self: Arc<Self>) {
         while !self.has_stepped_down() {
-            let waited = tokio::time::timeout(PASS_INTERVAL, self.pass.notified());
-            // A time-out triggers a pass as well.
-            let _ = waited.await;
-            self.run_pass();
+            let pass = self.run_pass();
+            tokio::select! {
+                () = self.urgent_pass.notified() => continue,
+                () = tokio::time::sleep(pass.min(MAX_PASS_PAUSE)) => (),
+            }
+            tokio::select! {
+                () = self.urgent_pass.notified() => (),
+                () = self.pass.notified() => (),
+                () = tokio::time::sleep(PASS_INTERVAL) => (),
+            }
+        }
+    }
+
+    /// Requests a pass at once for a caller who waits until `change` is stored.
+    fn request_pass(&self, change: u64) {
+        if *self.stored.borrow() < change {
+            self.urgent_pass.notify_one();
         }
     }
 
-    fn run_pass(&self) {
+    /// Runs a planning pass and returns how long it took.
+    fn run_pass(&self) -> Duration {
+        let began = Instant::now();
         let (lines, to_wake) = {
             let mut planner = lock(&self.planner);
             planner.tick(now_ms(), wall_ms());
@@ -148,6 +176,25 @@
         }
         self.append.notify_one();
         self.wake_agents(to_wake);
+        self.record_pass(began)
+    }
+
+    /// Records the times of a pass that began at `began`, and returns how long it took.
+    fn record_pass(&self, began: Instant) -> Duration {
+        let ended = Instant::now();
+        let ((pass, gap), line) = {
+            let mut load = lock(&self.load);
+            (load.record_pass(began, ended), load.take_line(ended))
+        };
+        metrics::record_pass(pass, gap);
+        if let Some(line) = line {
+            log::info!("{line}");
+        }
+        if pass >= SLOW_PASS {
+            let jobs = lock(&self.planner).live_jobs();
+            log::warn!("event=slow_pass pass_ms={} gap_ms={} jobs={jobs}", pass.as_millis(), gap.as_millis());
+        }
+        pass
     }
 
     fn wake_agents(&self, agents: Vec<String>) {
@@ -316,8 +363,8 @@
                         Reply::Refused { why, retry_after_ms }
                     }
                     Admission::Accepted { change } => {
-                        // A pass places the job now, so that one append stores both the job and its placement.
-                        self.run_pass();
+                        // The pass places the job, so that one append stores both the job and its placement.
+                        self.request_pass(change);
                         match self.wait_stored(change, wait).await {
                             true => {
                                 log::info!(
@@ -343,7 +390,7 @@
             PlannerRequest::Cancel(job) => {
                 let change = lock(&self.planner).cancel(now_ms(), wall_ms(), &job);
                 let Some(change) = change else { return Reply::Cancelled(false) };
-                self.run_pass();
+                self.request_pass(change);
                 match self.wait_stored(change, wait).await {
                     true => Reply::Cancelled(true),
                     false => Reply::Unresolved,
@@ -359,6 +406,7 @@
     /// An outdated report gets no reply: its sender has ended, or connects anew and reports again.
     pub async fn report(&self, report: Report, connected_at: u64) -> Option<Option<Assignments>> {
         let (agent, incarnation, seq) = (report.agent.clone(), report.agent_incarnation, report.seq);
+        let began = Instant::now();
         let has_results = !report.ended.is_empty() || !report.not_started.is_empty();
         let (current, joined) = {
             let mut planner = lock(&self.planner);
@@ -366,6 +414,7 @@
             let current = planner.apply_report(now_ms(), wall_ms(), connected_at, &report);
             (current, planner.reporting_workers(now_ms()).1 != before)
         };
+        lock(&self.load).record_report(began.elapsed());
         if !current {
             return std::future::pending().await;
         }
@@ -391,12 +440,12 @@
             let woken = wake.notified();
             tokio::pin!(woken);
             woken.as_mut().enable();
+            let began = Instant::now();
             let assignments = lock(&self.planner).assignments(now_ms(), &agent);
+            let changed = self.record_if_changed(&agent, incarnation, assignments.as_ref());
+            lock(&self.load).record_reply(began.elapsed());
             let timed_out = tokio::time::Instant::now() >= deadline;
-            if timed_out
-                || self.record_if_changed(&agent, incarnation, assignments.as_ref())
-                || self.is_superseded(&agent, incarnation, seq)
-            {
+            if timed_out || changed || self.is_superseded(&agent, incarnation, seq) {
                 return Some(assignments);
             }
             // Returns on a change for this agent or at the deadline.
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::OnceLock;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use opentelemetry::KeyValue;
@@ -26,6 +26,8 @@
     reports_ignored: Counter<u64>,
     request_seconds: Histogram<f64>,
     append_seconds: Histogram<f64>,
+    pass_seconds: Histogram<f64>,
+    pass_gap_seconds: Histogram<f64>,
     gauges: Gauge<u64>,
 }
 
@@ -57,6 +59,8 @@
         reports_ignored: meter.u64_counter("sorrelland_reports_ignored").build(),
         request_seconds: latency("sorrelland_request_seconds"),
         append_seconds: latency("sorrelland_append_seconds"),
+        pass_seconds: latency("sorrelland_pass_seconds"),
+        pass_gap_seconds: latency("sorrelland_pass_gap_seconds"),
         gauges: meter.u64_gauge("sorrelland_level").build(),
         registry,
         _provider: provider,
@@ -129,6 +133,14 @@
     }
 }
 
+/// Records how long a planning pass took, and the time between its start and the end of the one before.
+pub fn record_pass(pass: Duration, gap: Duration) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.pass_seconds.record(pass.as_secs_f64(), &[]);
+        metrics.pass_gap_seconds.record(gap.as_secs_f64(), &[]);
+    }
+}
+
 /// Sets a gauge, such as the number of live jobs or the version of the desired state.
 pub fn set_gauge(name: &'static str, value: u64) {
     if let Some(metrics) = METRICS.get() {
