Let entries with more processor lead

Change: entries tell each other their shares of a processor. One that knows of a live larger one waits 0.4 s for its claim; a leader that a live entry with twice its share pings hands over: it checks that the store answers, ends, then gives notice. An entry refreshes the others' ages by what the leader lists, and forgets those that are over; before, it kept the time of the first listing for ever. Result: handover.rs (real processes, a leader of 0.12 of a core): no run is stopped or started twice, and a caller's next job is accepted within the platform's 4 s. It can't pass before: nothing handed over.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -195,7 +195,12 @@
     async fn ask_entries_for_leader(&self, unresponsive: &str) {
         let entries = lock(&self.entries).clone();
         let pings = entries.iter().filter(|address| *address != unresponsive).map(|address| async move {
-            let ping = Ping { address: String::new(), leader: self.leadership.leader(), version: u64::MAX };
+            let ping = Ping {
+                address: String::new(),
+                millicores: 0,
+                leader: self.leadership.leader(),
+                version: u64::MAX,
+            };
             call(&self.pool, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await
         });
         for pong in join_all(pings).await.into_iter().flatten() {
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::time::Duration;
 
+use crate::peers::Listed;
 use serde::{Deserialize, Serialize};
 use sorrelland_fleet::assignments::Assignments;
 use sorrelland_fleet::job::{JobState, Submission};
@@ -93,6 +94,8 @@
 pub struct Ping {
     /// Address of the sender; empty for an agent.
     pub address: String,
+    /// The sender's share of a processor, in thousandths of a core.
+    pub millicores: u64,
     /// Leader that the sender knows.
     #[serde(rename = "holder")]
     pub leader: Option<Leader>,
@@ -108,8 +111,8 @@
     pub leader: Option<Leader>,
     /// Desired state as stored, if the sender's is older.
     pub desired: Option<Vec<u8>>,
-    /// Addresses of the entries that the called one knows, with its own.
-    pub entries: Vec<String>,
+    /// The live entries that the called one knows, with itself.
+    pub entries: Vec<Listed>,
 }
 
 /// Calls that an entry serves.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -4,7 +4,7 @@
 //! token. Renewals have a topic of their own, so that they wake only entries, not agents.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -43,7 +43,11 @@
 /// Maximum wait of one read of the renewals.
 const READ_WAIT: Duration = Duration::from_millis(700);
 
-/// Maximum wait of one read of the renewals while the leader refuses connections.
+/// Time for which an entry that defers to others waits for their claim, in milliseconds. It covers the delays that
+/// spread their claims, and a claim's way through the store.
+const DEFER_MS: u64 = 400;
+
+/// Maximum wait of one read of the renewals while the leader refuses connections, or while others claim first.
 const REFUSING_READ_WAIT: Duration = Duration::from_millis(200);
 
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -72,11 +76,13 @@
     tx: watch::Sender<Option<Leader>>,
     /// Highest epoch whose leader's address has refused a connection.
     refused: Arc<AtomicU64>,
+    /// Whether this process lets other entries claim first.
+    defers: Arc<AtomicBool>,
 }
 
 impl Default for Leadership {
     fn default() -> Self {
-        Self { tx: watch::Sender::new(None), refused: Arc::default() }
+        Self { tx: watch::Sender::new(None), refused: Arc::default(), defers: Arc::default() }
     }
 }
 
@@ -133,6 +139,15 @@
         epoch > 0 && self.refused.load(Ordering::Relaxed) >= epoch
     }
 
+    /// Sets whether this process lets other entries claim first, because a live one has more processor.
+    pub fn set_deferring(&self, defers: bool) {
+        self.defers.store(defers, Ordering::Relaxed);
+    }
+
+    fn defers(&self) -> bool {
+        self.defers.load(Ordering::Relaxed)
+    }
+
     /// Applies a claim from the store.
     pub fn apply_claim(&self, key: &str, value: &[u8], offset: u64) {
         if key != KEY {
@@ -201,12 +216,14 @@
     let mut from = 0;
     let mut epoch = leadership.epoch();
     let mut no_leader_since = None;
+    let mut claimable_since = None;
     loop {
         if leadership.is_previous_incarnation_of(me) {
             return leadership.epoch();
         }
         let began = now_ms();
-        let wait = if leadership.is_refusing() { REFUSING_READ_WAIT } else { READ_WAIT };
+        let is_urgent = leadership.is_refusing() || claimable_since.is_some();
+        let wait = if is_urgent { REFUSING_READ_WAIT } else { READ_WAIT };
         let read = tokio::select! {
             read = store.read(RENEWALS, from, wait) => read,
             // The sender exists as long as `leadership`.
@@ -245,7 +262,12 @@
         }
         let unclaimed = epoch == 0 && no_leader_since.is_some_and(|since| now_ms() >= since + claim_delay_ms);
         if unclaimed || leader_timeout.has_expired(now_ms(), leadership.is_refusing(), claim_delay_ms) {
-            return epoch;
+            let since = *claimable_since.get_or_insert(now_ms());
+            if !leadership.defers() || now_ms() >= since + DEFER_MS {
+                return epoch;
+            }
+        } else {
+            claimable_since = None;
         }
     }
 }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -1,6 +1,5 @@
 //! An entry: answers callers, and plans while it is the leader.
 
-use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::path::PathBuf;
@@ -25,6 +24,7 @@
 };
 use crate::clock::now_ms;
 use crate::election::{self, CLAIMS, Leadership, MAX_STORE_OUTAGE_MS};
+use crate::peers::{Listed, Peers};
 use crate::signals::{self, wait_for_stop};
 use crate::{Error, Result, follow, lock, metrics, reload};
 
@@ -59,9 +59,11 @@
 /// Upper bound of the delays that spread the claims of the entries, in milliseconds.
 const MAX_CLAIM_DELAY_MS: u64 = 300;
 
-/// Time for which an entry counts as live after its last ping, or after another entry first listed it, in
-/// milliseconds.
-const ENTRY_EXPIRY_MS: u64 = 5_000;
+/// Minimum time between the start of a planner and its hand-over to an entry with more processor.
+const MIN_TENURE: Duration = Duration::from_secs(2);
+
+/// Time between two checks for an entry to hand over to.
+const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum time for open calls and the step-down when the process stops.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(4_500);
@@ -76,8 +78,7 @@
     /// The desired state as stored, for entries that cannot reach the store.
     raw_desired: Mutex<Vec<u8>>,
     active_planner: Mutex<Option<Arc<ActivePlanner>>>,
-    /// Addresses of entries, with the time of their last ping or of their first listing by another entry.
-    entries: Mutex<BTreeMap<String, u64>>,
+    peers: Mutex<Peers>,
     planner_replied_at: Mutex<u64>,
     stopping: watch::Sender<bool>,
 }
@@ -104,7 +105,7 @@
         desired: watch::Sender::new(Arc::default()),
         raw_desired: Mutex::default(),
         active_planner: Mutex::default(),
-        entries: Mutex::default(),
+        peers: Mutex::default(),
         planner_replied_at: Mutex::default(),
         stopping: watch::Sender::new(false),
     });
@@ -197,13 +198,13 @@
         let entry = self.entry;
         entry.leadership.update_leader(ping.leader);
         if !ping.address.is_empty() {
-            lock(&entry.entries).insert(ping.address, now_ms());
+            lock(&entry.peers).record_ping(now_ms(), ping.address, ping.millicores);
         }
         let newer = entry.desired.borrow().version > ping.version;
         Pong {
             leader: entry.leadership.leader(),
             desired: newer.then(|| lock(&entry.raw_desired).clone()),
-            entries: entry.known_entries(),
+            entries: entry.listed_entries(),
         }
     }
 }
@@ -225,11 +226,16 @@
         lock(&self.active_planner).clone().filter(|active| !active.has_stepped_down())
     }
 
+    /// Returns the live entries, this one among them.
+    fn listed_entries(&self) -> Vec<Listed> {
+        let me = Listed { address: self.me.address.clone(), millicores: self.settings.millicores, age_ms: 0 };
+        let mut listed = lock(&self.peers).live(now_ms());
+        listed.push(me);
+        listed
+    }
+
     fn known_entries(&self) -> Vec<String> {
-        let after = now_ms().saturating_sub(ENTRY_EXPIRY_MS);
-        let entries = lock(&self.entries);
-        let live = entries.iter().filter(|(_, at)| **at >= after).map(|(address, _)| address.clone());
-        live.chain([self.me.address.clone()]).collect()
+        self.listed_entries().into_iter().map(|entry| entry.address).collect()
     }
 
     fn is_ready(&self) -> bool {
@@ -302,7 +308,12 @@
     /// Returns whether it replied.
     async fn ping(&self, address: &str, planner: Option<u64>) -> bool {
         let version = self.desired.borrow().version;
-        let ping = Ping { address: self.me.address.clone(), leader: self.leadership.leader(), version };
+        let ping = Ping {
+            address: self.me.address.clone(),
+            millicores: self.settings.millicores,
+            leader: self.leadership.leader(),
+            version,
+        };
         let pong = call(&self.pool, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await;
         match pong {
             Ok(pong) => {
@@ -311,12 +322,14 @@
                     *lock(&self.planner_replied_at) = now_ms();
                 }
                 let now = now_ms();
-                let others = pong.entries.into_iter().filter(|entry| *entry != self.me.address);
-                let mut entries = lock(&self.entries);
-                for entry in others {
-                    entries.entry(entry).or_insert(now);
+                let others = pong.entries.into_iter().filter(|entry| entry.address != self.me.address);
+                let mut peers = lock(&self.peers);
+                for listed in others {
+                    peers.record_listed(now, listed);
                 }
-                drop(entries);
+                peers.prune(now);
+                self.leadership.set_deferring(peers.has_larger(now, self.settings.millicores));
+                drop(peers);
                 self.leadership.update_leader(pong.leader);
                 if let Some(raw) = pong.desired {
                     self.apply_desired(&raw, address);
@@ -371,15 +384,48 @@
             // A newer version may have arrived while the jobs were read.
             active.set_desired(self.desired.borrow().clone());
             self.notify_entries().await;
-            self.wait_for_end_of_leadership(&active).await;
+            while !active.has_stepped_down() {
+                tokio::select! {
+                    () = self.wait_for_end_of_leadership(&active) => (),
+                    () = self.wait_for_successor() => self.hand_over(&store, &active).await,
+                }
+            }
             *lock(&self.active_planner) = None;
         }
     }
 
+    /// Waits until an entry with much more processor may take over.
+    async fn wait_for_successor(&self) {
+        tokio::time::sleep(MIN_TENURE).await;
+        loop {
+            let successor =
+                lock(&self.peers).successor(now_ms(), self.settings.millicores).map(str::to_owned);
+            if let Some(address) = successor {
+                log::info!("event=handing_over to={address} millicores={}", self.settings.millicores);
+                return;
+            }
+            tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Ends the leadership so that an entry with more processor takes over.
+    async fn hand_over(&self, store: &Store, active: &ActivePlanner) {
+        if let Err(e) = election::renew(store, active.leader.epoch, false).await {
+            // Without the store nobody could take over.
+            return log::warn!("event=renewal_failed epoch={} cause=\"{e}\"", active.leader.epoch);
+        }
+        // Others may claim from the moment that the store has the notice, so this planner ends before that.
+        self.leadership.set_deferring(true);
+        active.step_down("an entry with more processor takes over");
+        if let Err(e) = election::renew(store, active.leader.epoch, true).await {
+            log::warn!("event=resign_failed cause=\"{e}\"");
+        }
+    }
+
     /// Pings the other entries, so that those that cannot reach the store learn of the new leader as well.
     async fn notify_entries(&self) {
-        let entries: Vec<String> = lock(&self.entries).keys().cloned().collect();
-        futures::future::join_all(entries.iter().map(|address| self.ping(address, None))).await;
+        let peers = lock(&self.peers).live(now_ms());
+        futures::future::join_all(peers.iter().map(|peer| self.ping(&peer.address, None))).await;
     }
 
     /// Waits until the planner steps down, and makes it step down once a leader with a higher epoch is known.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operators;
+pub mod peers;
 pub mod planner_load;
 pub mod presence;
 pub mod reload;
--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -119,10 +119,16 @@
     }
 
     pub fn start_entry(&mut self, index: usize) {
+        self.start_entry_of_size(index, 1.0);
+    }
+
+    /// Starts an entry that has a share of a core.
+    pub fn start_entry_of_size(&mut self, index: usize, cpu_share: f64) {
         let host = 10 + index;
         let listen =
             json!({"front": self.env.address(host, 8_521), "readiness": self.env.address(host, 8_523)});
-        let settings = self.settings(&format!("entry-{index}"), host, listen);
+        let mut settings = self.settings(&format!("entry-{index}"), host, listen);
+        settings["limits"] = json!({"cpu_share": cpu_share, "cores": 1});
         self.spawn_role(&format!("entry-{index}"), "entry", &settings);
     }
 
--- /dev/null
+++ b/crates/sorrelland/tests/handover.rs
@@ -0,0 +1,43 @@
+//! Planned hand-over of the leadership to an entry with more processor, with real processes on loopback.
+
+mod common;
+
+use std::fs;
+use std::time::{Duration, Instant};
+
+use common::eventually;
+use common::platform::{Platform, step};
+use serde_json::json;
+
+const RUNNING_JOB: &str = "00000000000000a1";
+
+/// Bound of the platform for recovery from the loss of a part of the system.
+const CATCH_UP_BOUND: Duration = Duration::from_secs(4);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn small_leader_hands_over_to_larger_entry() {
+    let mut platform = Platform::start(2, 3).await;
+    platform.env.kill("entry-2");
+    platform.env.kill("entry-1");
+    platform.start_entry_of_size(1, 0.12);
+    platform.await_ready(1).await;
+    platform.await_workers().await;
+    platform.submit_until_accepted(RUNNING_JOB, &json!([step(2)]), "run_ms=12000").await;
+    platform.await_state(RUNNING_JOB, "running", Duration::from_secs(5)).await;
+
+    platform.start_entry_of_size(2, 0.5);
+    let log = platform.env.dir().join("entry-1.log");
+    eventually(Duration::from_secs(15), "the small leader hands over", async || {
+        fs::read_to_string(&log).is_ok_and(|log| log.contains("event=handing_over"))
+    })
+    .await;
+    let handed_over = Instant::now();
+    platform.submit_until_accepted("00000000000000a2", &json!([step(1)]), "run_ms=10").await;
+    assert!(handed_over.elapsed() < CATCH_UP_BOUND, "accepted after {:?}", handed_over.elapsed());
+    assert_eq!(platform.leader(), 2);
+    platform.await_state(RUNNING_JOB, "completed", Duration::from_secs(25)).await;
+    platform.assert_run_once().await;
+    let starts = platform.history().await;
+    let starts = starts.iter().filter(|event| event.0 == "start" && event.1.starts_with(RUNNING_JOB));
+    assert_eq!(starts.count(), 2, "the hand-over stops no run");
+}
