--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -373,6 +373,9 @@
     must_start: bool,
 ) -> std::result::Result<Vec<usize>, WaitReason> {
     let need = Need::new(step, step.count);
+    if !need.fits(rooms) {
+        return Err(WaitReason::Resources);
+    }
     let mut racks: Vec<Vec<Room>> = vec![Vec::new(); pool.rack_count()];
     for room in rooms {
         racks[pool.workers[room.worker].rack].push(*room);
