Don't take the planner's own delay for the workers' silence

Cause: the age of a worker's newest report was counted over a time in which the planner itself did not run, so after a pause every worker was out of use until it had reported again. Change: a tick that comes late takes the delay off the ages of the reports that were fresh when it began, and logs it; grants end as before, since agents act on them. Result: tick_after_own_delay_places_on_workers_that_it_could_not_hear failed before (0 of 1 placed) and passes.

--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -21,6 +21,10 @@
 /// Maximum age of an agent's last report for new placements on its worker, in milliseconds.
 pub const MAX_REPORT_AGE_MS: u64 = 1_600;
 
+/// Time between two ticks from which the planner counts as delayed itself, in milliseconds: it ticks several times as
+/// often.
+const DELAYED_AFTER_MS: u64 = 500;
+
 /// Deployment-specific durations, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -71,6 +75,8 @@
     pub(crate) timing: Timing,
     /// When this planner was created, on the monotonic clock.
     pub(crate) created_at: u64,
+    /// When the last tick ran, on the monotonic clock; 0 before the first.
+    last_tick_at: u64,
     pub(crate) desired: Arc<Desired>,
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) workers: BTreeMap<String, Worker>,
@@ -127,6 +133,7 @@
         Self {
             timing,
             created_at: now,
+            last_tick_at: 0,
             desired,
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             workers: BTreeMap::new(),
@@ -371,6 +378,7 @@
 
     /// Runs the periodic work: lease expiry, due occurrences, retention, speed shares, then placement.
     pub fn tick(&mut self, now: u64, wall: u64) {
+        self.discount_own_delay(now);
         self.expire_leases(now, wall);
         self.create_due_occurrences(now, wall);
         self.remove_old_jobs(wall);
@@ -378,6 +386,22 @@
         self.place_waiting_units(now, wall);
     }
 
+    /// Takes a time in which this planner did not run off the age of the workers' reports: it may have heard none. The
+    /// ends of their grants stay.
+    fn discount_own_delay(&mut self, now: u64) {
+        let last = std::mem::replace(&mut self.last_tick_at, now);
+        let delay_ms = now.saturating_sub(last);
+        if last == 0 || delay_ms < DELAYED_AFTER_MS {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            if worker.last_report_at + MAX_REPORT_AGE_MS >= last {
+                worker.last_report_at = (worker.last_report_at + delay_ms).min(now);
+            }
+        }
+        self.log_line(format!("event=planner_delayed delay_ms={delay_ms}"));
+    }
+
     fn expire_leases(&mut self, now: u64, wall: u64) {
         let timing = self.timing;
         // Leases are timed by the worker's clock, which may be 2% slow, and a stop may be in progress when one ends.
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -774,3 +774,30 @@
         granted.is_none_or(|assigned| assigned.stops.iter().any(|stop| stop.task == task && stop.run == run));
     assert!(is_stopped, "run {run} may start on {worker} under a new grant: {granted:?}");
 }
+
+#[test]
+fn tick_after_own_delay_places_on_workers_that_it_could_not_hear() {
+    let mut fleet = Fleet::new(2);
+    fleet.advance(100);
+    fleet.reports[1].worker.as_mut().unwrap().draining = true;
+    fleet.advance(100);
+    fleet.now += 3_000;
+    fleet.submit("a", "urgent", vec![step(1, 1)]);
+    fleet.planner.tick(fleet.now, fleet.now);
+    let placed = logged(&mut fleet, "placed");
+    assert_eq!(placed.len(), 1, "the planner was delayed, not the worker");
+    assert!(placed[0].ends_with("workers=w0"), "{placed:?}");
+}
+
+#[test]
+fn tick_without_own_delay_skips_silent_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(100);
+    for _ in 0..20 {
+        fleet.now += 100;
+        fleet.planner.tick(fleet.now, fleet.now);
+    }
+    fleet.submit("a", "urgent", vec![step(1, 1)]);
+    fleet.planner.tick(fleet.now, fleet.now);
+    assert_eq!(logged(&mut fleet, "placed").len(), 0);
+}
