Check the larger entry by its own log in the test of the hand-over

Change: it waits for the larger entry to lead and asks that entry's log who planned the next job; the bound is the same.

--- a/crates/sorrelland/tests/handover.rs
+++ b/crates/sorrelland/tests/handover.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 
 const RUNNING_JOB: &str = "00000000000000a1";
+const NEXT_JOB: &str = "00000000000000a2";
 
 /// Bound of the platform for recovery from the loss of a part of the system.
 const CATCH_UP_BOUND: Duration = Duration::from_secs(4);
@@ -25,6 +26,8 @@
     platform.submit_until_accepted(RUNNING_JOB, &json!([step(2)]), "run_ms=12000").await;
     platform.await_state(RUNNING_JOB, "running", Duration::from_secs(5)).await;
 
+    let log = platform.env.dir().join("entry-2.log");
+    let taken_before = fs::read_to_string(&log).unwrap_or_default().matches("event=office_taken").count();
     platform.start_entry_of_size(2, 0.5);
     let log = platform.env.dir().join("entry-1.log");
     eventually(Duration::from_secs(15), "the small leader hands over", async || {
@@ -32,9 +35,16 @@
     })
     .await;
     let handed_over = Instant::now();
-    platform.submit_until_accepted("00000000000000a2", &json!([step(1)]), "run_ms=10").await;
+    // The small leader accepts jobs until the store has answered its last renewal.
+    let log = platform.env.dir().join("entry-2.log");
+    eventually(CATCH_UP_BOUND, "the larger entry leads", async || {
+        fs::read_to_string(&log).is_ok_and(|log| log.matches("event=office_taken").count() > taken_before)
+    })
+    .await;
+    platform.submit_until_accepted(NEXT_JOB, &json!([step(1)]), "run_ms=10").await;
     assert!(handed_over.elapsed() < CATCH_UP_BOUND, "accepted after {:?}", handed_over.elapsed());
-    assert_eq!(platform.leader(), 2);
+    let planned = fs::read_to_string(&log).unwrap();
+    assert!(planned.contains(&format!("event=accepted job={NEXT_JOB} ")), "the larger entry planned the job");
     platform.await_state(RUNNING_JOB, "completed", Duration::from_secs(25)).await;
     platform.assert_run_once().await;
     let starts = platform.history().await;
