Choose victims by the cost of freeing whole workers

Cause: victims were chosen by cost per core. The selection of victims is a module of its own. Result: preempt_frees_whole_workers_at_least_cost_instead_of_a_wide_gang failed before (nothing preempted, the urgent gang waited) and passes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod task;
 pub mod unit;
 pub mod value;
+pub mod victims;
 pub mod view;
 pub mod wait;
 pub mod worker;
--- a/crates/fleet/src/pass.rs
+++ b/crates/fleet/src/pass.rs
@@ -9,7 +9,7 @@
 use crate::place::Candidate;
 use crate::planner::Planner;
 use crate::pool::Pool;
-use crate::preempt::Victim;
+use crate::victims::Victim;
 
 /// State of one placement pass.
 #[derive(Debug)]
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -801,3 +801,70 @@
     fleet.planner.tick(fleet.now, fleet.now);
     assert_eq!(logged(&mut fleet, "placed").len(), 0);
 }
+
+/// Ends the runs that the assignments stop.
+fn stop_runs(fleet: &mut Fleet, assignments: &[Assignments]) {
+    for (report, assigned) in fleet.reports.iter_mut().zip(assignments) {
+        for stop in &assigned.stops {
+            report.running.retain(|run| run.task != stop.task);
+            report.ended.push(End {
+                number: report.ended.len() as u64 + 1,
+                task: stop.task.clone(),
+                run: stop.run,
+                reason: EndReason::Stopped,
+                saved: String::new(),
+            });
+        }
+    }
+}
+
+#[test]
+fn preempt_frees_whole_workers_at_least_cost_instead_of_a_wide_gang() {
+    let mut fleet = Fleet::new(6);
+    let mut desired = Desired { version: 2, ..desired() };
+    // Jobs of this queue are due at once.
+    let tight = Queue { stretch_milli: 1_250, full_value_ms: 300, ..queue("tight", 0) };
+    desired.queues.push(tight);
+    fleet.planner.set_desired(Arc::new(desired));
+    let single = |count, max_per_worker| Step {
+        resources: Resources::new(11_000, 30_000, 4),
+        estimate_ms: 30_000,
+        max_per_worker,
+        ..step(count, 4)
+    };
+    // Two workers are full of singles; the others have one each beside a member of a younger gang.
+    for (job, count) in [("pair", 2), ("spread", 6)] {
+        fleet.submit(job, "low", vec![single(count, Some(1))]);
+        let assignments = fleet.advance(10);
+        fleet.mark_running(&assignments);
+        fleet.advance(500);
+    }
+    let gang =
+        Step { gang: true, resources: Resources::new(52_000, 100_000, 4), estimate_ms: 30_000, ..step(4, 4) };
+    fleet.submit("gang", "plain", vec![gang]);
+    let assignments = fleet.advance(10);
+    assert_eq!(starts(&assignments).len(), 4);
+    fleet.mark_running(&assignments);
+    for _ in 0..20 {
+        fleet.advance(100);
+    }
+
+    let urgent =
+        Step { gang: true, resources: Resources::new(15_000, 30_000, 8), estimate_ms: 6_000, ..step(2, 8) };
+    let sub = Submission {
+        job: "urgent".to_owned(),
+        queue: "tight".to_owned(),
+        account: "guest".to_owned(),
+        steps: vec![urgent],
+        ..Submission::default()
+    };
+    fleet.planner.submit(fleet.now, fleet.now, &sub);
+    let assignments = fleet.advance(10);
+    let preempted = logged(&mut fleet, "preempted");
+    assert_eq!(preempted.len(), 4, "the singles of two workers: {preempted:?}");
+    assert!(preempted.iter().all(|line| !line.contains("job=gang")), "{preempted:?}");
+    stop_runs(&mut fleet, &assignments);
+    let assignments = fleet.advance(200);
+    let started = starts(&assignments).into_iter().filter(|(_, start)| start.task.job == "urgent").count();
+    assert_eq!(started, 2, "the urgent job starts before its latest start");
+}
