Take over sooner from a leader whose calls the store rejects

Change: the leader's answers to pings say for how long the store has rejected its calls at once. Entries that can read the renewals then claim 0.4 s after the last one; the leader goes on until it is superseded, as before. Time-outs don't count: a store that is slow or loses its answers is so for all. Result: wait_until_claimable_ends_early_if_the_store_rejects_the_leader_alone (did not end within 0.9 s before).

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -19,6 +19,7 @@
 use crate::clock::{now_ms, wall_ms};
 use crate::election::{MAX_STORE_OUTAGE_MS, RENEWAL_INTERVAL, renew};
 use crate::planner_load::PlannerLoad;
+use crate::store_failures::StoreFailures;
 use crate::stored::{APPEND_RETRY_DELAY, JOBS, PRODUCER, append_outcome, load_jobs, split_into_appends};
 use crate::{lock, metrics};
 
@@ -52,6 +53,7 @@
     /// Triggers a planning pass at once, for a caller who waits for it.
     urgent_pass: Notify,
     load: Mutex<PlannerLoad>,
+    store_failures: Mutex<StoreFailures>,
     /// Triggers an append of the changes.
     append: Notify,
     /// Triggers requests to the policy service.
@@ -90,6 +92,7 @@
             pass: Notify::new(),
             urgent_pass: Notify::new(),
             load: Mutex::new(PlannerLoad::new(Instant::now())),
+            store_failures: Mutex::default(),
             append: Notify::new(),
             approval_requests: Notify::new(),
             stored: watch::Sender::new(0),
@@ -244,6 +247,7 @@
             let began = Instant::now();
             let appended = store.append_as(JOBS, writer, part, append_timeout.wait()).await;
             metrics::record_append(append_outcome(&appended), began);
+            lock(&self.store_failures).record(now_ms(), &appended);
             match &appended {
                 Err(e) if !e.not_applied() => append_timeout.record_timeout(),
                 _ => append_timeout.record_reply(began.elapsed()),
@@ -279,10 +283,17 @@
         false
     }
 
+    /// Returns how long the store has rejected the planner's calls, in milliseconds; 0 if it answers.
+    pub fn store_failing_ms(&self) -> u64 {
+        lock(&self.store_failures).lasting_ms(now_ms())
+    }
+
     async fn run_renewals(self: Arc<Self>, store: Store) {
         let mut renewed_at = now_ms();
         while !self.has_stepped_down() {
-            match renew(&store, self.leader.epoch, false).await {
+            let renewal = renew(&store, self.leader.epoch, false).await;
+            lock(&self.store_failures).record(now_ms(), &renewal);
+            match renewal {
                 Ok(()) => renewed_at = now_ms(),
                 Err(e) => log::warn!("event=renewal_failed epoch={} cause=\"{e}\"", self.leader.epoch),
             }
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -109,6 +109,8 @@
     /// Leader that the called entry knows.
     #[serde(rename = "holder")]
     pub leader: Option<Leader>,
+    /// How long the store has rejected the calls of the called entry if it leads, in milliseconds; 0 otherwise.
+    pub store_failing_ms: u64,
     /// Desired state as stored, if the sender's is older.
     pub desired: Option<Vec<u8>>,
     /// The live entries that the called one knows, with itself.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -36,6 +36,14 @@
 /// in milliseconds: a live leader renews within this time.
 pub const REFUSING_LEADER_TIMEOUT_MS: u64 = 900;
 
+/// Time without a renewal in the store after which the leadership may be claimed if the leader says that the store
+/// rejects its calls, in milliseconds.
+pub const REJECTED_LEADER_TIMEOUT_MS: u64 = 400;
+
+/// Time for which the store has to reject a leader's calls before others may claim early, in milliseconds: a few
+/// tries.
+const MIN_REJECTED_MS: u64 = 200;
+
 /// Maximum time for which a planner goes on while the store is unreachable, in milliseconds. A new planner waits until
 /// the grants that such a planner may have given have ended.
 pub const MAX_STORE_OUTAGE_MS: u64 = 6_000;
@@ -47,7 +55,7 @@
 /// spread their claims, and a claim's way through the store.
 const DEFER_MS: u64 = 400;
 
-/// Maximum wait of one read of the renewals while the leader refuses connections, or while others claim first.
+/// Maximum wait of one read of the renewals while the leadership may soon be claimed.
 const REFUSING_READ_WAIT: Duration = Duration::from_millis(200);
 
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -78,11 +86,18 @@
     refused: Arc<AtomicU64>,
     /// Whether this process lets other entries claim first.
     defers: Arc<AtomicBool>,
+    /// Epoch of the leader whose calls the store rejects; 0 for none.
+    rejected: watch::Sender<u64>,
 }
 
 impl Default for Leadership {
     fn default() -> Self {
-        Self { tx: watch::Sender::new(None), refused: Arc::default(), defers: Arc::default() }
+        Self {
+            tx: watch::Sender::new(None),
+            refused: Arc::default(),
+            defers: Arc::default(),
+            rejected: watch::Sender::new(0),
+        }
     }
 }
 
@@ -139,6 +154,18 @@
         epoch > 0 && self.refused.load(Ordering::Relaxed) >= epoch
     }
 
+    /// Records for how long the store has rejected the calls of the leader of `epoch`, as that leader says.
+    pub fn record_store_failing(&self, epoch: u64, failing_ms: u64) {
+        let rejected = if failing_ms >= MIN_REJECTED_MS { epoch } else { 0 };
+        self.rejected.send_if_modified(|known| std::mem::replace(known, rejected) != rejected);
+    }
+
+    /// Returns whether the store rejects the leader's calls.
+    pub fn is_rejected(&self) -> bool {
+        let epoch = self.epoch();
+        epoch > 0 && *self.rejected.borrow() == epoch
+    }
+
     /// Sets whether this process lets other entries claim first, because a live one has more processor.
     pub fn set_deferring(&self, defers: bool) {
         self.defers.store(defers, Ordering::Relaxed);
@@ -201,6 +228,12 @@
         let needed = if is_refusing { REFUSING_LEADER_TIMEOUT_MS } else { LEADER_TIMEOUT_MS };
         self.stepped_down || self.since.is_some_and(|since| now >= since + needed + wait_ms)
     }
+
+    /// Returns whether the leadership may be claimed from a leader whose calls the store rejects. The claimant's own reads
+    /// have to succeed.
+    pub fn has_expired_for_rejected(&self, now: u64, wait_ms: u64) -> bool {
+        self.since.is_some_and(|since| now >= since + REJECTED_LEADER_TIMEOUT_MS + wait_ms)
+    }
 }
 
 /// Follows the renewals until `me` may claim the leadership, and returns the epoch of the leader to supersede.
@@ -213,6 +246,7 @@
 ) -> u64 {
     let mut leader_timeout = LeaderTimeout::default();
     let mut leader_changes = leadership.subscribe();
+    let mut rejections = leadership.rejected.subscribe();
     let mut from = 0;
     let mut epoch = leadership.epoch();
     let mut no_leader_since = None;
@@ -222,12 +256,13 @@
             return leadership.epoch();
         }
         let began = now_ms();
-        let is_urgent = leadership.is_refusing() || claimable_since.is_some();
+        let is_urgent = leadership.is_refusing() || leadership.is_rejected() || claimable_since.is_some();
         let wait = if is_urgent { REFUSING_READ_WAIT } else { READ_WAIT };
         let read = tokio::select! {
             read = store.read(RENEWALS, from, wait) => read,
             // The sender exists as long as `leadership`.
             Ok(()) = leader_changes.changed() => continue,
+            Ok(()) = rejections.changed() => continue,
         };
         match read {
             Ok(read) => {
@@ -261,7 +296,10 @@
             no_leader_since.get_or_insert(now_ms());
         }
         let unclaimed = epoch == 0 && no_leader_since.is_some_and(|since| now_ms() >= since + claim_delay_ms);
-        if unclaimed || leader_timeout.has_expired(now_ms(), leadership.is_refusing(), claim_delay_ms) {
+        let rejected =
+            leadership.is_rejected() && leader_timeout.has_expired_for_rejected(now_ms(), claim_delay_ms);
+        let expired = leader_timeout.has_expired(now_ms(), leadership.is_refusing(), claim_delay_ms);
+        if unclaimed || rejected || expired {
             let since = *claimable_since.get_or_insert(now_ms());
             if !leadership.defers() || now_ms() >= since + DEFER_MS {
                 return epoch;
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -202,6 +202,7 @@
         }
         let newer = entry.desired.borrow().version > ping.version;
         Pong {
+            store_failing_ms: entry.planner().map_or(0, |active| active.store_failing_ms()),
             leader: entry.leadership.leader(),
             desired: newer.then(|| lock(&entry.raw_desired).clone()),
             entries: entry.listed_entries(),
@@ -319,6 +320,7 @@
             Ok(pong) => {
                 if let Some(epoch) = planner {
                     self.leadership.record_answered(epoch);
+                    self.leadership.record_store_failing(epoch, pong.store_failing_ms);
                     *lock(&self.planner_replied_at) = now_ms();
                 }
                 let now = now_ms();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod presence;
 pub mod reload;
 pub mod signals;
+pub mod store_failures;
 mod stored;
 
 use std::io;
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -158,6 +158,48 @@
     );
 }
 
+#[tokio::test]
+async fn wait_until_claimable_ends_early_if_the_store_rejects_the_leader_alone() {
+    let (address, store) = start_store().await;
+    let leadership = Leadership::default();
+    let current = election::claim(&store, &leadership, &leader(0, 1), 0).await.unwrap();
+    election::renew(&store, current.epoch, false).await.unwrap();
+    let other = leader(0, 2);
+    let waiting = election::wait_until_claimable(&store, &leadership, &other, 0);
+    let (epoch, waited) = {
+        let began = std::time::Instant::now();
+        let rejection = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            leadership.record_store_failing(current.epoch, 500);
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            epoch = waiting => (epoch, began.elapsed()),
+            () = rejection => unreachable!(),
+        }
+    };
+    assert_eq!(epoch, current.epoch);
+    assert!(waited < Duration::from_millis(election::REFUSING_LEADER_TIMEOUT_MS), "{waited:?}");
+    // While the store rejects this entry as well, it doesn't claim.
+    set_faults(&address, r#"{"down": true}"#).await;
+    let waiting = election::wait_until_claimable(&store, &leadership, &other, 0);
+    assert!(tokio::time::timeout(Duration::from_millis(election::LEADER_TIMEOUT_MS), waiting).await.is_err());
+}
+
+#[test]
+fn is_rejected_until_the_store_takes_the_leaders_calls() {
+    let leadership = Leadership::default();
+    leadership.record_store_failing(2, 500);
+    assert!(!leadership.is_rejected(), "there is no leader yet");
+    leadership.update_leader(Some(leader(2, 1)));
+    assert!(leadership.is_rejected());
+    leadership.record_store_failing(2, 100);
+    assert!(!leadership.is_rejected(), "a single rejected call");
+    leadership.record_store_failing(2, 500);
+    leadership.update_leader(Some(leader(3, 2)));
+    assert!(!leadership.is_rejected(), "another leader");
+}
+
 #[test]
 fn is_refusing_until_the_leader_answers() {
     let leadership = Leadership::default();
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -59,6 +59,11 @@
         matches!(self, Self::Request(_) | Self::Connect(_))
     }
 
+    /// Returns whether no response arrived in time.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, Self::Timeout(_))
+    }
+
     /// Returns whether the server's host refused the connection: no process listens at the address.
     pub fn is_connection_refused(&self) -> bool {
         let Self::Connect(e) = self else { return false };
