--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -5,7 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::job::{Step, Submission};
+use crate::desired::Queue;
+use crate::job::{Job, Step, Submission};
 use crate::pass::Pass;
 use crate::planner::Planner;
 use crate::pool::{Need, Pool, PoolWorker, Room};
@@ -133,45 +134,19 @@
         for name in &self.live {
             let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
             let Some(queue) = self.desired.queue(&job.sub.queue) else { continue };
-            let work = estimated_work_core_s(&job.sub).max(1.0);
-            let value = self.mean_work(&job.sub.queue).value(queue.priority, work);
             let guaranteed = queue.priority == 0 && covered.contains(name.as_str());
             // The units of a step of an occurrence follow each other and share everything but their age.
             let mut shared: Option<(UnitKey, Option<Candidate>)> = None;
-            for (key, unit) in &job.units {
-                if unit.state != UnitState::Waiting {
-                    continue;
-                }
+            for (key, unit) in job.units.iter().filter(|(_, unit)| unit.state == UnitState::Waiting) {
                 let is_same_step = |(other, _): &(UnitKey, Option<Candidate>)| {
                     (other.occurrence, other.step) == (key.occurrence, key.step)
                 };
                 if !shared.as_ref().is_some_and(is_same_step) {
-                    let ready = job.is_ready(*key, wall).then(|| {
-                        let latest_starts = LatestStarts::new(job, queue, *key);
-                        let timeliness = latest_starts.timeliness(wall);
-                        let uses_idle_cpu =
-                            job.sub.steps.get(key.step as usize).is_some_and(|step| step.uses_idle_cpu);
-                        Candidate {
-                            job: name.clone(),
-                            key: *key,
-                            priority: if uses_idle_cpu { u32::MAX } else { queue.priority },
-                            guaranteed,
-                            timeliness,
-                            value,
-                            value_density: attainable_value(value, timeliness) / work,
-                            latest_start: if timeliness == Timeliness::InTime {
-                                latest_starts.in_time
-                            } else {
-                                latest_starts.late
-                            },
-                            must_start: false,
-                        }
-                    });
-                    shared = Some((*key, ready));
+                    shared = Some((*key, self.step_candidate(job, queue, *key, guaranteed, wall)));
                 }
-                let Some((_, Some(ready))) = &shared else { continue };
+                let Some((_, Some(candidate))) = &shared else { continue };
                 let must_start = guaranteed && now >= unit.since + start_within_ms;
-                candidates.push(Candidate { key: *key, must_start, ..ready.clone() });
+                candidates.push(Candidate { key: *key, must_start, ..candidate.clone() });
             }
         }
         candidates.sort_by(|one, other| {
@@ -186,6 +161,39 @@
         candidates
     }
 
+    /// Returns what the waiting units of a step have in common; `None` if they can't start yet.
+    fn step_candidate(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        key: UnitKey,
+        guaranteed: bool,
+        wall: u64,
+    ) -> Option<Candidate> {
+        if !job.is_ready(key, wall) {
+            return None;
+        }
+        let step = job.sub.steps.get(key.step as usize)?;
+        let work = estimated_work_core_s(&job.sub).max(1.0);
+        let value = self.mean_work(&job.sub.queue).value(queue.priority, work);
+        let latest_starts = LatestStarts::new(job, queue, key);
+        let timeliness = latest_starts.timeliness(wall);
+        Some(Candidate {
+            job: job.sub.job.clone(),
+            key,
+            priority: if step.uses_idle_cpu { u32::MAX } else { queue.priority },
+            guaranteed,
+            timeliness,
+            value,
+            value_density: attainable_value(value, timeliness) / work,
+            latest_start: match timeliness {
+                Timeliness::InTime => latest_starts.in_time,
+                Timeliness::Late | Timeliness::Missed => latest_starts.late,
+            },
+            must_start: false,
+        })
+    }
+
     /// Returns the urgent jobs of the accounts whose guarantee covers all their urgent jobs together.
     pub(crate) fn jobs_within_guarantees(&self) -> BTreeSet<&str> {
         let mut by_account: BTreeMap<&str, (i64, Vec<&str>)> = BTreeMap::new();
--- a/crates/fleet/src/victims.rs
+++ b/crates/fleet/src/victims.rs
@@ -167,7 +167,7 @@
 struct Search<'a> {
     victims: &'a [Victim],
     need: &'a Need,
-    /// Resources without the chosen victims.
+    /// Resources that are free once the chosen victims have stopped.
     rooms: Vec<Room>,
     /// Victims that hold resources in the group.
     held: BTreeMap<usize, Held>,
@@ -276,16 +276,28 @@
 
     /// Returns the cheapest victims found whose stop makes room for a further member on the worker at a position.
     fn offer(&mut self, at: usize, victims: &[usize]) -> Option<Offer> {
+        let victims = self.cheapest_for_member(at, victims)?;
+        let fitting = self.fitting;
+        victims.iter().for_each(|victim| self.free(*victim));
+        let gain = self.fitting - fitting;
+        victims.iter().for_each(|victim| self.take_back(*victim));
+        let cost = victims.iter().map(|victim| self.victims[*victim].stop_cost).sum();
+        Some(Offer { victims, cost, gain })
+    }
+
+    /// Returns the victims to stop, out of those that hold resources on the worker at a position, so that a further
+    /// member fits there.
+    fn cheapest_for_member(&self, at: usize, victims: &[usize]) -> Option<Vec<usize>> {
         let before = self.need.members_in(&self.rooms[at].free);
-        let held_here = |search: &Self, victim: usize| -> Resources {
-            let held = search.held.get(&victim).into_iter().flatten().find(|(position, _)| *position == at);
+        let held_here = |victim: usize| -> Resources {
+            let held = self.held.get(&victim).into_iter().flatten().find(|(position, _)| *position == at);
             held.map(|(_, held)| *held).unwrap_or_default()
         };
         let mut order: Vec<(f64, usize, Resources)> = victims
             .iter()
             .filter(|victim| !self.chosen.contains(victim))
             .map(|victim| {
-                let held = held_here(self, *victim);
+                let held = held_here(*victim);
                 (self.victims[*victim].stop_cost / held.weight().max(1) as f64, *victim, held)
             })
             .collect();
@@ -314,13 +326,7 @@
             }
             is_needed
         });
-        let stopped: Vec<usize> = stopped.into_iter().map(|(victim, _)| victim).collect();
-        let fitting = self.fitting;
-        stopped.iter().for_each(|victim| self.free(*victim));
-        let gain = self.fitting - fitting;
-        stopped.iter().for_each(|victim| self.take_back(*victim));
-        let cost = stopped.iter().map(|victim| self.victims[*victim].stop_cost).sum();
-        Some(Offer { victims: stopped, cost, gain })
+        Some(stopped.into_iter().map(|(victim, _)| victim).collect())
     }
 
     /// Drops the victims that are not needed, the most expensive first, and returns the plan if all members fit.
