Place nothing in a failure domain that is being evacuated

Cause: the operators' requests to evacuate a failure domain were read by nobody. Change: entries follow them beside the desired state and tell the planner, which places nothing on the workers there until the request is dropped; the records are read as a whole again when some were missed, so that a request dropped meanwhile ends too. What runs there goes on.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -1,6 +1,6 @@
 //! The active planner: connects the planning decisions with real clocks, the store and the agents.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -134,6 +134,12 @@
         self.pass.notify_one();
     }
 
+    /// Sets the failure domains on whose workers nothing is placed.
+    pub fn set_evacuated(&self, domains: BTreeSet<String>) {
+        lock(&self.planner).set_evacuated(domains);
+        self.pass.notify_one();
+    }
+
     async fn run_passes(self: Arc<Self>) {
         while !self.has_stepped_down() {
             let pass = self.run_pass();
--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -113,7 +113,7 @@
     log::info!("event=started role=agent instance={} life={}", agent.settings.instance, agent.incarnation);
     let leadership = agent.leadership.clone();
     let apply_claim = move |key: &str, value: &[u8], offset: u64| leadership.apply_claim(key, value, offset);
-    tokio::spawn(async move { follow::follow(&store, CLAIMS, CLAIMS_READ_WAIT, apply_claim).await });
+    tokio::spawn(async move { follow::follow(&store, CLAIMS, CLAIMS_READ_WAIT, |_| (), apply_claim).await });
     tokio::spawn(agent.clone().run_confirmations(waiting));
     tokio::spawn(agent.clone().run_dispatch());
     tokio::spawn(agent.clone().run_polls());
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: answers callers, and plans while it is the leader.
 
+use std::collections::BTreeSet;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::path::PathBuf;
@@ -11,6 +12,7 @@
 use sorrelland_fleet::desired::Desired;
 use sorrelland_fleet::planner::Timing;
 use sorrelland_platform::serve::{self, Handler, Response};
+use sorrelland_platform::store::LatestRecord;
 use sorrelland_platform::{PolicyClient, Settings, Store, desired};
 use sorrelland_wire::connect::{self, CallError};
 use tarpc::context::Context;
@@ -77,6 +79,8 @@
     pub(crate) desired: watch::Sender<Arc<Desired>>,
     /// The desired state as stored, for entries that cannot reach the store.
     raw_desired: Mutex<Vec<u8>>,
+    /// Failure domains that the operators evacuate.
+    evacuated: Mutex<BTreeSet<String>>,
     active_planner: Mutex<Option<Arc<ActivePlanner>>>,
     peers: Mutex<Peers>,
     planner_replied_at: Mutex<u64>,
@@ -104,6 +108,7 @@
         leadership: Leadership::default(),
         desired: watch::Sender::new(Arc::default()),
         raw_desired: Mutex::default(),
+        evacuated: Mutex::default(),
         active_planner: Mutex::default(),
         peers: Mutex::default(),
         planner_replied_at: Mutex::default(),
@@ -246,12 +251,38 @@
     }
 
     async fn follow_desired(self: Arc<Self>, store: Store) {
+        let begin = |newest: &[LatestRecord]| {
+            let domains = newest.iter().filter(|record| !record.value.is_empty());
+            let domains = domains.filter_map(|record| desired::evacuated_domain(&record.key));
+            let domains: BTreeSet<String> = domains.map(str::to_owned).collect();
+            self.change_evacuated(|known| *known = domains);
+        };
         let apply = |key: &str, value: &[u8], offset: u64| {
             if key == DESIRED.1 {
                 self.apply_desired(value, &format!("offset {offset}"));
+            } else if let Some(domain) = desired::evacuated_domain(key) {
+                self.change_evacuated(|known| match value.is_empty() {
+                    true => _ = known.remove(domain),
+                    false => _ = known.insert(domain.to_owned()),
+                });
             }
         };
-        follow::follow(&store, DESIRED.0, FOLLOW_WAIT, apply).await;
+        follow::follow(&store, DESIRED.0, FOLLOW_WAIT, begin, apply).await;
+    }
+
+    /// Changes the failure domains that are being evacuated, and tells the planner if this entry leads.
+    fn change_evacuated(&self, change: impl FnOnce(&mut BTreeSet<String>)) {
+        let changed = {
+            let mut known = lock(&self.evacuated);
+            let before = known.clone();
+            change(&mut known);
+            (*known != before).then(|| known.clone())
+        };
+        let Some(evacuated) = changed else { return };
+        log::info!("event=evacuations_in_force domains={evacuated:?}");
+        if let Some(active) = self.planner() {
+            active.set_evacuated(evacuated);
+        }
     }
 
     /// Applies a desired state, unless it is malformed or not newer than the current one.
@@ -288,7 +319,7 @@
 
     async fn follow_claims(self: Arc<Self>, store: Store) {
         let apply = |key: &str, value: &[u8], offset: u64| self.leadership.apply_claim(key, value, offset);
-        follow::follow(&store, CLAIMS, FOLLOW_WAIT, apply).await;
+        follow::follow(&store, CLAIMS, FOLLOW_WAIT, |_| (), apply).await;
     }
 
     async fn run_pings(self: Arc<Self>) {
@@ -385,6 +416,7 @@
             *lock(&self.active_planner) = Some(active.clone());
             // A newer version may have arrived while the jobs were read.
             active.set_desired(self.desired.borrow().clone());
+            active.set_evacuated(lock(&self.evacuated).clone());
             self.notify_entries().await;
             while !active.has_stepped_down() {
                 tokio::select! {
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -3,21 +3,29 @@
 use std::time::Duration;
 
 use sorrelland_platform::Store;
-use sorrelland_platform::store::{Error, decode_keyed};
+use sorrelland_platform::store::{Error, LatestRecord, decode_keyed};
 
 /// Delay after a first failed call and maximum delay, in milliseconds; it doubles with each further failure.
 const RETRY_DELAY_MS: (u64, u64) = (150, 1_000);
 
 /// Passes key, value and offset of each record of a keyed topic to `apply`: first the newest of each key, then every
-/// new one. `wait` is the maximum wait of one read; a connection that has failed without an error is noticed only
+/// new one. `begin` gets the newest ones before, also when they are read again because records were missed: keys that
+/// are not among them have been dropped. `wait` is the maximum wait of one read; a connection that has failed without an error is noticed only
 /// after it.
-pub async fn follow(store: &Store, topic: &str, wait: Duration, mut apply: impl FnMut(&str, &[u8], u64)) {
+pub async fn follow(
+    store: &Store,
+    topic: &str,
+    wait: Duration,
+    mut begin: impl FnMut(&[LatestRecord]),
+    mut apply: impl FnMut(&str, &[u8], u64),
+) {
     let mut from = None;
     let mut delay_ms = RETRY_DELAY_MS.0;
     loop {
         let failed = match from {
             None => match store.read_latest(topic).await {
                 Ok((items, end)) => {
+                    begin(&items);
                     for item in items {
                         apply(&item.key, &item.value, item.offset);
                     }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -78,6 +78,8 @@
     /// When the last tick ran, on the monotonic clock; 0 before the first.
     last_tick_at: u64,
     pub(crate) desired: Arc<Desired>,
+    /// Failure domains that the operators evacuate.
+    pub(crate) evacuated: BTreeSet<String>,
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) workers: BTreeMap<String, Worker>,
     pub(crate) claims: Claims,
@@ -135,6 +137,7 @@
             created_at: now,
             last_tick_at: 0,
             desired,
+            evacuated: BTreeSet::new(),
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             workers: BTreeMap::new(),
             claims: Claims::default(),
@@ -168,6 +171,11 @@
         }
     }
 
+    /// Sets the failure domains on whose workers nothing is placed. What runs there goes on.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<String>) {
+        self.evacuated = domains;
+    }
+
     /// Drains the log lines written since the last call.
     pub fn take_log(&mut self) -> Vec<String> {
         std::mem::take(&mut self.log)
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -58,7 +58,8 @@
 }
 
 impl Pool {
-    pub fn new(workers: &BTreeMap<String, Worker>, now: u64) -> Self {
+    /// Reads the workers. Nothing may be placed on those in the failure domains `evacuated`.
+    pub fn new(workers: &BTreeMap<String, Worker>, evacuated: &BTreeSet<String>, now: u64) -> Self {
         let names: BTreeSet<&str> = workers.values().map(Worker::rack).collect();
         let racks: Vec<String> = names.into_iter().map(str::to_owned).collect();
         let pool_worker = |worker: &Worker| PoolWorker {
@@ -69,7 +70,7 @@
             capacity: worker.info.capacity,
             free: worker.free(),
             is_idle: worker.used == Resources::default(),
-            is_usable: is_usable(worker, now),
+            is_usable: is_usable(worker, now) && !evacuated.contains(&worker.info.domain),
             claimed: Resources::default(),
             claimed_by_guaranteed: Resources::default(),
         };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -133,7 +133,7 @@
                 "agent": worker.agent,
                 "service": worker.info.service,
                 "rack": worker.rack(),
-                "standing": availability(worker, now),
+                "standing": self.availability(worker, now),
                 "accelerators": format!("{}/{}", worker.used.accelerators, worker.info.capacity.accelerators),
                 "cores": format!("{}/{}", worker.used.millicores / 1_000, worker.info.capacity.millicores / 1_000),
                 "runs": worker.placed.len(),
@@ -154,6 +154,16 @@
         table(&columns, self.workers.values().map(row))
     }
 
+    fn availability(&self, worker: &Worker, now: u64) -> &'static str {
+        match worker {
+            worker if worker.info.draining => "draining",
+            worker if self.evacuated.contains(&worker.info.domain) => "evacuated",
+            worker if worker.last_report_at + MAX_REPORT_AGE_MS < now => "not heard",
+            worker if worker.ejected_until > now => "out of use",
+            _ => "usable",
+        }
+    }
+
     fn view_accounts(&self) -> Value {
         let row = |(name, account): (&String, &crate::desired::Account)| {
             let jobs =
@@ -339,7 +349,7 @@
         let mut workers_by_category: BTreeMap<&str, usize> = BTreeMap::new();
         let service = self.queue_of(&job.sub.job).map(|queue| queue.service.as_str());
         for worker in self.workers.values().filter(|worker| Some(worker.info.service.as_str()) == service) {
-            let availability = availability(worker, now);
+            let availability = self.availability(worker, now);
             let category = match availability {
                 "usable" if step.label.as_deref().is_some_and(|label| !worker.has_label(label)) => {
                     "without its label"
@@ -411,15 +421,6 @@
     }
 }
 
-fn availability(worker: &Worker, now: u64) -> &'static str {
-    match worker {
-        worker if worker.info.draining => "draining",
-        worker if worker.last_report_at + MAX_REPORT_AGE_MS < now => "not heard",
-        worker if worker.ejected_until > now => "out of use",
-        _ => "usable",
-    }
-}
-
 fn table(columns: &[&str], rows: impl Iterator<Item = Value>) -> Value {
     let mut rows: Vec<Value> = rows.take(MAX_ROWS + 1).collect();
     let has_more = rows.len() > MAX_ROWS;
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -868,3 +868,30 @@
     let started = starts(&assignments).into_iter().filter(|(_, start)| start.task.job == "urgent").count();
     assert_eq!(started, 2, "the urgent job starts before its latest start");
 }
+
+#[test]
+fn set_evacuated_keeps_new_runs_off_a_failure_domain_until_it_is_taken_back() {
+    let mut fleet = Fleet::new(2);
+    for (report, domain) in fleet.reports.iter_mut().zip(["north", "south"]) {
+        report.worker.as_mut().unwrap().domain = domain.to_owned();
+    }
+    fleet.submit("before", "plain", vec![step(2, 8)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.planner.set_evacuated(["south".to_owned()].into());
+    fleet.submit("after", "plain", vec![step(2, 1)]);
+    let assignments = fleet.advance(10);
+    assert!(assignments.iter().all(|assigned| assigned.stops.is_empty()), "what runs there goes on");
+    fleet.end_runs("before", EndReason::Done);
+    let mut started = BTreeMap::new();
+    for _ in 0..10 {
+        for (worker, start) in starts(&fleet.advance(100)) {
+            started.insert(start.task.clone(), worker.to_owned());
+        }
+    }
+    assert!(started.values().all(|worker| worker == "w0") && started.len() == 2, "{started:?}");
+    fleet.planner.set_evacuated([].into());
+    fleet.submit("back", "plain", vec![step(1, 8)]);
+    let assignments = fleet.advance(10);
+    assert!(starts(&assignments).iter().any(|(worker, _)| *worker == "w1"), "{assignments:?}");
+}
