Log which runs a lost worker had, for how long, and what was lost with it

Cause: worker_lost counted the runs; who was on the worker, how long each had run, whether it was draining and whether others were lost at the same moment had to be put together from several lines. Change: worker_lost has runs_with_ms, draining and lost_together, before its reason. Result: cargo test -p sorrelland-fleet, the existing tests unchanged.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -15,6 +15,12 @@
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
+/// Runs of a lost worker that its line in the logs names.
+const MAX_LOGGED_RUNS: usize = 16;
+
+/// Time within which lost workers count as lost together, in milliseconds.
+const LOST_TOGETHER_MS: u64 = 1_000;
+
 /// The report that a change is based on, displayed as keys of a log line.
 #[derive(Clone, Debug, Default, Display)]
 #[display("agent={agent} agent_incarnation={agent_incarnation} seq={seq} replaced_by={replaced_by:?}")]
@@ -400,17 +406,40 @@
                 }
             }
         }
+        let runs_on_it = self.runs_with_ages(now, &lost);
         for entry in &lost {
             self.record_not_started(now, wall, incarnation, entry, source);
         }
-        self.workers.remove(incarnation);
+        let was_draining = self.workers.remove(incarnation).is_some_and(|worker| worker.info.draining);
         let runs = lost.iter().map(|entry| (entry.task.clone(), entry.run));
         self.given_up.entry(incarnation.to_owned()).or_default().extend(runs);
+        let lost_together = self.count_lost_workers(now);
         self.log_line(format!(
-            "event=worker_lost worker={incarnation} runs_lost={} why={reason:?} {source}",
+            "event=worker_lost worker={incarnation} runs_lost={} draining={was_draining} lost_together={lost_together} \
+             runs_with_ms=\"{runs_on_it}\" why={reason:?} {source}",
             lost.len()
         ));
     }
+
+    /// Returns runs with the time since their placement in milliseconds, for the logs, such as `a.0.0.1/2:1500`.
+    fn runs_with_ages(&self, now: u64, runs: &[NotStarted]) -> String {
+        let age_ms = |entry: &NotStarted| {
+            let (key, _) = self.unit_of(&entry.task)?;
+            let placed_at = self.jobs.get(&entry.task.job)?.units.get(&key)?.placed_at?;
+            Some(now.saturating_sub(placed_at))
+        };
+        // A run that an earlier planner placed has no age here.
+        let age = |entry: &NotStarted| age_ms(entry).map_or_else(|| "-".to_owned(), |ms| ms.to_string());
+        let text = |entry: &NotStarted| format!("{}/{}:{}", entry.task, entry.run, age(entry));
+        runs.iter().take(MAX_LOGGED_RUNS).map(text).collect::<Vec<_>>().join(",")
+    }
+
+    /// Records the loss of a worker and returns the number of those lost within [`LOST_TOGETHER_MS`], this one included.
+    fn count_lost_workers(&mut self, now: u64) -> usize {
+        self.lost_at.retain(|at| at + LOST_TOGETHER_MS >= now);
+        self.lost_at.push(now);
+        self.lost_at.len()
+    }
 }
 
 /// Returns the worker incarnation in a report; empty if there is none.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -93,6 +93,8 @@
     pub(crate) unreported: BTreeMap<String, u64>,
     /// Runs given up on worker incarnations that were removed. Their starts may still arrive if the worker comes back.
     pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
+    /// When workers were lost recently, on the monotonic clock.
+    pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
     pub(crate) live: BTreeSet<String>,
     /// When the newest urgent job was submitted, on the monotonic clock.
@@ -147,6 +149,7 @@
             agents: BTreeMap::new(),
             unreported,
             given_up: BTreeMap::new(),
+            lost_at: Vec::new(),
             live,
             last_urgent_at: None,
             change: 1,
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -1,153 +1,19 @@
 //! Tests the planner's decisions in virtual time, without a network.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use common::{Fleet, TIMING, desired, queue, step};
 use sorrelland_fleet::assignments::{Assignments, Start};
-use sorrelland_fleet::desired::{Account, Desired, Queue, Service};
+use sorrelland_fleet::desired::{Account, Desired, Queue};
 use sorrelland_fleet::job::{JobState, Outcome, Schedule, Step, Submission};
-use sorrelland_fleet::planner::{Admission, Planner, Timing};
+use sorrelland_fleet::planner::{Admission, Planner};
 use sorrelland_fleet::record;
-use sorrelland_fleet::report::{End, EndReason, Report, Running, WorkerInfo};
+use sorrelland_fleet::report::{End, EndReason, Report};
 use sorrelland_fleet::{Resources, Task};
 
-const TIMING: Timing = Timing {
-    grant_ms: 4_800,
-    stop_ms: 400,
-    unreported_ms: 11_000,
-    ended_retention_ms: 240_000,
-    reclaim_ms: 2_900,
-};
-
-fn queue(name: &str, priority: u32) -> Queue {
-    Queue {
-        name: name.to_owned(),
-        service: "svc".to_owned(),
-        priority,
-        max_attempts: 2,
-        stretch_milli: 3_000,
-        full_value_ms: 1_000,
-        ..Queue::default()
-    }
-}
-
-fn desired() -> Desired {
-    let approved_only = Queue { needs_approval: true, ..queue("advised", 1) };
-    Desired {
-        version: 1,
-        queues: vec![queue("urgent", 0), queue("plain", 1), queue("low", 2), approved_only],
-        services: [("svc".to_owned(), Service::default())].into(),
-        accounts: [
-            ("museum".to_owned(), Account { guaranteed_accelerators: 16 }),
-            ("guest".to_owned(), Account::default()),
-        ]
-        .into(),
-        keys: BTreeMap::new(),
-    }
-}
-
-/// A planner, and the newest report of each agent.
-struct Fleet {
-    planner: Planner,
-    now: u64,
-    seq: u64,
-    reports: Vec<Report>,
-}
-
-impl Fleet {
-    fn new(workers: usize) -> Self {
-        let planner = Planner::new(TIMING, Arc::new(desired()), Vec::new(), 0);
-        let report = |at: usize| Report {
-            agent: format!("agent-{at}"),
-            agent_incarnation: at as u64,
-            worker: Some(WorkerInfo {
-                incarnation: format!("w{at}"),
-                service: "svc".to_owned(),
-                labels: vec!["a".to_owned(), format!("r{}", at / 3)],
-                capacity: Resources::new(128_000, 262_144, 8),
-                ..WorkerInfo::default()
-            }),
-            ..Report::default()
-        };
-        let mut fleet = Self { planner, now: 1_000, seq: 0, reports: (0..workers).map(report).collect() };
-        fleet.advance(0);
-        fleet
-    }
-
-    /// Advances the clock, passes on every agent's report over a new connection, runs the planner, and stores its
-    /// changes; returns the assignments of every agent.
-    fn advance(&mut self, ms: u64) -> Vec<Assignments> {
-        self.now += ms;
-        self.seq += 1;
-        for report in &mut self.reports {
-            report.seq = self.seq;
-            self.planner.apply_report(self.now, self.now, self.now, report);
-        }
-        self.planner.tick(self.now, self.now);
-        self.store();
-        let agents: Vec<String> = self.reports.iter().map(|report| report.agent.clone()).collect();
-        agents.iter().filter_map(|agent| self.planner.assignments(self.now, agent)).collect()
-    }
-
-    fn store(&mut self) {
-        while let Some((_, change)) = self.planner.take_changes() {
-            self.planner.record_stored(change);
-        }
-    }
-
-    fn submit(&mut self, job: &str, queue: &str, steps: Vec<Step>) -> Admission {
-        let sub = Submission {
-            job: job.to_owned(),
-            queue: queue.to_owned(),
-            account: "museum".to_owned(),
-            steps,
-            ..Submission::default()
-        };
-        self.planner.submit(self.now, self.now, &sub)
-    }
-
-    /// Adds every start to the runs that its agent reports.
-    fn mark_running(&mut self, assignments: &[Assignments]) {
-        for assigned in assignments {
-            for Start { task, run, .. } in &assigned.starts {
-                let report = self
-                    .reports
-                    .iter_mut()
-                    .find(|report| report.worker.as_ref().unwrap().incarnation == assigned.incarnation);
-                let (task, run) = (task.clone(), *run);
-                let running = Running { task, run, saved: String::new(), percent: 0, measurement: 0 };
-                report.unwrap().running.push(running);
-            }
-        }
-    }
-
-    /// Reports the end of every run of a job.
-    fn end_runs(&mut self, job: &str, end_reason: EndReason) {
-        for report in &mut self.reports {
-            let (ended, rest) = report.running.drain(..).partition(|run| run.task.job == job);
-            report.running = rest;
-            for (end_number, Running { task, run, .. }) in (report.ended.len() as u64 + 1..).zip(ended) {
-                report.ended.push(End {
-                    number: end_number,
-                    task,
-                    run,
-                    reason: end_reason,
-                    saved: String::new(),
-                });
-            }
-        }
-    }
-}
-
-fn step(count: u32, accelerators: i64) -> Step {
-    Step {
-        count,
-        resources: Resources::new(1_000, 1_000, accelerators),
-        estimate_ms: 2_000,
-        ..Step::default()
-    }
-}
-
 fn starts(assignments: &[Assignments]) -> Vec<(&str, &Start)> {
     assignments.iter().flat_map(|a| a.starts.iter().map(|start| (a.incarnation.as_str(), start))).collect()
 }
