Give up subtasks that crash every worker that starts them

Cause: only ends listed as failed count as attempts. A run that is gone with its worker was placed again without a limit. Change: crashes are part of a unit's stored progress, for all runs that were on the worker. From the second one on the unit runs apart from other jobs, and two crashes there give its job up; others are cleared of these crashes. Workers that stop answering together have a common cause unless a job explains them: agents report for how long nothing had answered before an incarnation. An agent whose calls are refused until its leases end reports a crash. Why it works: a job that is merely beside survives when it runs apart; the counts outlive takeovers, as they are stored.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -360,6 +360,8 @@
     fn record_call_error(&self, incarnation: &str, call: &'static str, token: u64, error: &Error) {
         if error.is_connection_refused() {
             self.record_refused_connection(incarnation);
+        } else if matches!(error, Error::NoReply(_)) {
+            lock(&self.worker_state).record_unanswered_call(now_ms(), incarnation);
         }
         if matches!(error, Error::OtherIncarnation) {
             let (before, is_current) = {
--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -190,7 +190,7 @@
     pub(super) fn record_refused_connection(&self, incarnation: &str) {
         let (before, has_left) = {
             let mut state = lock(&self.worker_state);
-            (state.summary(now_ms()), state.record_refused_connection(incarnation))
+            (state.summary(now_ms()), state.record_refused_connection(now_ms(), incarnation))
         };
         if has_left {
             record_end("departure", "call=refused", &before);
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
-use sorrelland_fleet::report::{End, NotStarted, Report, Running, WorkerInfo};
+use sorrelland_fleet::report::{End, NotStarted, Report, Running, WORKER_CRASHED, WorkerInfo};
 use sorrelland_fleet::{Task, incarnation};
 use sorrelland_platform::worker::{Announcement, Listing};
 
@@ -46,6 +46,12 @@
     leased_until: u64,
     /// When the first call was sent that has no answer yet and may have extended a lease.
     unanswered_since: Option<u64>,
+    /// When the first call failed since the last answer.
+    failing_since: Option<u64>,
+    /// Whether nothing listened at the worker's address at the last call.
+    is_refused: bool,
+    /// Time for which calls had failed when the current incarnation was adopted.
+    silent_before_ms: Option<u64>,
     /// The worker's clock, and when it was read.
     clock_reading: Option<(u64, u64)>,
     running: BTreeMap<RunKey, Running>,
@@ -110,6 +116,7 @@
             return;
         }
         self.end_current_incarnation();
+        self.silent_before_ms = self.failing_since.take().map(|since| now.saturating_sub(since));
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
         self.leased_until = now + self.max_lease_ms;
         self.announced = Some(announcement);
@@ -129,6 +136,7 @@
             epoch: self.epoch,
             granted_until: self.granted_until,
             polls_begun: self.polls_begun,
+            failing_since: self.failing_since,
             ..Self::new(self.max_lease_ms, self.stop_ms)
         };
     }
@@ -146,10 +154,23 @@
         is_current
     }
 
+    /// Records that a call had no answer, though something may listen at the worker's address.
+    pub fn record_unanswered_call(&mut self, now: u64, incarnation: &str) {
+        if self.incarnation() == Some(incarnation) {
+            self.failing_since.get_or_insert(now);
+            self.is_refused = false;
+        }
+    }
+
     /// Records that nothing listens at the worker's address; returns whether this confirms a departure, so that
     /// everything that ran there has ended.
-    pub fn record_refused_connection(&mut self, incarnation: &str) -> bool {
-        if self.incarnation() != Some(incarnation) || self.presence != Presence::Leaving {
+    pub fn record_refused_connection(&mut self, now: u64, incarnation: &str) -> bool {
+        if self.incarnation() != Some(incarnation) {
+            return false;
+        }
+        self.failing_since.get_or_insert(now);
+        self.is_refused = true;
+        if self.presence != Presence::Leaving {
             return false;
         }
         self.presence = Presence::Left;
@@ -291,6 +312,7 @@
     pub fn record_clock(&mut self, now: u64, clock_ms: u64) {
         self.clock_reading = Some((clock_ms, now));
         self.unanswered_since = None;
+        (self.is_refused, self.failing_since) = (false, None);
         if self.presence == Presence::Silent {
             self.presence = Presence::Present;
         }
@@ -459,7 +481,9 @@
         let attempts = std::mem::take(&mut self.start_attempts);
         self.given_up.extend(attempts.iter().filter(|run| !self.started.contains_key(run)).cloned());
         self.start_attempts = attempts;
-        self.mark_runs_not_started("its lease has run out");
+        // The leases may have ended on a worker that is cut off, too; that answers nothing, but refuses nothing either.
+        let has_crashed = self.presence == Presence::Silent && self.is_refused;
+        self.mark_runs_not_started(if has_crashed { WORKER_CRASHED } else { "its lease has run out" });
         self.reject_assigned_starts();
         true
     }
@@ -529,6 +553,7 @@
                 draining: known.info.draining || self.presence != Presence::Present,
                 ..known.info.clone()
             }),
+            silent_before_ms: self.silent_before_ms,
             running,
             ended: self.ended.clone(),
             not_started: self.not_started.iter().map(not_started).collect(),
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -4,7 +4,7 @@
 use sorrelland_control::presence::{AnnouncementEffect, Presence};
 use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Start, Stop};
-use sorrelland_fleet::report::{Running, WorkerInfo};
+use sorrelland_fleet::report::{Running, WORKER_CRASHED, WorkerInfo};
 use sorrelland_platform::worker::{Announcement, Listing};
 
 const INCARNATION: &str = "w-1";
@@ -154,7 +154,7 @@
     assert!(state.record_departure_notice(INCARNATION));
     assert!(!state.record_departure_notice("w-2"));
     assert_eq!((state.summary(2_000).runs, state.summary(2_000).presence), (1, Presence::Leaving));
-    assert!(state.record_refused_connection(INCARNATION));
+    assert!(state.record_refused_connection(0, INCARNATION));
     assert_eq!((state.summary(2_000).runs, state.summary(2_000).presence), (0, Presence::Left));
 }
 
@@ -166,7 +166,7 @@
     state.apply_listing(10, poll, INCARNATION, listing(500));
     state.apply_assignments(20, 1, Some(stop_assignments(1)));
     // A refused connection alone doesn't show that the worker has ended.
-    assert!(!state.record_refused_connection(INCARNATION));
+    assert!(!state.record_refused_connection(0, INCARNATION));
     assert!(state.record_departure_notice(INCARNATION));
     assert_eq!(state.build_report("agent", 1, 1).not_started, Vec::new());
     assert_eq!(state.extend_lease(30), None);
@@ -174,9 +174,9 @@
     assert_eq!(state.extend_lease(35), None, "a check-in that came late brings a leaving worker back");
     state.adopt_incarnation(40, announcement(2));
     assert!(state.extend_lease(40).is_some());
-    assert!(!state.record_refused_connection(INCARNATION));
+    assert!(!state.record_refused_connection(0, INCARNATION));
     state.record_departure_notice(INCARNATION);
-    assert!(state.record_refused_connection(INCARNATION));
+    assert!(state.record_refused_connection(0, INCARNATION));
     assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
     assert!(!state.needs_poll());
     assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::Unconfirmed);
@@ -241,7 +241,7 @@
     // The planner has placed the run before it hears of the notice.
     state.apply_assignments(20, 1, Some(start_assignments(1, &[2])));
     assert_eq!(state.due_starts(20), Vec::new());
-    assert!(state.record_refused_connection(INCARNATION));
+    assert!(state.record_refused_connection(0, INCARNATION));
     let not_started = state.build_report("agent", 1, 1).not_started;
     assert!(not_started.iter().any(|entry| entry.run == 2), "run 2 waits for ever: {not_started:?}");
 }
@@ -287,3 +287,44 @@
     assert_eq!(state.extend_lease(now), None);
     assert!(state.build_report("agent", 1, 1).worker.unwrap().draining, "work is placed that is never sent");
 }
+
+#[test]
+fn build_report_tells_for_how_long_nothing_answered_before_an_incarnation() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    assert_eq!(state.build_report("agent", 1, 1).silent_before_ms, None);
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    state.record_unanswered_call(1_000, INCARNATION);
+    state.record_refused_connection(1_150, INCARNATION);
+    state.end_incarnation(INCARNATION);
+    state.adopt_incarnation(4_000, other_announcement(1));
+    assert_eq!(state.build_report("agent", 1, 2).silent_before_ms, Some(3_000));
+}
+
+/// Returns why the run of a worker is gone whose calls have failed until its leases ended.
+fn reason_after_silence(refused: bool) -> String {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, listing(500));
+    state.extend_lease(20);
+    for now in (20..30_000).step_by(150) {
+        if refused {
+            state.record_refused_connection(now, INCARNATION);
+        } else {
+            state.record_unanswered_call(now, INCARNATION);
+        }
+        if state.expire_leases(now) {
+            break;
+        }
+    }
+    let report = state.build_report("agent", 1, 1);
+    report.not_started.first().map(|entry| entry.reason.clone()).unwrap_or_default()
+}
+
+#[test]
+fn expire_leases_tells_a_crashed_worker_from_one_that_is_cut_off() {
+    assert_eq!(reason_after_silence(true), WORKER_CRASHED);
+    assert_ne!(reason_after_silence(false), WORKER_CRASHED);
+}
--- a/crates/ctl/src/late.rs
+++ b/crates/ctl/src/late.rs
@@ -31,7 +31,7 @@
 }
 
 /// Every delay with its name in the report.
-const DELAYS: [(Delay, &str); 12] = [
+const DELAYS: [(Delay, &str); 13] = [
     (Delay::Refused, "refused"),
     (Delay::NoAnswer, "no answer"),
     (Delay::Wait(WaitReason::Workers), "no worker"),
@@ -40,6 +40,7 @@
     (Delay::Wait(WaitReason::Rack), "rack"),
     (Delay::Wait(WaitReason::Reserve), "reserve"),
     (Delay::Wait(WaitReason::Approval), "approval"),
+    (Delay::Wait(WaitReason::Isolation), "isolation"),
     (Delay::Start, "start"),
     (Delay::FailedRun, "failed run"),
     (Delay::Preempted, "preempted"),
--- a/crates/emul/src/cluster.rs
+++ b/crates/emul/src/cluster.rs
@@ -141,6 +141,7 @@
             agent: node.agent.clone(),
             agent_incarnation: 1 + position as u64,
             seq: node.seq,
+            silent_before_ms: None,
             worker: Some(WorkerInfo {
                 incarnation: node.incarnation_name(),
                 service: "service".to_owned(),
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -7,7 +7,7 @@
 use crate::incarnation;
 use crate::job::{Job, Outcome, Step};
 use crate::planner::{Agent, Planner, mark_ending, set_state};
-use crate::report::{End, EndReason, NotStarted, Report};
+use crate::report::{End, EndReason, NotStarted, Report, WORKER_CRASHED};
 use crate::task::Task;
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::worker::Worker;
@@ -36,6 +36,10 @@
 /// Why an incarnation of a worker is removed.
 pub(crate) struct RemovalCause {
     reason: &'static str,
+    /// Whether the worker has crashed, unless it was about to leave.
+    is_crash: bool,
+    /// Time for which it had not answered before, in milliseconds.
+    silent_ms: Option<u64>,
     source: Source,
 }
 
@@ -54,6 +58,8 @@
     fn replacement(report: &Report, replaced_by: &str) -> Self {
         Self {
             reason: "its worker was replaced by a new incarnation",
+            is_crash: true,
+            silent_ms: report.silent_before_ms,
             source: Source { replaced_by: replaced_by.to_owned(), ..Source::new(report) },
         }
     }
@@ -170,7 +176,7 @@
         let known = self.agents.get(&agent);
         let (agent_incarnation, seq) = known.map_or((0, 0), |known| (known.incarnation, known.seq));
         let source = Source { agent, agent_incarnation, seq, replaced_by: String::new() };
-        RemovalCause { reason, source }
+        RemovalCause { reason, is_crash: false, silent_ms: None, source }
     }
 
     fn apply_worker_report(&mut self, now: u64, wall: u64, report: &Report) {
@@ -215,6 +221,14 @@
                 self.agents_to_wake_by_change.insert((worker.applied_end.1, worker.agent.clone()));
             }
         }
+        let crashed = report.not_started.iter().filter(|entry| entry.reason == WORKER_CRASHED);
+        let crashed: Vec<_> = crashed
+            .filter(|entry| self.member_mut(&incarnation, &entry.task, entry.run).is_some())
+            .map(|entry| (entry.task.clone(), entry.run))
+            .collect();
+        if !crashed.is_empty() {
+            self.record_crash(now, &incarnation, None, &crashed);
+        }
         for entry in &report.not_started {
             self.record_not_started(now, wall, &incarnation, entry, &Source::new(report));
         }
@@ -389,7 +403,7 @@
         incarnation: &str,
         cause: &RemovalCause,
     ) {
-        let RemovalCause { reason, source } = cause;
+        let RemovalCause { reason, is_crash, silent_ms, source } = cause;
         self.unreported.remove(incarnation);
         let mut lost = Vec::new();
         for name in &self.live {
@@ -407,11 +421,15 @@
             }
         }
         let runs_on_it = self.runs_with_ages(now, &lost);
+        let was_draining = self.workers.get(incarnation).is_some_and(|worker| worker.info.draining);
+        let runs: Vec<_> = lost.iter().map(|entry| (entry.task.clone(), entry.run)).collect();
+        if *is_crash && !was_draining {
+            self.record_crash(now, incarnation, *silent_ms, &runs);
+        }
         for entry in &lost {
             self.record_not_started(now, wall, incarnation, entry, source);
         }
-        let was_draining = self.workers.remove(incarnation).is_some_and(|worker| worker.info.draining);
-        let runs = lost.iter().map(|entry| (entry.task.clone(), entry.run));
+        self.workers.remove(incarnation);
         self.given_up.entry(incarnation.to_owned()).or_default().extend(runs);
         let lost_together = self.count_lost_workers(now);
         self.log_line(format!(
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod assign;
 pub mod assignments;
 pub mod claims;
+pub mod crash;
 pub mod desired;
 pub mod incarnation;
 pub mod job;
--- a/crates/fleet/src/pass.rs
+++ b/crates/fleet/src/pass.rs
@@ -31,7 +31,7 @@
 
 impl Pass {
     pub fn new(planner: &Planner, now: u64, wall: u64) -> Self {
-        let mut pool = Pool::new(&planner.workers, &planner.evacuated, now);
+        let mut pool = Pool::new(&planner.workers, &planner.evacuated, &planner.isolated_workers(), now);
         planner.claims.add_to(&mut pool);
         Self {
             now,
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -76,7 +76,10 @@
                 Ok(workers) => self.place_on(&mut pass, candidate, &workers),
                 Err(reason) => {
                     if !self.claims.contains(name, key) {
-                        preempt::preempt_for(self, &mut pass, candidate);
+                        match reason {
+                            WaitReason::Isolation => self.claim_empty_workers(&mut pass, candidate),
+                            _ => preempt::preempt_for(self, &mut pass, candidate),
+                        }
                     }
                     self.record_wait(&mut pass, candidate, reason);
                 }
@@ -88,15 +91,18 @@
     fn place_on(&mut self, pass: &mut Pass, candidate: &Candidate, workers: &[usize]) {
         let (name, key) = (&candidate.job, candidate.key);
         self.claims.remove(&mut pass.pool, name, key);
-        let step = self.jobs.get(name).and_then(|job| job.sub.steps.get(key.step as usize));
-        pass.pool.place(workers, step.map(Step::reserved).unwrap_or_default());
+        let job = self.jobs.get(name);
+        let reserved = job.and_then(|job| job.sub.steps.get(key.step as usize)).map(Step::reserved);
+        let is_isolated = job.and_then(|job| job.units.get(&key)).is_some_and(Unit::must_run_alone);
+        pass.pool.place(workers, reserved.unwrap_or_default(), name, is_isolated);
         self.place_unit(pass.now, name, key, &pass.pool.incarnations(workers));
     }
 
     /// Records why a unit waits, and logs it once with what holds the accelerators of its service.
     fn record_wait(&mut self, pass: &mut Pass, candidate: &Candidate, reason: WaitReason) {
         let (name, key) = (&candidate.job, candidate.key);
-        let reason = if self.claims.contains(name, key) { WaitReason::Stops } else { reason };
+        let is_freed = reason != WaitReason::Isolation && self.claims.contains(name, key);
+        let reason = if is_freed { WaitReason::Stops } else { reason };
         let Some(unit) = self.jobs.get_mut(name).and_then(|job| job.units.get_mut(&key)) else { return };
         if !unit.waits.record(pass.now, reason) {
             return;
@@ -145,6 +151,9 @@
                     shared = Some((*key, self.step_candidate(job, queue, *key, guaranteed, wall)));
                 }
                 let Some((_, Some(candidate))) = &shared else { continue };
+                if unit.is_given_up() {
+                    continue;
+                }
                 let must_start = guaranteed && now >= unit.since + start_within_ms;
                 candidates.push(Candidate { key: *key, must_start, ..candidate.clone() });
             }
@@ -230,7 +239,10 @@
             approved.as_ref().is_none_or(|ids| ids.contains(worker.incarnation.as_str()))
         };
         let accepting = pool.workers.iter().enumerate().filter(|(_, worker)| {
-            worker.service == queue.service && worker.accepts(step) && is_approved(worker)
+            worker.service == queue.service
+                && worker.accepts(step)
+                && worker.admits(&candidate.job)
+                && is_approved(worker)
         });
         let room = |(at, worker): (usize, &PoolWorker)| Room {
             worker: at,
@@ -269,6 +281,9 @@
             return Err(WaitReason::Reserve);
         }
         let has_claim = self.claims.contains(&candidate.job, candidate.key);
+        if unit.must_run_alone() {
+            return self.find_rooms(pass, candidate, step, unit).map_err(|_| WaitReason::Isolation);
+        }
         if !has_claim && pass.is_step_unplaceable(candidate) {
             return Err(WaitReason::Resources);
         }
@@ -289,6 +304,9 @@
         let pool = &pass.pool;
         let mut rooms = self.available_rooms(pool, pass.now, candidate, step);
         self.drop_workers_at_limit(pool, &mut rooms, candidate, step);
+        if unit.must_run_alone() {
+            rooms.retain(|room| pool.workers[room.worker].has_no_other_job(&candidate.job));
+        }
         if unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang) {
             let has_failed = |room: &Room| unit.failed_on.contains(&pool.workers[room.worker].incarnation);
             if rooms.iter().any(|room| !has_failed(room)) {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -6,6 +6,7 @@
 use crate::admit;
 use crate::approvals::Approvals;
 use crate::claims::Claims;
+use crate::crash::Crashes;
 use crate::desired::{Desired, Queue};
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
@@ -93,6 +94,7 @@
     pub(crate) unreported: BTreeMap<String, u64>,
     /// Runs given up on worker incarnations that were removed. Their starts may still arrive if the worker comes back.
     pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
+    pub(crate) crashes: Crashes,
     /// When workers were lost recently, on the monotonic clock.
     pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
@@ -121,6 +123,7 @@
 impl Planner {
     /// Creates a planner from the stored jobs.
     pub fn new(timing: Timing, desired: Arc<Desired>, jobs: Vec<Job>, now: u64) -> Self {
+        let crashes = Crashes::new(&jobs);
         let mut unreported = BTreeMap::new();
         let mut live = BTreeSet::new();
         for job in &jobs {
@@ -149,6 +152,7 @@
             agents: BTreeMap::new(),
             unreported,
             given_up: BTreeMap::new(),
+            crashes,
             lost_at: Vec::new(),
             live,
             last_urgent_at: None,
@@ -393,6 +397,7 @@
         self.expire_leases(now, wall);
         self.create_due_occurrences(now, wall);
         self.remove_old_jobs(wall);
+        self.judge_suspects(now, wall);
         self.set_paces(now);
         self.place_waiting_units(now, wall);
     }
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -10,6 +10,24 @@
 use crate::resources::Resources;
 use crate::worker::Worker;
 
+/// Jobs with runs on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Occupants {
+    Nobody,
+    Job(String),
+    Several,
+}
+
+impl Occupants {
+    fn add(&mut self, job: &str) {
+        match self {
+            Self::Nobody => *self = Self::Job(job.to_owned()),
+            Self::Job(known) if known != job => *self = Self::Several,
+            Self::Job(_) | Self::Several => (),
+        }
+    }
+}
+
 /// A worker during a pass.
 #[derive(Clone, Debug)]
 pub struct PoolWorker {
@@ -23,6 +41,9 @@
     pub free: Resources,
     /// Whether nothing is placed on it.
     pub is_idle: bool,
+    occupants: Occupants,
+    /// Job that runs here apart from others.
+    isolated_for: Option<String>,
     /// Whether runs may be placed on it.
     pub is_usable: bool,
     /// Resources that waiting units claim.
@@ -41,6 +62,25 @@
         self.is_usable && step.label.as_deref().is_none_or(|label| self.has_label(label))
     }
 
+    /// Returns whether a job may run on it beside what runs there.
+    pub fn admits(&self, job: &str) -> bool {
+        self.isolated_for.as_deref().is_none_or(|isolated| isolated == job)
+    }
+
+    /// Returns whether nothing but runs of a job are on it.
+    pub fn has_no_other_job(&self, job: &str) -> bool {
+        match &self.occupants {
+            Occupants::Nobody => true,
+            Occupants::Job(occupant) => occupant == job,
+            Occupants::Several => false,
+        }
+    }
+
+    /// Returns whether a waiting unit claims any of its resources.
+    pub fn is_claimed(&self) -> bool {
+        self.claimed != Resources::default()
+    }
+
     /// Returns the resources that no run uses and no other unit claims.
     pub fn unclaimed(&self, is_guaranteed: bool) -> Resources {
         let mut free = self.free;
@@ -58,8 +98,14 @@
 }
 
 impl Pool {
-    /// Reads the workers. Nothing may be placed on those in the failure domains `evacuated`.
-    pub fn new(workers: &BTreeMap<String, Worker>, evacuated: &BTreeSet<String>, now: u64) -> Self {
+    /// Reads the workers. Nothing may be placed on those in the failure domains `evacuated`, and nothing of other jobs
+    /// on those in `isolated`.
+    pub fn new(
+        workers: &BTreeMap<String, Worker>,
+        evacuated: &BTreeSet<String>,
+        isolated: &BTreeMap<&str, &str>,
+        now: u64,
+    ) -> Self {
         let names: BTreeSet<&str> = workers.values().map(Worker::rack).collect();
         let racks: Vec<String> = names.into_iter().map(str::to_owned).collect();
         let pool_worker = |worker: &Worker| PoolWorker {
@@ -70,6 +116,8 @@
             capacity: worker.info.capacity,
             free: worker.free(),
             is_idle: worker.used == Resources::default(),
+            occupants: occupants(worker),
+            isolated_for: isolated.get(worker.info.incarnation.as_str()).map(|job| (*job).to_owned()),
             is_usable: is_usable(worker, now) && !evacuated.contains(&worker.info.domain),
             claimed: Resources::default(),
             claimed_by_guaranteed: Resources::default(),
@@ -95,11 +143,16 @@
         workers.iter().map(|worker| self.workers[*worker].incarnation.clone()).collect()
     }
 
-    /// Reserves resources on each of the given workers for a member that is placed there.
-    pub fn place(&mut self, workers: &[usize], per_member: Resources) {
+    /// Reserves resources on each of the given workers for a member of a job's unit that is placed there.
+    pub fn place(&mut self, workers: &[usize], per_member: Resources, job: &str, is_isolated: bool) {
         for worker in workers {
-            self.workers[*worker].free -= per_member;
-            self.workers[*worker].is_idle = false;
+            let worker = &mut self.workers[*worker];
+            worker.free -= per_member;
+            worker.is_idle = false;
+            worker.occupants.add(job);
+            if is_isolated {
+                worker.isolated_for = Some(job.to_owned());
+            }
         }
     }
 
@@ -124,6 +177,13 @@
     }
 }
 
+fn occupants(worker: &Worker) -> Occupants {
+    let mut occupants = Occupants::Nobody;
+    let runs = worker.placed.iter().chain(worker.running.keys());
+    runs.for_each(|(task, _)| occupants.add(&task.job));
+    occupants
+}
+
 /// Returns whether runs may be placed on a worker.
 pub fn is_usable(worker: &Worker, now: u64) -> bool {
     !worker.info.draining && worker.ejected_until <= now && worker.last_report_at + MAX_REPORT_AGE_MS >= now
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -67,6 +67,7 @@
     let changed = |unit: &Unit| {
         let stored = Unit {
             since: 0,
+            crashed_at: 0,
             placed_in: 0,
             placed_at: None,
             done_in_ms: 0,
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -17,6 +17,9 @@
     pub seq: u64,
     /// The worker; `None` while the agent knows of no worker.
     pub worker: Option<WorkerInfo>,
+    /// Time for which nothing had answered at the worker's address when this incarnation was adopted, in milliseconds;
+    /// `None` if the agent noticed no interruption.
+    pub silent_before_ms: Option<u64>,
     /// Runs that the worker lists as running.
     pub running: Vec<Running>,
     /// Unacknowledged ends that the worker lists, in order.
@@ -46,6 +49,9 @@
     pub remaining_ms: Option<u64>,
 }
 
+/// Reason of a run that is gone because its worker's process has ended.
+pub const WORKER_CRASHED: &str = "the worker has crashed";
+
 /// A run in progress.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Running {
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crash::Crash;
 use crate::task::Task;
 use crate::wait::Waits;
 
@@ -72,6 +73,12 @@
     pub saved: String,
     /// Worker incarnations on which it failed, newest last.
     pub failed_on: Vec<String>,
+    /// Crashes of workers that its runs may have caused.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
+    /// When a crash was last counted, on the monotonic clock; 0 if an earlier planner did.
+    #[serde(skip)]
+    pub crashed_at: u64,
     /// When `state` last changed, on the monotonic clock; 0 until the unit is ready to be placed.
     #[serde(skip)]
     pub since: u64,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -107,6 +107,7 @@
                 "ending": units(UnitState::Ending),
                 "done": units(UnitState::Done),
                 "fails": job.units.values().map(|unit| unit.failures).sum::<u32>(),
+                "crashes": job.units.values().map(|unit| unit.crashes.len()).sum::<usize>(),
             })
         };
         let jobs = self.live.iter().filter_map(|name| self.jobs.get(name));
@@ -122,6 +123,7 @@
             "ending",
             "done",
             "fails",
+            "crashes",
         ];
         table(&columns, jobs.map(row))
     }
@@ -300,11 +302,12 @@
                 "subtask": key.task(name, 0).to_string(),
                 "run": unit.run,
                 "fails": unit.failures,
+                "crashes": unit.crashes.len(),
                 "ahead": ahead,
                 "why": self.explain_unit(now, wall, job, (*key, unit), candidate),
             })
         });
-        let columns = ["subtask", "run", "fails", "ahead", "why"];
+        let columns = ["subtask", "run", "fails", "crashes", "ahead", "why"];
         let mut body = table(&columns, units);
         body["job"] = json!(name);
         body["state"] = json!(state_name(job));
@@ -333,6 +336,9 @@
             UnitState::Ending => return format!("stopping for {age_ms} ms on {}", workers()),
             UnitState::Waiting => (),
         }
+        if unit.is_given_up() {
+            return format!("given up: {} workers have crashed under it", unit.crashes.len());
+        }
         if job.outcome.is_some() {
             return "the job has ended".to_owned();
         }
@@ -367,10 +373,15 @@
         } else {
             ""
         };
+        let isolation = if unit.must_run_alone() {
+            "; it runs apart from other jobs since workers have crashed under it"
+        } else {
+            ""
+        };
         let claim =
             if self.claims.contains(&job.sub.job, key) { "; resources are being freed for it" } else { "" };
         format!(
-            "waiting for {age_ms} ms, workers: {}; {until_latest_start_ms} ms until its latest start{reserve}{claim}",
+            "waiting for {age_ms} ms, workers: {}; {until_latest_start_ms} ms until its latest start{reserve}{isolation}{claim}",
             counts.join(", ")
         )
     }
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -21,6 +21,8 @@
     Reserve,
     /// The policy service has approved no worker.
     Approval,
+    /// It has to run apart from other jobs, and no worker is empty.
+    Isolation,
 }
 
 /// Waiting times of a unit since it became ready, by reason.
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -190,6 +190,15 @@
         play.run(5_000);
     }
     for job in ["wide", "gang"] {
+        for l in play
+            .fleet
+            .planner
+            .take_log()
+            .iter()
+            .filter(|l| l.contains("crash") || l.contains("given") || l.contains("worker_lost"))
+        {
+            eprintln!("{}", &l[..l.len().min(260)]);
+        }
         assert_eq!(play.state(job), Some(JobState::Running), "{job}");
     }
 }
