Start nothing that a shrunk worker has no room for

What callers would see: a worker runs out of memory, and with it their runs. Cause: the planner took the new capacity for later placements only. What it had placed before and not yet started was started all the same, by this planner, the next one, or an agent with older assignments; and a subtask without need of the resource that was short was still placed there. Change: with the report of a smaller capacity the newest placements whose start nobody has reported are withdrawn until the rest fits; assignments name the capacity that they were placed for, and an agent whose worker announces less holds its starts back; a resource that is overcommitted takes nothing more. Why it works: the agent stops at its worker's own check-in, the planner at the report that this triggers, both well within the bound of contact_ms and a beat. A start that is on its way is followed by a stop.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -328,6 +328,11 @@
         if draining || self.presence != Presence::Present || now + MIN_START_GRANT_MS > self.granted_until {
             return Vec::new();
         }
+        // The starts were placed before the planner knew that the worker's capacity has shrunk.
+        let capacity = self.announced.as_ref().map(|known| known.info.capacity).unwrap_or_default();
+        if self.assignments.as_ref().is_some_and(|assignments| !capacity.covers(&assignments.capacity)) {
+            return Vec::new();
+        }
         let is_due = |start: &&Start| {
             let run = (start.task.clone(), start.run);
             !self.running.contains_key(&run)
--- a/crates/control/tests/histories.rs
+++ b/crates/control/tests/histories.rs
@@ -7,9 +7,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use sorrelland_control::lease::WorkerState;
-use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Start, Stop};
 use sorrelland_fleet::report::{End, EndReason, Running, WorkerInfo};
+use sorrelland_fleet::{Resources, Task};
 use sorrelland_platform::worker::{Announcement, Listing};
 
 const INCARNATION: &str = "w-1";
@@ -295,6 +295,7 @@
             let assignments = Assignments {
                 incarnation,
                 number,
+                capacity: Resources::default(),
                 grant_ms: GRANT_MS,
                 starts,
                 stops,
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -2,9 +2,9 @@
 
 use sorrelland_control::lease::WorkerState;
 use sorrelland_control::presence::{AnnouncementEffect, Presence};
-use sorrelland_fleet::Task;
 use sorrelland_fleet::assignments::{Assignments, Start, Stop};
 use sorrelland_fleet::report::{Running, WORKER_CRASHED, WorkerInfo};
+use sorrelland_fleet::{Resources, Task};
 use sorrelland_platform::worker::{Announcement, Listing};
 
 const INCARNATION: &str = "w-1";
@@ -328,3 +328,30 @@
     assert_eq!(reason_after_silence(true), WORKER_CRASHED);
     assert_ne!(reason_after_silence(false), WORKER_CRASHED);
 }
+
+#[test]
+fn due_starts_waits_for_assignments_that_know_of_a_shrunk_capacity() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    let of_size = |sequence: u64, accelerators: i64| {
+        let mut announcement = announcement(sequence);
+        announcement.info.capacity = Resources::new(128_000, 262_144, accelerators);
+        announcement
+    };
+    state.adopt_incarnation(0, of_size(1, 8));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, Listing { running: Vec::new(), ..listing(500) });
+    let assigned = |number: u64, accelerators: i64| Assignments {
+        incarnation: INCARNATION.to_owned(),
+        number,
+        grant_ms: 5_000,
+        capacity: Resources::new(128_000, 262_144, accelerators),
+        starts: vec![Start { task: task(), run: 1, spec: String::new(), saved: String::new(), ticket: None }],
+        ..Assignments::default()
+    };
+    state.apply_assignments(20, 1, Some(assigned(1, 8)));
+    assert_eq!(state.due_starts(20).len(), 1);
+    assert_eq!(state.apply_announcement(&of_size(2, 4)), AnnouncementEffect::Updated);
+    assert_eq!(state.due_starts(30), Vec::new());
+    state.apply_assignments(40, 1, Some(assigned(2, 4)));
+    assert_eq!(state.due_starts(40).len(), 1);
+}
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -1,6 +1,6 @@
 //! Applies agents' reports: running and ended runs, and worker incarnations that were replaced.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use derive_more::Display;
 
@@ -8,6 +8,7 @@
 use crate::job::{Job, Outcome, Step};
 use crate::planner::{Agent, Planner, mark_ending, set_state};
 use crate::report::{End, EndReason, NotStarted, Report, WORKER_CRASHED};
+use crate::resources::Resources;
 use crate::task::Task;
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::worker::Worker;
@@ -200,6 +201,10 @@
             let remaining_ms = info.remaining_ms.unwrap_or(0);
             self.log.push(format!("event=worker_draining worker={incarnation} remaining_ms={remaining_ms}"));
         }
+        if info.capacity != worker.info.capacity {
+            let (from, to) = (worker.info.capacity, info.capacity);
+            self.log.push(format!("event=capacity_changed worker={incarnation} from={from} to={to}"));
+        }
         worker.info = info.clone();
         worker.agent.clone_from(&report.agent);
         worker.last_report_at = now;
@@ -232,6 +237,41 @@
         for entry in &report.not_started {
             self.record_not_started(now, wall, &incarnation, entry, &Source::new(report));
         }
+        self.withdraw_excess_starts(now, &incarnation);
+    }
+
+    /// Withdraws the newest placements on a worker that has not reported their starts until the others fit into its
+    /// capacity, which may have shrunk since they were made. What runs there goes on.
+    fn withdraw_excess_starts(&mut self, now: u64, incarnation: &str) {
+        let Some(worker) = self.workers.get(incarnation) else { return };
+        let mut free = worker.free();
+        if free.is_non_negative() {
+            return;
+        }
+        let mut unseen: BTreeMap<(u64, &str, UnitKey), Resources> = BTreeMap::new();
+        for (task, run) in &worker.placed {
+            let Some((key, offset)) = self.unit_of(task) else { continue };
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let Some(unit) = job.units.get(&key).filter(|unit| unit.state == UnitState::Placed) else {
+                continue;
+            };
+            let is_seen = unit.members.get(offset).is_none_or(|member| member.seen);
+            if unit.run == *run && !is_seen {
+                let reserved = job.sub.steps.get(key.step as usize).map(Step::reserved);
+                *unseen.entry((unit.placed_in, &task.job, key)).or_default() += reserved.unwrap_or_default();
+            }
+        }
+        let mut withdrawn = Vec::new();
+        for ((_, job, key), reserved) in unseen.iter().rev() {
+            if free.is_non_negative() {
+                break;
+            }
+            free += *reserved;
+            withdrawn.push(((*job).to_owned(), *key));
+        }
+        for (job, key) in withdrawn {
+            self.evict(now, &job, key, "the capacity of its worker has shrunk");
+        }
     }
 
     /// Reserves resources for the members that stored jobs have on a newly reported worker.
--- a/crates/fleet/src/assign.rs
+++ b/crates/fleet/src/assign.rs
@@ -26,6 +26,7 @@
         let mut assigned = Assignments {
             incarnation: incarnation.clone(),
             number: self.assignments_number,
+            capacity: worker.info.capacity,
             grant_ms,
             ..Assignments::default()
         };
--- a/crates/fleet/src/assignments.rs
+++ b/crates/fleet/src/assignments.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::resources::Resources;
 use crate::task::Task;
 
 /// Complete assignments of one worker. Every reply carries all of them, so the next reply makes up for a lost one.
@@ -12,6 +13,8 @@
     pub incarnation: String,
     /// Increases with every reply of a planner; agents ignore older replies.
     pub number: u64,
+    /// Capacity of the worker that the starts were placed for.
+    pub capacity: Resources,
     /// Time for which the agent may renew the worker's lease, in milliseconds from the sending of its report.
     pub grant_ms: u64,
     /// Runs to start that the last report did not list as running.
--- a/crates/fleet/src/resources.rs
+++ b/crates/fleet/src/resources.rs
@@ -2,13 +2,15 @@
 
 use std::ops::{AddAssign, Mul, SubAssign};
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 /// Cores that one accelerator counts as in cost comparisons, as in the users' price list.
 pub const CORES_PER_ACCELERATOR: i64 = 8;
 
 /// Resources of a worker or needed by a subtask; negative where a worker is overcommitted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{millicores}m/{memory_mb}MB/{accelerators}acc")]
 pub struct Resources {
     /// CPU in thousandths of a core.
     pub millicores: i64,
@@ -31,14 +33,28 @@
     /// Returns how many copies of `other` fit into this amount.
     pub fn copies_of(&self, other: &Self) -> i64 {
         let each = |have: i64, need: i64| match need {
+            // What is overcommitted takes nothing more, even without need of it.
+            _ if have < 0 => 0,
             0 => i64::MAX,
-            need => have.max(0) / need,
+            need => have / need,
         };
         each(self.millicores, other.millicores)
             .min(each(self.memory_mb, other.memory_mb))
             .min(each(self.accelerators, other.accelerators))
     }
 
+    /// Returns whether no resource is negative.
+    pub fn is_non_negative(&self) -> bool {
+        self.millicores >= 0 && self.memory_mb >= 0 && self.accelerators >= 0
+    }
+
+    /// Returns whether this amount has at least as much of each resource as `other`.
+    pub fn covers(&self, other: &Self) -> bool {
+        let mut rest = *self;
+        rest -= *other;
+        rest.is_non_negative()
+    }
+
     /// Returns the cost weight of the CPU and accelerators, in thousandths of a core.
     pub fn weight(&self) -> i64 {
         self.millicores + self.accelerators * CORES_PER_ACCELERATOR * 1_000
