--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -364,12 +364,13 @@
             lock(&self.worker_state).record_unanswered_call(now_ms(), incarnation);
         }
         if matches!(error, Error::OtherIncarnation) {
-            let (before, is_current) = {
+            let (before, acknowledged, is_current) = {
                 let mut state = lock(&self.worker_state);
-                (state.summary(now_ms()), state.end_incarnation(incarnation))
+                (state.summary(now_ms()), state.acknowledged(), state.end_incarnation(incarnation))
             };
             log::warn!(
-                "event=worker_replaced worker={incarnation} call={call} token={token} is_current={is_current} {before}"
+                "event=worker_replaced worker={incarnation} call={call} token={token} is_current={is_current} \
+                 acknowledged={acknowledged} {before}"
             );
             if is_current {
                 record_end("call", &format!("call={call} token={token}"), &before);
