Send calls to a worker over connections to one of its lives

Cause: a call names the worker's id, and a worker that restarts keeps it. Until an answer showed another start time the agent sent starts to the next life, taking its answers for those of the one before, and its polls carried the acknowledgement of the one before: they took effect before their answers were compared. Change: where a worker tells its start, a call goes over a connection of which a poll that acknowledges and extends nothing has shown which life is at its other end. Why it works: a connection ends with the process, so no later life can receive what is sent over it, whatever the order of restarts and answers.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -7,6 +7,7 @@
 use derive_more::{Display, Error, From};
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
@@ -28,6 +29,12 @@
     #[display("cannot connect: {_0}")]
     #[from(skip)]
     Connect(hyper_util::client::legacy::Error),
+    /// No connection of one's own could be made, so the request was not sent.
+    #[display("cannot connect: {_0}")]
+    Unreachable(io::Error),
+    /// A connection of one's own failed after the request may have been sent.
+    #[display("connection failed after the request may have been sent: {_0}")]
+    Broken(hyper::Error),
     /// The exchange failed after the request may have been sent.
     #[display("exchange failed after the request may have been sent: {_0}")]
     #[from(skip)]
@@ -56,7 +63,7 @@
 impl Error {
     /// Returns whether the request certainly did not reach the server.
     pub fn never_sent(&self) -> bool {
-        matches!(self, Self::Request(_) | Self::Connect(_))
+        matches!(self, Self::Request(_) | Self::Connect(_) | Self::Unreachable(_))
     }
 
     /// Returns whether no response arrived in time.
@@ -66,7 +73,11 @@
 
     /// Returns whether the server's host refused the connection: no process listens at the address.
     pub fn is_connection_refused(&self) -> bool {
-        let Self::Connect(e) = self else { return false };
+        let e = match self {
+            Self::Unreachable(e) => return e.kind() == io::ErrorKind::ConnectionRefused,
+            Self::Connect(e) => e,
+            _ => return false,
+        };
         let sources = std::iter::successors(std::error::Error::source(e), |e| e.source());
         let mut causes = sources.filter_map(|e| e.downcast_ref::<io::Error>());
         causes.any(|e| e.kind() == io::ErrorKind::ConnectionRefused)
@@ -96,6 +107,13 @@
     }
 }
 
+pub(crate) async fn read_response(response: http::Response<Incoming>) -> Result<HttpResponse> {
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let body = body.map_err(|e| Error::Body(e.to_string()))?.to_bytes();
+    Ok(HttpResponse { status: head.status, headers: head.headers, body })
+}
+
 /// HTTP client with a connection pool.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -161,10 +179,7 @@
             true => Error::Connect(e),
             false => Error::Exchange(e),
         })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|e| Error::Body(e.to_string()))?.to_bytes();
-        Ok(HttpResponse { status: head.status, headers: head.headers, body })
+        read_response(response).await
     }
 
     /// Sends a GET request and returns the JSON response.
