Stop on the next life what the one before may still be sent

What callers would see (TWICE): a subtask runs on two workers at once after a worker has restarted under its id. Cause: a call without an answer may be executed seconds later. The starts that one life had left unanswered were forgotten with it, and their subtasks started elsewhere at once; but the next life has the same id and executes them. Change: an agent adopts the next life of a name only once that has answered the stops of these starts, and tells the planner no earlier; the planner hands the runs that it gave up on to the next life, for agents that have restarted too. Why it works: a stopped run is rejected whenever its start arrives, and nothing of it starts elsewhere before.

--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use futures::future::join_all;
 use http::{Method, StatusCode};
 use sorrelland_platform::serve::{Request, Response};
 use sorrelland_platform::worker::{self, Announcement, Error, Listing, decode_announcement};
@@ -116,7 +117,12 @@
             }
             let poll = lock(&self.worker_state).begin_poll();
             match self.call_announced(incarnation).await {
-                Ok(listing) => return self.adopt(&received, poll, listing),
+                Ok(listing) => {
+                    if self.stop_earlier_starts(incarnation).await {
+                        return self.adopt(&received, poll, listing);
+                    }
+                    tokio::time::sleep(CALL_RETRY_DELAY).await;
+                }
                 Err(Error::OtherIncarnation) => return self.log_ignored(&received, "other_incarnation"),
                 Err(e) => {
                     log::warn!(
@@ -128,6 +134,14 @@
         }
     }
 
+    /// Stops the runs that an incarnation may still start for an earlier one with its name; returns whether it has
+    /// answered all of these stops.
+    async fn stop_earlier_starts(&self, incarnation: &str) -> bool {
+        let stops = lock(&self.worker_state).stops_before_adoption(incarnation);
+        let answers = join_all(stops.iter().map(|stop| self.send_stop(incarnation, stop))).await;
+        answers.into_iter().all(|answered| answered)
+    }
+
     /// Calls an announced incarnation without extending its leases; returns its runs, if it lists them.
     async fn call_announced(&self, incarnation: &str) -> worker::Result<Option<Listing>> {
         // A new process of the agent knows the leader before it has received assignments.
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -65,6 +65,9 @@
     /// Runs that the planner may have placed elsewhere and whose start may still arrive. No lease is extended before the
     /// worker has answered their stops.
     given_up: BTreeSet<RunKey>,
+    /// Runs that were not known to have started on earlier incarnations of the worker's name, and that name. A call may
+    /// be executed late, so the next incarnation of the name may still start them.
+    earlier_starts: (String, BTreeSet<RunKey>),
     ended: Vec<End>,
     /// Runs that the worker will not start from now on, with the reason and the number of polls begun by then. The
     /// first poll begun later shows whether the run is present.
@@ -116,6 +119,7 @@
             return;
         }
         self.end_current_incarnation();
+        self.earlier_starts = Default::default();
         self.silent_before_ms = self.failing_since.take().map(|since| now.saturating_sub(since));
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
         self.leased_until = now + self.max_lease_ms;
@@ -132,7 +136,19 @@
     }
 
     fn end_current_incarnation(&mut self) {
+        let earlier_starts = match self.incarnation() {
+            Some(current) => {
+                let name = incarnation::split(current).0.to_owned();
+                let mut starts = self.unresolved_starts();
+                if self.earlier_starts.0 == name {
+                    starts.append(&mut self.earlier_starts.1);
+                }
+                (name, starts)
+            }
+            None => std::mem::take(&mut self.earlier_starts),
+        };
         *self = Self {
+            earlier_starts,
             epoch: self.epoch,
             granted_until: self.granted_until,
             polls_begun: self.polls_begun,
@@ -141,6 +157,27 @@
         };
     }
 
+    /// Returns the runs that the worker may still start, as far as it is known.
+    fn unresolved_starts(&self) -> BTreeSet<RunKey> {
+        let runs = self.start_attempts.iter().chain(&self.given_up).chain(self.refused.keys());
+        runs.filter(|run| !self.is_ended(run)).cloned().collect()
+    }
+
+    /// Returns the stops that an incarnation has to answer before the runs of an earlier one with the same name may
+    /// start elsewhere.
+    pub fn stops_before_adoption(&self, incarnation: &str) -> Vec<Stop> {
+        let name = incarnation::split(incarnation).0;
+        let mut runs = match self.incarnation() {
+            Some(current) if current == incarnation => return Vec::new(),
+            Some(current) if incarnation::split(current).0 == name => self.unresolved_starts(),
+            _ => BTreeSet::new(),
+        };
+        if self.earlier_starts.0 == name {
+            runs.extend(self.earlier_starts.1.iter().cloned());
+        }
+        runs.into_iter().map(|(task, run)| Stop { task, run }).collect()
+    }
+
     /// Records a departure notice; returns whether it names the current worker. Its runs count until its end is
     /// confirmed, but nothing is started and no lease extended. A later announcement that the worker confirms revokes the
     /// notice.
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -470,7 +470,12 @@
             self.record_not_started(now, wall, incarnation, entry, source);
         }
         self.workers.remove(incarnation);
-        self.given_up.entry(incarnation.to_owned()).or_default().extend(runs);
+        let mut given_up = self.given_up.remove(incarnation).unwrap_or_default();
+        given_up.extend(runs);
+        // The next incarnation of a name may still start what was sent to this one.
+        let keeps_name = incarnation::split(&source.replaced_by).0 == incarnation::split(incarnation).0;
+        let holder = if keeps_name { &source.replaced_by } else { incarnation };
+        self.given_up.entry(holder.to_owned()).or_default().extend(given_up);
         let lost_together = self.count_lost_workers(now);
         self.log_line(format!(
             "event=worker_lost worker={incarnation} runs_lost={} draining={was_draining} lost_together={lost_together} \
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -761,3 +761,19 @@
     let assignments = fleet.advance(10);
     assert!(starts(&assignments).iter().any(|(worker, _)| *worker == "w1"), "{assignments:?}");
 }
+
+#[test]
+fn assignments_stop_runs_of_the_life_before_under_the_same_name() {
+    let mut fleet = Fleet::new(2);
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w0@1000".to_owned();
+    fleet.reports[1].worker.as_mut().unwrap().draining = true;
+    fleet.advance(10);
+    fleet.submit("a", "plain", vec![step(1, 1)]);
+    let assignments = fleet.advance(10);
+    assert_eq!(starts(&assignments)[0].0, "w0@1000");
+    fleet.reports[0].worker.as_mut().unwrap().incarnation = "w0@2000".to_owned();
+    let assignments = fleet.advance(10);
+    let stops = assignments.iter().find(|assigned| assigned.incarnation == "w0@2000").unwrap().stops.clone();
+    assert_eq!(stops.iter().map(|stop| stop.run).collect::<Vec<_>>(), [1], "its start may still arrive");
+    assert_eq!(starts(&assignments)[0].1.run, 2);
+}
