--- a/crates/soak/src/checkins.rs
+++ b/crates/soak/src/checkins.rs
@@ -75,12 +75,12 @@
             set("service", json!("unknown"));
             (Method::PUT, stranger)
         }
-        Kind::Late => (Method::PUT, own.next()?.name.clone()),
-        Kind::Departure => (Method::DELETE, current.name.clone()),
+        Kind::Late => (Method::PUT, own.next()?.announced_name()),
+        Kind::Departure => (Method::DELETE, current.announced_name()),
         Kind::OtherMachine => {
             let other = lives.iter().rev().find(|life| life.worker != worker)?;
             set("address", json!(deployment.worker_address(other.worker)));
-            (Method::PUT, other.name.clone())
+            (Method::PUT, other.announced_name())
         }
     };
     let bytes = match kind {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,8 +6,8 @@
 
 use crate::deployment::{MAX_ATTEMPTS, rack};
 use crate::faults::Machine;
-use crate::history::{History, Run};
-use crate::impairments::Impairments;
+use crate::history::{CRASHED, History, Run};
+use crate::impairments::{CONTACT_MS, Impairments};
 use crate::jobs::{Ledger, Needs, Record, Step};
 
 /// Time after a cancel's acknowledgement from which nothing of the job starts.
@@ -28,6 +28,15 @@
 /// Time after a job was shown as completed from which a machine in touch starts nothing of it.
 const SHOWN_MS: u64 = 1_000;
 
+/// Time from which a smaller capacity of a worker counts: the platform's time of contact and a check-in.
+const SHRINK_MS: u64 = CONTACT_MS + 300;
+
+/// Starts that may follow after three workers have crashed under a subtask.
+const STARTS_AFTER_THREE_CRASHES: usize = 2;
+
+/// Crashes from which a subtask may be given up.
+const CRASHES_TO_GIVE_UP: usize = 2;
+
 /// Step between the times at which a calm stretch is looked for.
 const STRETCH_STEP_MS: u64 = 500;
 
@@ -56,6 +65,9 @@
                 Some(record) => {
                     runs.iter().for_each(|run| self.check_start(record, run, runs, &mut broken));
                     self.check_cancel(record, runs, &mut broken);
+                    if record.job.crashes_workers() {
+                        self.check_crashes(runs, &mut broken);
+                    }
                 }
                 None => broken.push(format!("UNASKED: {} was not submitted", runs[0])),
             }
@@ -137,13 +149,38 @@
             let sum = present
                 .filter_map(|run| needs(run))
                 .fold((0, 0, 0), |sum: Needs, needs| (sum.0 + needs.0, sum.1 + needs.1, sum.2 + needs.2));
-            let capacity = self.capacity;
+            let capacity = self.capacity_at(run);
             if sum.0 > capacity.0 || sum.1 > capacity.1 || sum.2 > capacity.2 {
                 broken.push(format!("LIMIT: {run} brings its worker to {sum:?} of {capacity:?}"));
             }
         }
     }
 
+    /// Returns the largest capacity that counts for a start.
+    fn capacity_at(&self, run: &Run) -> Needs {
+        let known = self.history.capacities.get(&run.life).map_or(&[][..], Vec::as_slice);
+        let since = known.iter().rposition(|(at_ms, _)| at_ms + SHRINK_MS <= run.start_ms).unwrap_or(0);
+        let counts =
+            known[since..].iter().filter(|(at_ms, _)| *at_ms <= run.start_ms).map(|(_, needs)| *needs);
+        counts
+            .reduce(|one, other| (one.0.max(other.0), one.1.max(other.1), one.2.max(other.2)))
+            .unwrap_or(self.capacity)
+    }
+
+    /// Checks that a subtask that crashes its workers isn't started again and again by machines in touch.
+    fn check_crashes(&self, runs: &[&Run], broken: &mut Vec<String>) {
+        let mut by_subtask: BTreeMap<(usize, u64), Vec<&Run>> = BTreeMap::new();
+        runs.iter().for_each(|run| by_subtask.entry((run.step, run.index)).or_default().push(run));
+        for runs in by_subtask.values() {
+            let third = runs.iter().filter(|run| run.ended(CRASHED)).nth(2);
+            let Some(third_ms) = third.map(|run| run.end_ms()) else { continue };
+            let mut later = runs.iter().filter(|run| run.start_ms > third_ms && self.starts_in_touch(run));
+            if let Some(run) = later.nth(STARTS_AFTER_THREE_CRASHES) {
+                broken.push(format!("BUDGET: {run}, the third worker crashed under it at {third_ms}"));
+            }
+        }
+    }
+
     /// Checks the states that callers were shown. An answer 410 counts only from an entry in touch.
     fn check_states(&self, record: &Record, runs: &[&Run], broken: &mut Vec<String>) {
         let (id, steps, polls) = (&record.job.id, &record.job.steps, &record.polls);
@@ -176,7 +213,10 @@
                 broken.push(format!("TWICE: {run}, shown as completed at {shown_ms}"));
             }
         }
-        if let Some(shown_ms) = record.shown_ms("failed").filter(|at| !has_failed(steps, runs, *at)) {
+        let has_failed = |at_ms| {
+            has_failed(steps, runs, at_ms) || record.job.crashes_workers() && has_crashed(runs, at_ms)
+        };
+        if let Some(shown_ms) = record.shown_ms("failed").filter(|at| !has_failed(*at)) {
             broken.push(format!("LOST: {id} is shown as failed at {shown_ms} without cause"));
         }
         if let Some(shown_ms) = record.shown_ms("cancelled").filter(|_| uncancelled) {
@@ -215,6 +255,15 @@
     (!finished).then(|| format!("subtasks {missing:?} of step {number} aren't done"))
 }
 
+/// Returns whether so many workers have crashed under a subtask that it may be given up.
+fn has_crashed(runs: &[&Run], at_ms: u64) -> bool {
+    let mut crashes: BTreeMap<(usize, u64), usize> = BTreeMap::new();
+    for run in runs.iter().filter(|run| run.ended(CRASHED) && run.end_ms() <= at_ms) {
+        *crashes.entry((run.step, run.index)).or_default() += 1;
+    }
+    crashes.values().any(|crashes| *crashes >= CRASHES_TO_GIVE_UP)
+}
+
 /// Returns whether a subtask, or a gang, has failed so often that the job may fail.
 fn has_failed(steps: &[Step], runs: &[&Run], at_ms: u64) -> bool {
     let mut attempts: BTreeMap<(usize, u64), BTreeSet<u64>> = BTreeMap::new();
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -16,6 +16,7 @@
 use sorrelland_web::Client;
 
 use crate::faults::{Machine, Side};
+use crate::jobs::{Needs, WORKER_GPUS};
 use crate::lock;
 use crate::processes::Processes;
 use crate::proxy::Proxy;
@@ -27,6 +28,9 @@
 /// Attempts of a subtask that may end as failed.
 pub const MAX_ATTEMPTS: usize = 3;
 
+/// Resources of a worker.
+pub const WORKER_CAPACITY: Needs = (130_000, 262_144, WORKER_GPUS);
+
 const STANDIN: &str = "sorrelland-standin";
 
 /// Time between SIGTERM and SIGKILL.
@@ -76,11 +80,23 @@
 #[derive(Clone, Debug)]
 pub struct Life {
     pub worker: usize,
+    /// Name of its log.
     pub name: String,
     /// When it was killed, in milliseconds on the wall clock.
     pub killed_ms: Option<u64>,
 }
 
+impl Life {
+    /// Returns the name under which it announces itself. Every other worker keeps its name when it restarts.
+    pub fn announced_name(&self) -> String {
+        if keeps_name(self.worker) { format!("w-{}", self.worker) } else { self.name.clone() }
+    }
+}
+
+fn keeps_name(worker: usize) -> bool {
+    worker % 2 == 1
+}
+
 /// Running deployment; dropping it kills all processes.
 pub struct Deployment {
     network: String,
@@ -196,18 +212,21 @@
     }
 
     fn start_worker(&self, index: usize) -> io::Result<()> {
-        let life = format!("w-{index}-{}", 1 + self.count_lives(index));
-        lock(&self.lives).push(Life { worker: index, name: life.clone(), killed_ms: None });
+        let name = format!("w-{index}-{}", 1 + self.count_lives(index));
+        let life = Life { worker: index, name, killed_ms: None };
+        lock(&self.lives).push(life.clone());
         let (listen, announce) = (self.worker_address(index), self.address(100 + index, 9_526));
         let gang_dir = self.processes.dir().join("gangs").display().to_string();
         // Every third worker has the slowest clock that the platform allows.
         let clock = if index.is_multiple_of(3) { "98" } else { "100" };
         let rack = rack(index);
-        let names = ["--listen", &listen, "--announce", &announce, "--name", &life, "--rack", &rack];
+        let announced = life.announced_name();
+        let names = ["--listen", &listen, "--announce", &announce, "--name", &announced, "--rack", &rack];
         let sizes = ["--accelerators", "4", "--clock-percent", clock, "--gang-dir", &gang_dir];
-        let args = [&["platform-worker"], &names[..], &sizes[..]].concat();
+        let tells_start: &[&str] = if keeps_name(index) { &["--tells-start"] } else { &[] };
+        let args = [&["platform-worker"], &names[..], &sizes[..], tells_start].concat();
         let (name, standin) = (Machine::Worker(index).to_string(), self.bin_dir.join(STANDIN));
-        self.processes.spawn(&name, &life, &standin, &args, &[])
+        self.processes.spawn(&name, &life.name, &standin, &args, &[])
     }
 
     /// Kills the process of a machine.
@@ -253,6 +272,15 @@
         publish(&self.store_address(), &desired).await
     }
 
+    /// Sets the accelerators that a worker has; returns whether it answered.
+    pub async fn set_accelerators(&self, worker: usize, accelerators: u64) -> bool {
+        let url = format!("http://{}/v1/capacity", self.worker_address(worker));
+        let (cpu, memory_mb, _) = WORKER_CAPACITY;
+        let body = json!({"cpu": cpu, "memory_mb": memory_mb, "gpu": accelerators}).to_string();
+        let reply = Client::new(CALL_TIMEOUT).send(Method::PUT, &url, &[], Bytes::from(body)).await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    }
+
     /// Sets the faults that the store injects; returns whether it answered.
     pub async fn set_store_faults(&self, faults: &Value) -> bool {
         let url = format!("http://{}/v1/faults", self.store_address());
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::checkins::Kind;
+use crate::jobs::WORKER_GPUS;
 use crate::proxy::Rules;
 
 /// Start of the faults, in milliseconds from the start of the run.
@@ -74,6 +75,8 @@
     Checkin { worker: usize, kind: Kind, seed: u64, restart_agent: bool },
     /// Publishes desired states in a row.
     Publish { versions: u64 },
+    /// Leaves a worker with fewer accelerators for some time.
+    Shrink { worker: usize, accelerators: u64, ms: u64 },
 }
 
 impl Fault {
@@ -93,6 +96,7 @@
             Self::Link { side: Side::Checkins(_), .. } => "checkins-link".to_owned(),
             Self::Checkin { kind, .. } => format!("checkin-{kind:?}"),
             Self::Publish { .. } => "publish".to_owned(),
+            Self::Shrink { .. } => "shrink".to_owned(),
         }
         .to_lowercase()
     }
@@ -128,6 +132,14 @@
             at_ms += rng.random_range(mean_ms / 4..mean_ms * 2);
         }
     }
+    // A generator of its own, so that the other faults of a seed stay the same.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mean_ms = rng.random_range(2_000..8_000);
+    let mut at_ms = FIRST_MS + rng.random_range(0..mean_ms);
+    while at_ms < length_ms {
+        plan.push((at_ms, draw_shrink(&mut rng, workers)));
+        at_ms += rng.random_range(mean_ms / 4..mean_ms * 2);
+    }
     plan.retain(|(_, fault)| !without.iter().any(|name| fault.name().starts_with(name)));
     plan.sort_by_key(|(at_ms, _)| *at_ms);
     plan
@@ -179,6 +191,14 @@
     Fault::Publish { versions: rng.random_range(1..6) }
 }
 
+fn draw_shrink(rng: &mut StdRng, workers: usize) -> Fault {
+    Fault::Shrink {
+        worker: rng.random_range(1..=workers),
+        accelerators: rng.random_range(0..WORKER_GPUS),
+        ms: rng.random_range(500..9_000),
+    }
+}
+
 /// Draws a fault of one, some or all of these machines, at once or in turn.
 fn draw_processes(rng: &mut StdRng, machines: Vec<Machine>) -> Fault {
     let (machines, step_ms) = match rng.random_range(0..6) {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -5,12 +5,16 @@
 use std::{fmt, fs, io};
 
 use crate::deployment::Life;
+use crate::jobs::Needs;
+
+/// End of a run on a worker that a run crashed.
+pub const CRASHED: &str = "crashed";
 
 /// End of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct End {
     pub at_ms: u64,
-    /// `done`, `failed`, `stopped`, `lapsed`, `broken` or `alone`; `down` if its worker went down.
+    /// `done`, `failed`, `stopped`, `lapsed`, `broken` or `alone`; `down` or `crashed` if its worker went down.
     pub how: String,
     /// Whether the agent acknowledged it, with no lapse of the worker's lease in between.
     pub noted: bool,
@@ -79,6 +83,8 @@
 pub struct History {
     /// Ordered by start.
     pub runs: Vec<Run>,
+    /// Capacities of each incarnation with the times from which they hold.
+    pub capacities: BTreeMap<String, Vec<(u64, Needs)>>,
     /// When the draining of an incarnation was acknowledged.
     pub draining_ms: BTreeMap<String, u64>,
 }
@@ -113,6 +119,7 @@
         // Ends that the agent has not acknowledged: number and position in `runs`.
         let mut unnoted: BTreeMap<u64, usize> = BTreeMap::new();
         let (mut leased_until_ms, mut lapsed_ms, mut left_ms) = (0, 0, None);
+        let mut has_crashed = false;
         for line in log.lines() {
             let at_ms = line.strip_prefix("at_ms=").and_then(|rest| rest.split(' ').next()?.parse().ok());
             let Some(at_ms) = at_ms else { continue };
@@ -150,6 +157,14 @@
                     self.draining_ms.insert(life.name.clone(), at_ms);
                 }
                 "left" => left_ms = Some(at_ms),
+                "crashed" => {
+                    left_ms = Some(at_ms);
+                    has_crashed = true;
+                }
+                "born" | "capacity" => {
+                    let needs = (number(line, "cpu"), number(line, "memory_mb"), number(line, "gpu"));
+                    self.capacities.entry(life.name.clone()).or_default().push((at_ms, needs));
+                }
                 _ => {}
             }
         }
@@ -157,7 +172,8 @@
             // A run ends with its lease even on a worker that was suspended when it was killed.
             for run in runs.iter_mut().filter(|run| run.end.is_none()) {
                 let at_ms = down_ms.min(leased_until_ms).max(run.start_ms);
-                run.end = Some(End { at_ms, how: "down".to_owned(), noted: false });
+                let how = if has_crashed { CRASHED } else { "down" };
+                run.end = Some(End { at_ms, how: how.to_owned(), noted: false });
             }
         }
         self.runs.extend(runs);
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -15,6 +15,12 @@
 /// Run time of the job that shows whether a worker is usable, in milliseconds.
 const PROBE_MS: u64 = 100;
 
+/// Text of a job whose subtasks crash each worker that starts them.
+const CRASHES: &str = " crashes";
+
+/// Jobs for each one whose subtasks crash their workers.
+const JOBS_PER_CRASHING_JOB: u64 = 30;
+
 /// A step of a job.
 #[derive(Clone, Debug)]
 pub struct Step {
@@ -68,6 +74,9 @@
                 vec![step(rng.random_range(1..4), 1)]
             }
         };
+        // Drawn from the name, so that the other jobs of a seed stay the same.
+        let crashes = id.bytes().map(u64::from).sum::<u64>() % JOBS_PER_CRASHING_JOB == 0;
+        let (steps, note) = if crashes { (vec![step(2, 1)], CRASHES.to_owned()) } else { (steps, note) };
         let queue = queues[rng.random_range(0..queues.len())];
         let cancelled_after_ms = rng.random_bool(0.15).then(|| rng.random_range(0..4_000));
         let (spec, label) = (format!("job={id} run_ms={run_ms}{note}"), String::new());
@@ -91,6 +100,10 @@
         json!({"task_spec": self.spec, "steps": steps.collect::<Vec<_>>()})
     }
 
+    pub fn crashes_workers(&self) -> bool {
+        self.spec.contains(CRASHES)
+    }
+
     /// Returns the work of the job in accelerator-milliseconds, or core-milliseconds without accelerators.
     pub fn work_ms(&self) -> u64 {
         self.steps.iter().map(|step| step.count * step.needs.2.max(1) * self.run_ms).sum()
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -8,6 +8,8 @@
 
 use futures::future::join_all;
 use nix::sys::signal::Signal;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use sorrelland_standin::clock::wall_ms;
 use tokio::sync::Mutex as AsyncMutex;
@@ -17,12 +19,17 @@
 use crate::deployment::{Deployment, GRACE};
 use crate::faults::{Fault, Machine, Plan, Side, Stop};
 use crate::impairments::{Impairments, STORE};
+use crate::jobs::WORKER_GPUS;
 use crate::lock;
 use crate::proxy::Rules;
 
 /// Longest time that a draining worker may take, after which it is killed.
 const DRAIN_GRACE: Duration = Duration::from_secs(12);
 
+/// Longest time until a crashed worker is back, and time between two checks for crashed workers.
+const MAX_CRASH_GAP_MS: u64 = 3_000;
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Plays faults on a deployment and records what they impair.
 pub struct Player {
     pub deployment: Arc<Deployment>,
@@ -78,6 +85,20 @@
         }
     }
 
+    /// Restarts workers that have crashed, until the future is dropped.
+    pub async fn restart_crashed_workers(&self) {
+        let mut rng = StdRng::seed_from_u64(self.deployment.workers as u64);
+        loop {
+            let workers = (1..=self.deployment.workers).map(Machine::Worker);
+            let crashed: Vec<_> = workers
+                .filter(|worker| self.deployment.processes.exit_status(&worker.to_string()).is_some())
+                .map(|worker| self.stop(worker, Stop::Kill, rng.random_range(0..MAX_CRASH_GAP_MS)))
+                .collect();
+            join_all(crashed).await;
+            tokio::time::sleep(CRASH_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn play_fault(&self, fault: Fault) {
         let name = fault.name();
         let text = format!("{fault:?}");
@@ -119,6 +140,17 @@
                 }
                 checkins::send(&self.deployment, worker, kind, seed).await.is_some()
             }
+            Fault::Shrink { worker, accelerators, ms } => {
+                let target = format!("capacity of {}", Machine::Worker(worker));
+                let set = async |accelerators| self.deployment.set_accelerators(worker, accelerators).await;
+                // It impairs nothing; a worker that restarts meanwhile has its whole capacity again.
+                let busy = lock(&self.busy).entry(target).or_default().clone();
+                let Ok(_guard) = busy.try_lock() else { return };
+                let played = set(accelerators).await;
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                set(WORKER_GPUS).await;
+                played
+            }
             Fault::Publish { versions } => {
                 for version in 0..versions {
                     let extra =
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,7 +13,7 @@
 
 use crate::checks::Evidence;
 use crate::clients::Callers;
-use crate::deployment::{Deployment, MAX_ATTEMPTS};
+use crate::deployment::{Deployment, MAX_ATTEMPTS, WORKER_CAPACITY};
 use crate::faults;
 use crate::history::History;
 use crate::impairments::Impairments;
@@ -24,6 +24,9 @@
 /// Time after the loss of everything within which the platform expects service again, in milliseconds.
 const RECOVERY_MS: u64 = 12_000;
 
+/// Time in which a subtask crashes five workers, the most that the platform allows, each until it is back.
+const MAX_CRASHES_MS: u64 = 5 * 4_000;
+
 /// Share of the resources that a backlog can count on, in percent: the platform tolerates that waiting work isn't
 /// started as long as half of the resources are in use.
 const BACKLOG_PERCENT: u64 = 50;
@@ -94,6 +97,10 @@
         running: running.subscribe(),
     });
     let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
+    let restarting = {
+        let player = player.clone();
+        tokio::spawn(async move { player.restart_crashed_workers().await })
+    };
     tokio::join!(player.clone().play(plan), tokio::time::sleep(cfg.faults));
     submitting.send_replace(false);
     let probing = tokio::spawn(callers.clone().probe_workers());
@@ -108,10 +115,11 @@
     let (called, probed) = if let Ok(called) = in_time { called } else { calling.await };
     called.and(probed).map_err(io::Error::other)?;
     callers.poll_all().await;
+    restarting.abort();
 
     let ledger = lock(&callers.ledger).clone();
     let history = History::read(&dir, &deployment.lives())?;
-    let capacity = (130_000, 262_144, WORKER_GPUS);
+    let capacity = WORKER_CAPACITY;
     let evidence = Evidence { history: &history, ledger: &ledger, impairments: &impairments, capacity };
     let mut broken = evidence.broken_promises();
     let open = ledger.values().filter(|record| record.accepted_ms().is_some() && !record.has_ended());
@@ -152,7 +160,8 @@
     let work_ms: u64 = jobs.iter().map(|job| job.work_ms() * attempts(&job.spec)).sum();
     let chains = jobs.iter().map(|job| job.run_ms * job.steps.len() as u64 * attempts(&job.spec));
     let usable = workers as u64 * WORKER_GPUS * BACKLOG_PERCENT;
-    Duration::from_millis(RECOVERY_MS + work_ms * 100 / usable + chains.max().unwrap_or(0))
+    let crashes_ms = jobs.iter().filter(|job| job.crashes_workers()).count() as u64 * MAX_CRASHES_MS;
+    Duration::from_millis(RECOVERY_MS + work_ms * 100 / usable + chains.max().unwrap_or(0) + crashes_ms)
 }
 
 fn summarize(ledger: &Ledger, history: &History, player: &Player, took_ms: u64) -> String {
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -18,7 +18,7 @@
   sorrelland-standin worker [--listen IP:PORT] [--name NAME] [--slots N] [--accelerators N]
   sorrelland-standin platform-store [--listen IP:PORT]
   sorrelland-standin platform-worker --announce IP:PORT [--listen IP:PORT] [--name NAME] [--rack NAME]
-    [--accelerators N] [--clock-percent N] [--gang-dir DIR]
+    [--accelerators N] [--clock-percent N] [--gang-dir DIR] [--tells-start]
 
 Options:
   --listen IP:PORT   address to listen on; port 0 takes a free one [127.0.0.1:0]
@@ -29,6 +29,7 @@
   --rack NAME        rack of a platform worker [r1]
   --clock-percent N  speed of a platform worker's clock, in percent [100]
   --gang-dir DIR     directory in which the members of gangs on platform workers find each other
+  --tells-start      a platform worker tells when it started, so that it may keep its name when it restarts
   --connections N    connections of the upstream [64]
   --help             print this text
 
@@ -83,7 +84,7 @@
     let mut listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut sizes = default_sizes();
     let (mut agent_address, mut rack) = (String::new(), "r1".to_owned());
-    let (mut clock_percent, mut gang_dir) = (100, None);
+    let (mut clock_percent, mut gang_dir, mut tells_start) = (100, None, false);
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
@@ -93,6 +94,7 @@
             Arg::Long("name") => sizes.name = parser.value()?.string()?,
             Arg::Long("clock-percent") => clock_percent = parser.value()?.parse()?,
             Arg::Long("gang-dir") => gang_dir = Some(parser.value()?.into()),
+            Arg::Long("tells-start") => tells_start = true,
             Arg::Long("slots") => sizes.slots = parser.value()?.parse()?,
             Arg::Long("accelerators") => sizes.accelerators = parser.value()?.parse()?,
             Arg::Long("connections") => sizes.connections = parser.value()?.parse()?,
@@ -110,8 +112,15 @@
                 i64::from(sizes.memory_gb) * 1_024,
                 i64::from(sizes.accelerators),
             );
-            let setup =
-                Setup { incarnation: sizes.name, agent_address, rack, capacity, clock_percent, gang_dir };
+            let setup = Setup {
+                incarnation: sizes.name,
+                agent_address,
+                rack,
+                capacity,
+                clock_percent,
+                gang_dir,
+                tells_start,
+            };
             Ok(Command::PlatformWorker { listen, setup })
         }
         Some("platform-worker") => Err(lexopt::Error::Custom("--announce is required".into()).into()),
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -2,7 +2,8 @@
 //!
 //! The text of a job sets the run time of its subtasks, as in `run_ms=300`; if it contains `fails`, the runs fail
 //! at their end, if it contains `fails_first`, only those with run number 1. Members of a gang proceed by
-//! themselves, unless the text names its size, as in `gang=3`, and the worker has a directory for gangs.
+//! themselves, unless the text names its size, as in `gang=3`, and the worker has a directory for gangs. If the text
+//! contains `crashes`, the process ends shortly after the start of a run.
 //!
 //! Each event is also a line on standard output, with the wall clock in milliseconds, so that the history outlives
 //! the process. SIGTERM makes the worker drain, deregister and exit.
@@ -15,9 +16,12 @@
 
 use bytes::Bytes;
 use dropshot::{
-    ApiDescription, Body, HttpError, HttpResponseOk, HttpServer, RequestContext, UntypedBody, endpoint,
+    ApiDescription, Body, HttpError, HttpResponseOk, HttpServer, RequestContext, TypedBody, UntypedBody,
+    endpoint,
 };
 use http::{Method, Response, StatusCode};
+use schemars::JsonSchema;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use sorrelland_web::{Client, server};
 use tokio::signal::unix::{SignalKind, signal};
@@ -43,6 +47,9 @@
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
 const SUSPENSION_MS: u64 = 200;
 
+/// Time from the start of a run that crashes the worker until the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(10);
+
 /// Run time if the text of the job sets none.
 const DEFAULT_RUN_MS: u64 = 300;
 
@@ -60,6 +67,8 @@
     pub clock_percent: u64,
     /// Directory in which the members of gangs find each other.
     pub gang_dir: Option<PathBuf>,
+    /// Whether it tells when it started, as workers do that keep their name when they restart.
+    pub tells_start: bool,
 }
 
 struct Run {
@@ -87,12 +96,16 @@
     highest_run: BTreeMap<String, u64>,
     /// Highest end number acknowledged by the agent.
     acknowledged: u64,
+    /// As in [`Setup::capacity`]; it may change while the worker runs.
+    capacity: (i64, i64, i64),
     history: Vec<Value>,
 }
 
 pub struct Worker {
     setup: Setup,
     started: Instant,
+    /// When it started, in milliseconds since 1970.
+    started_ms: u64,
     state: Mutex<State>,
     /// Notified when a run has ended.
     run_ended: Notify,
@@ -117,6 +130,18 @@
         println!("at_ms={at_ms} worker={} {event}", self.setup.incarnation);
     }
 
+    fn print_capacity(&self, event: &str) {
+        let (cpu, memory_mb, gpu) = lock(&self.state).capacity;
+        self.print(wall_ms(), &format!("event={event} cpu={cpu} memory_mb={memory_mb} gpu={gpu}"));
+    }
+
+    /// Adds the time of its start to what it says of itself.
+    fn tell_start(&self, body: &mut Value) {
+        if self.setup.tells_start {
+            body["born"] = self.started_ms.into();
+        }
+    }
+
     /// Ends the runs that are complete, and all runs if the lease has ended.
     fn advance(&self, state: &mut State) {
         let now = self.clock_ms();
@@ -180,16 +205,18 @@
     api.register(run_stop).expect("registered once");
     api.register(hold).expect("registered once");
     api.register(history).expect("registered once");
+    api.register(set_capacity).expect("registered once");
+    let capacity = setup.capacity;
     let worker = Arc::new(Worker {
         setup,
         started: Instant::now(),
-        state: Mutex::default(),
+        started_ms: wall_ms(),
+        state: Mutex::new(State { capacity, ..State::default() }),
         run_ended: Notify::new(),
     });
     let server = server::start(api, worker.clone(), listen, 1024 * 1024)?;
     let address = server.local_addr().to_string();
-    let (cpu, memory_mb, gpu) = worker.setup.capacity;
-    worker.print(wall_ms(), &format!("event=born cpu={cpu} memory_mb={memory_mb} gpu={gpu}"));
+    worker.print_capacity("born");
     tokio::spawn(announce_loop(worker.clone(), address));
     tokio::spawn(advance_loop(worker));
     Ok(server)
@@ -212,13 +239,14 @@
 
 async fn announce_loop(worker: Arc<Worker>, address: String) {
     let client = Client::new(Duration::from_secs(1));
-    let Setup { incarnation, agent_address, rack, capacity, .. } = &worker.setup;
+    let Setup { incarnation, agent_address, rack, .. } = &worker.setup;
     let url = format!("http://{agent_address}/instances/{incarnation}");
     let mut terminate = signal(SignalKind::terminate()).expect("handler for SIGTERM");
     let mut leave_at = None;
     let mut acknowledged = false;
     for sequence in 1.. {
         let draining = leave_at.is_some();
+        let capacity = lock(&worker.state).capacity;
         let mut body = json!({
             "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8,
             "state": if draining { "draining" } else { "ready" }, "cold_remaining_ms": 0, "labels": ["a", rack],
@@ -228,6 +256,7 @@
         if draining {
             body["remaining_ms"] = DRAIN_MS.into();
         }
+        worker.tell_start(&mut body);
         // A lost announcement needs no handling: the next one follows after the interval.
         let reply = client.send(Method::PUT, &url, &[], Bytes::from(body.to_string())).await;
         if draining && !acknowledged && reply.is_ok_and(|reply| reply.status.is_success()) {
@@ -332,9 +361,43 @@
     // A member of a gang gets its end when all members are present.
     let end_ms = if gang.is_some() { u64::MAX } else { clock_ms + run_ms };
     state.running.insert((task, run), Run { end_ms, stopped: false, fails, gang });
+    if spec.contains("crashes") {
+        tokio::spawn(crash(worker.clone()));
+    }
     respond(StatusCode::OK, &json!({"clock_ms": clock_ms}))
 }
 
+/// Ends the process shortly after the start of a run that crashes it, like a machine that runs out of memory.
+async fn crash(worker: Arc<Worker>) {
+    tokio::time::sleep(CRASH_DELAY).await;
+    // The lock is held until the process has ended, so that nothing starts after this line.
+    let state = lock(&worker.state);
+    worker.print(wall_ms(), "event=crashed");
+    state.running.values().filter_map(|run| run.gang.as_ref()).for_each(|gang| gang.leave("lapsed"));
+    std::process::exit(1);
+}
+
+/// Amounts of a worker's resources.
+#[derive(Deserialize, JsonSchema)]
+struct Capacity {
+    /// In thousandths of a core.
+    cpu: i64,
+    memory_mb: i64,
+    gpu: i64,
+}
+
+#[endpoint { method = PUT, path = "/v1/capacity" }]
+async fn set_capacity(
+    cx: RequestContext<Arc<Worker>>,
+    body: TypedBody<Capacity>,
+) -> Result<HttpResponseOk<()>> {
+    let worker = cx.context();
+    let Capacity { cpu, memory_mb, gpu } = body.into_inner();
+    lock(&worker.state).capacity = (cpu, memory_mb, gpu);
+    worker.print_capacity("capacity");
+    Ok(HttpResponseOk(()))
+}
+
 #[endpoint { method = POST, path = "/run-stop" }]
 async fn run_stop(cx: RequestContext<Arc<Worker>>, body: UntypedBody) -> Result<Response<Body>> {
     let request = match accept_request(&cx, &body) {
@@ -379,7 +442,8 @@
     }
     let state = lock(&worker.state);
     let running: Vec<Value> = state.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
-    let reply = json!({"clock_ms": worker.clock_ms(), "running": running, "finished": state.finished});
+    let mut reply = json!({"clock_ms": worker.clock_ms(), "running": running, "finished": state.finished});
+    worker.tell_start(&mut reply);
     respond(StatusCode::OK, &reply)
 }
 
