--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -187,3 +187,31 @@
     assert!(broken(&(drains.clone() + &started(12_050, &subtask(0), 1)), "", record()).is_empty());
     assert_eq!(broken(&(drains + &started(12_051, &subtask(0), 1)), "", record()), ["DRAIN"]);
 }
+
+#[test]
+fn start_after_capacity_has_shrunk() {
+    let born = "at_ms=9000 worker=w event=born cpu=4000 memory_mb=4096 gpu=2\n".to_owned();
+    let shrunk = born + "at_ms=10000 worker=w event=capacity cpu=4000 memory_mb=4096 gpu=1\n";
+    let within_bound = shrunk.clone() + &started(13_200, &subtask(0), 1);
+    assert!(broken(&within_bound, "", record()).is_empty());
+    let grown = shrunk.clone()
+        + "at_ms=14000 worker=w event=capacity cpu=4000 memory_mb=4096 gpu=2\n"
+        + &started(14_100, &subtask(0), 1);
+    assert!(broken(&grown, "", record()).is_empty());
+    assert_eq!(broken(&(shrunk + &started(13_400, &subtask(0), 1)), "", record()), ["LIMIT"]);
+}
+
+#[test]
+fn starts_after_three_workers_have_crashed() {
+    let mut record = record();
+    record.job.spec = "run_ms=100 crashes".to_owned();
+    let mut log = String::new();
+    for run in 1..=6 {
+        let crash = format!("at_ms={} worker=w event=crashed\n", 10_000 + 1_000 * run + 10);
+        let start = started(10_000 + 1_000 * run, &subtask(0), run);
+        log += &start.replace("run_ms=100", "run_ms=100 crashes");
+        log += &crash;
+        let expected: &[&str] = if run < 6 { &[] } else { &["BUDGET"] };
+        assert_eq!(broken(&log, "", record.clone()), expected, "run {run}");
+    }
+}
--- a/crates/sorrelland/tests/soak.rs
+++ b/crates/sorrelland/tests/soak.rs
@@ -29,3 +29,8 @@
 async fn soak_with_faults_of_processes_and_store_keeps_promises() {
     assert_promises_kept(12).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_crashing_subtasks_and_shrinking_workers_keeps_promises() {
+    assert_promises_kept(7_001).await;
+}
