--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -156,8 +156,13 @@
         }
     }
 
-    /// Returns the largest capacity that counts for a start.
+    /// Returns the largest capacity that counts for a start. A worker that was suspended executes orders late, and has
+    /// not announced what changed before.
     fn capacity_at(&self, run: &Run) -> Needs {
+        let worker = [Machine::Worker(run.worker).to_string()];
+        if !self.impairments.is_in_touch(&worker, run.start_ms, run.start_ms) {
+            return self.capacity;
+        }
         let known = self.history.capacities.get(&run.life).map_or(&[][..], Vec::as_slice);
         let since = known.iter().rposition(|(at_ms, _)| at_ms + SHRINK_MS <= run.start_ms).unwrap_or(0);
         let counts =
