--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -159,8 +159,7 @@
     /// Returns the largest capacity that counts for a start. A worker that was suspended executes orders late, and has
     /// not announced what changed before.
     fn capacity_at(&self, run: &Run) -> Needs {
-        let worker = [Machine::Worker(run.worker).to_string()];
-        if !self.impairments.is_in_touch(&worker, run.start_ms, run.start_ms) {
+        if self.impairments.was_impaired(&Machine::Worker(run.worker).to_string(), run.start_ms) {
             return self.capacity;
         }
         let known = self.history.capacities.get(&run.life).map_or(&[][..], Vec::as_slice);
--- a/crates/soak/src/impairments.rs
+++ b/crates/soak/src/impairments.rs
@@ -44,6 +44,11 @@
         })
     }
 
+    /// Returns whether a part was impaired at a time or in the [`CONTACT_MS`] before.
+    pub fn was_impaired(&self, part: &str, at_ms: u64) -> bool {
+        !self.is_calm(at_ms, at_ms, |impaired| impaired != part)
+    }
+
     /// Returns whether there was no impairment at all from [`CONTACT_MS`] before `from_ms` to `to_ms`.
     pub fn is_calm_everywhere(&self, from_ms: u64, to_ms: u64) -> bool {
         self.is_calm(from_ms, to_ms, |_| false)
