Give up a suspect whose crashes are partly hidden by other causes

Cause: a crash beside the loss of other workers doesn't count as the subtask's own, and the loss of a worker that had announced its departure isn't counted at all, so the second crash apart from other jobs came too late.

Change: losses of a suspect that don't count as crashes are counted beside them. A unit with two crashes of its own is given up once five of its runs are lost, whatever the cause; without two of its own it never is.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -465,6 +465,8 @@
         let runs: Vec<_> = lost.iter().map(|entry| (entry.task.clone(), entry.run)).collect();
         if *is_crash && !was_draining {
             self.record_crash(now, incarnation, *silent_ms, &runs);
+        } else {
+            self.record_uncounted_losses(now, &runs);
         }
         for entry in &lost {
             self.record_not_started(now, wall, incarnation, entry, source);
--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -27,6 +27,10 @@
 /// Crashes from which a unit is given up in any case: the users allow two more starts after three crashes.
 const MAX_CRASHES: usize = 5;
 
+/// Crashes without a common cause from which a unit is given up once [`MAX_CRASHES`] of its runs are lost for any cause.
+/// Under two crashes the users allow that.
+const OWN_CRASHES_TO_GIVE_UP: usize = 2;
+
 /// Time within which workers with a common cause of their loss stop answering, such as their rack's power, in
 /// milliseconds.
 const LOST_TOGETHER_MS: u64 = 250;
@@ -143,7 +147,12 @@
     pub fn is_given_up(&self) -> bool {
         let own = self.crashes.iter().filter(|crash| !crash.is_common);
         let lone = own.clone().filter(|crash| crash.alone).count();
-        lone >= LONE_CRASHES_TO_GIVE_UP || own.count() >= MAX_CRASHES
+        let own = own.count();
+        // A crash beside others, or under a worker that was leaving, may have been its own as well.
+        let lost_runs = self.crashes.len() + self.uncounted_losses as usize;
+        lone >= LONE_CRASHES_TO_GIVE_UP
+            || own >= MAX_CRASHES
+            || (own >= OWN_CRASHES_TO_GIVE_UP && lost_runs >= MAX_CRASHES)
     }
 
     /// Returns whether a run of this age has outlived all those that ended with a crash.
@@ -151,10 +160,15 @@
         self.crashes.iter().all(|crash| crash.is_outlived_by(ran_ms))
     }
 
+    fn clear_crashes(&mut self) {
+        self.crashes.clear();
+        self.uncounted_losses = 0;
+    }
+
     /// Records the crash of a worker for a run; returns whether that changes anything.
     fn record_crash(&mut self, worker: &CrashedWorker, lost: &LostRun, is_common: bool) -> bool {
         if lost.ran_ms > MAX_SUSPECT_AGE_MS {
-            self.crashes.clear();
+            self.clear_crashes();
             return false;
         }
         self.crashes.retain(|crash| crash.run == lost.run || !crash.is_outlived_by(lost.ran_ms));
@@ -207,6 +221,28 @@
         self.attribute_crashes(now);
     }
 
+    /// Records runs of suspects that were lost with their worker for a cause that doesn't count as a crash.
+    pub(crate) fn record_uncounted_losses(&mut self, now: u64, lost: &[(Task, u64)]) {
+        // Members of a gang are lost together.
+        let units: BTreeSet<(String, UnitKey)> = lost
+            .iter()
+            .filter_map(|(task, _)| Some((task.job.clone(), self.unit_of(task)?.0)))
+            .filter(|suspect| self.crashes.suspects.contains(suspect))
+            .collect();
+        for (name, key) in units {
+            let unit = self.jobs.get_mut(&name).and_then(|job| job.units.get_mut(&key));
+            let Some(unit) = unit.filter(|unit| !unit.crashes.is_empty()) else { continue };
+            unit.uncounted_losses += 1;
+            unit.crashed_at = now;
+            let (crashes, losses) = (unit.crashes.len(), unit.uncounted_losses);
+            self.log_line(format!(
+                "event=loss_of_suspect job={name} task={} crashes={crashes} uncounted_losses={losses}",
+                key.task(&name, 0)
+            ));
+            self.mark_changed(&name);
+        }
+    }
+
     fn lost_run(&self, now: u64, task: &Task, run: u64) -> Option<LostRun> {
         let (key, _) = self.unit_of(task)?;
         let job = self.jobs.get(&task.job)?;
@@ -330,7 +366,7 @@
         if !is_running || !unit.has_outlived_crashes(ran_ms) {
             return false;
         }
-        unit.crashes.clear();
+        unit.clear_crashes();
         let task = key.task(name, 0);
         self.log_line(format!("event=crashes_cleared job={name} task={task} ran_ms={ran_ms}"));
         self.mark_changed(name);
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -76,6 +76,10 @@
     /// Crashes of workers that its runs may have caused.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<Crash>,
+    /// Runs lost with their worker since the first crash that don't count as crashes: the worker was leaving, or its loss
+    /// was known only by the end of its lease.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub uncounted_losses: u32,
     /// When a crash was last counted, on the monotonic clock; 0 if an earlier planner did.
     #[serde(skip)]
     pub crashed_at: u64,
@@ -102,3 +106,7 @@
         self.members.iter().all(|member| member.released)
     }
 }
+
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -46,6 +46,7 @@
         let report = &mut self.fleet.reports[at];
         report.running.clear();
         report.ended.clear();
+        report.worker.as_mut().unwrap().draining = false;
         report.worker.as_mut().unwrap().incarnation = format!("w{at}-{}", self.incarnations);
     }
 
@@ -95,6 +96,10 @@
         self.down.contains_key(&self.position(incarnation))
     }
 
+    fn is_down_at(&self, at: usize) -> bool {
+        self.down.contains_key(&at)
+    }
+
     fn state(&self, job: &str) -> Option<JobState> {
         self.fleet.planner.state(job)
     }
@@ -190,15 +195,6 @@
         play.run(5_000);
     }
     for job in ["wide", "gang"] {
-        for l in play
-            .fleet
-            .planner
-            .take_log()
-            .iter()
-            .filter(|l| l.contains("crash") || l.contains("given") || l.contains("worker_lost"))
-        {
-            eprintln!("{}", &l[..l.len().min(260)]);
-        }
         assert_eq!(play.state(job), Some(JobState::Running), "{job}");
     }
 }
@@ -218,3 +214,31 @@
     }
     assert_eq!(play.state("alone"), Some(JobState::Running));
 }
+
+#[test]
+fn tick_gives_up_subtask_whose_crashes_are_partly_hidden_by_other_causes() {
+    let mut play = Play::new(8, &["deadly"]);
+    play.fleet.submit("deadly", "plain", vec![step(1, 1)]);
+    let mut crashes = 0;
+    for _ in 0..900 {
+        play.run(STEP_MS);
+        let known = play.crashes.values().sum::<u64>();
+        if known == crashes {
+            continue;
+        }
+        crashes = known;
+        let is_deadly = |at: &usize| !play.fleet.reports[*at].running.is_empty();
+        let crashed = (0..8).find(|at| play.is_down_at(*at) && is_deadly(at)).unwrap();
+        match crashes {
+            // Two other workers are lost at the same moment.
+            3 => {
+                let others: Vec<usize> = (0..8).filter(|at| !play.is_down_at(*at)).take(2).collect();
+                others.into_iter().for_each(|at| _ = play.down.insert(at, play.fleet.now + RESTART_MS));
+            }
+            // The worker had announced that it would leave.
+            4 => play.fleet.reports[crashed].worker.as_mut().unwrap().draining = true,
+            _ => (),
+        }
+    }
+    play.assert_given_up();
+}
