Forecast speeds of workers and remaining times from reported progress

Cause: no decision knows that workers differ in speed, or how long a run really takes; every target rests on what callers declared.

Change: crate sorrelland-forecast, without I/O or clock. The rate of each run is compared with the other runs of its step on other workers; how much one step says follows from how far the steps of a worker agree. Members of a gang report the same progress whatever their workers, so they are no evidence. The planner feeds it; no decision reads it yet.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use crate::forecast::run_id;
 use crate::incarnation;
 use crate::job::{Job, Outcome, Step};
 use crate::planner::{Agent, Planner, mark_ending, set_state};
@@ -212,6 +213,7 @@
         let last_applied = worker.applied_end.0;
         for run in &report.running {
             self.record_running(&incarnation, &run.task, run.run, run.percent, &run.saved);
+            self.forecast_progress(now, &incarnation, run);
         }
         let accounted = report.ended.iter().map(|end| (&end.task, end.run));
         let accounted = accounted.chain(report.not_started.iter().map(|entry| (&entry.task, entry.run)));
@@ -327,6 +329,10 @@
     /// Applies the end of a run; returns whether anything changed.
     fn record_end(&mut self, now: u64, wall: u64, incarnation: &str, end: &End) -> bool {
         let max_failures = self.max_attempts(&end.task.job);
+        if self.member_mut(incarnation, &end.task, end.run).is_none() {
+            return false;
+        }
+        self.forecast_end(now, incarnation, end);
         let Some((job, key, _)) = self.member_mut(incarnation, &end.task, end.run) else { return false };
         job.started = true;
         let long_running = job.sub.steps.get(key.step as usize).is_some_and(|step| step.long_running);
@@ -390,6 +396,7 @@
         if entry.reason == APPROVAL_REFUSED {
             self.approvals.invalidate(&Self::step_key_of(&entry.task), incarnation);
         }
+        self.forecasts.remove_run(&run_id(&entry.task, entry.run));
         let (task, run, reason) = (&entry.task, entry.run, &entry.reason);
         self.log_line(format!(
             "event=run_gone job={} task={task} run={run} worker={incarnation} ran_ms={ran_ms} why={reason:?} {source}",
@@ -472,6 +479,7 @@
             self.record_not_started(now, wall, incarnation, entry, source);
         }
         self.workers.remove(incarnation);
+        self.forecasts.remove_worker(incarnation);
         let mut given_up = self.given_up.remove(incarnation).unwrap_or_default();
         given_up.extend(runs);
         // The next incarnation of a name may still start what was sent to this one.
--- /dev/null
+++ b/crates/fleet/src/forecast.rs
@@ -0,0 +1,69 @@
+//! Feeds the forecasts with the progress and the ends that workers report.
+
+use sorrelland_forecast::{Progress, RunId};
+
+use crate::job::Step;
+use crate::planner::Planner;
+use crate::report::{End, EndReason, Running};
+use crate::task::Task;
+use crate::worker::Worker;
+
+/// Returns the name of a run in the forecasts.
+pub fn run_id(task: &Task, run: u64) -> RunId {
+    RunId { step: (task.job.clone(), task.occurrence, task.step), index: task.index, run }
+}
+
+/// Returns whether the duration of a step's runs on a worker says something of the worker's speed.
+fn is_comparable(step: &Step, worker: &Worker) -> bool {
+    // Serving subtasks have no end, members of a gang advance together, those on idle CPU are slowed down on purpose, and
+    // data on another rack slows a run.
+    !step.long_running
+        && !step.gang
+        && !step.uses_idle_cpu
+        && step.preferred_rack.as_deref().is_none_or(|rack| worker.has_label(rack))
+}
+
+impl Planner {
+    /// Records the reported progress of a run.
+    pub(crate) fn forecast_progress(&mut self, now: u64, incarnation: &str, run: &Running) {
+        let step = self.jobs.get(&run.task.job).and_then(|job| job.sub.steps.get(run.task.step as usize));
+        let Some((step, worker)) = step.zip(self.workers.get(incarnation)) else { return };
+        if !is_comparable(step, worker) {
+            return;
+        }
+        let id = run_id(&run.task, run.run);
+        if let Progress::Invalid(reason) = self.forecasts.record_progress(now, incarnation, &id, run.percent)
+            && let Some(count) = self.line_limit.record(now, reason)
+        {
+            self.log_line(format!(
+                "event=progress_ignored worker={incarnation} task={} run={} percent={} reason=\"{reason}\" count={count}",
+                run.task, run.run, run.percent
+            ));
+        }
+    }
+
+    /// Records the end of a run that the planner had placed.
+    pub(crate) fn forecast_end(&mut self, now: u64, incarnation: &str, end: &End) {
+        let id = run_id(&end.task, end.run);
+        let unit = self.unit_of(&end.task);
+        let job = self.jobs.get(&end.task.job);
+        let Some(((key, _), job)) = unit.zip(job) else { return self.forecasts.remove_run(&id) };
+        let step = job.sub.steps.get(key.step as usize);
+        let Some((step, worker)) = step.zip(self.workers.get(incarnation)) else {
+            return self.forecasts.remove_run(&id);
+        };
+        let unit = job.units.get(&key);
+        // A run that continued from saved progress was shorter than its work.
+        let placed_at = unit.filter(|unit| unit.run == 1).and_then(|unit| unit.placed_at);
+        let ran_ms = placed_at
+            .filter(|_| end.reason == EndReason::Done && is_comparable(step, worker))
+            .map(|at| now.saturating_sub(at));
+        let (queue, estimate_ms) = (job.sub.queue.clone(), step.estimate_ms);
+        self.forecasts.record_end(incarnation, &id, &queue, estimate_ms, ran_ms);
+    }
+
+    /// Computes the forecasts anew if that is due.
+    pub(crate) fn update_forecasts(&mut self, now: u64) {
+        self.forecasts.update(now);
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod crash;
 pub mod desired;
+pub mod forecast;
 pub mod incarnation;
 pub mod job;
 pub mod line_limit;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use sorrelland_forecast::Forecasts;
+
 use crate::admit;
 use crate::approvals::Approvals;
 use crate::claims::Claims;
@@ -95,6 +97,7 @@
     /// Runs given up on worker incarnations that were removed. Their starts may still arrive if the worker comes back.
     pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
     pub(crate) crashes: Crashes,
+    pub(crate) forecasts: Forecasts,
     /// When workers were lost recently, on the monotonic clock.
     pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
@@ -153,6 +156,7 @@
             unreported,
             given_up: BTreeMap::new(),
             crashes,
+            forecasts: Forecasts::default(),
             lost_at: Vec::new(),
             live,
             last_urgent_at: None,
@@ -399,6 +403,7 @@
         self.remove_old_jobs(wall);
         self.judge_suspects(now, wall);
         self.set_paces(now);
+        self.update_forecasts(now);
         self.place_waiting_units(now, wall);
     }
 
