Place urgent gangs on workers fast enough for them

Urgent units go to workers that are fast enough for the time that is left, the fastest first; other work to the slowest that is fast enough; the reserve for urgent work counts only workers that suit it, and the others are open to all. An urgent unit that fits on no such worker has less urgent runs stopped there, or waits while it can still be in time, unless it could never fit there.

--- a/crates/ctl/src/late.rs
+++ b/crates/ctl/src/late.rs
@@ -31,11 +31,12 @@
 }
 
 /// Every delay with its name in the report.
-const DELAYS: [(Delay, &str); 13] = [
+const DELAYS: [(Delay, &str); 14] = [
     (Delay::Refused, "refused"),
     (Delay::NoAnswer, "no answer"),
     (Delay::Wait(WaitReason::Workers), "no worker"),
     (Delay::Wait(WaitReason::Resources), "resources"),
+    (Delay::Wait(WaitReason::Speed), "slow workers"),
     (Delay::Wait(WaitReason::Stops), "stops"),
     (Delay::Wait(WaitReason::Rack), "rack"),
     (Delay::Wait(WaitReason::Reserve), "reserve"),
--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -401,7 +401,9 @@
         };
         let workers = pass.pool.workers.iter().enumerate().filter(|(_, worker)| admits(worker));
         let mut rooms: Vec<(u64, Room)> = workers
-            .map(|(at, worker)| (self.busy_ms(pass.now, worker), Room { worker: at, free: worker.capacity }))
+            .map(|(at, worker)| {
+                (self.busy_ms(pass.now, worker), Room { worker: at, free: worker.capacity, rank: 0 })
+            })
             .collect();
         rooms.sort_by_key(|(busy_ms, room)| (*busy_ms, room.worker));
         let need = Need::new(step, if step.gang { step.count } else { 1 });
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -2,10 +2,12 @@
 
 use sorrelland_forecast::{Progress, RunId};
 
+use crate::desired::Queue;
 use crate::job::Step;
 use crate::planner::Planner;
 use crate::report::{End, EndReason, Running};
 use crate::task::Task;
+use crate::timing::SpeedClasses;
 use crate::worker::Worker;
 
 /// Returns the name of a run in the forecasts.
@@ -62,8 +64,37 @@
         self.forecasts.record_end(incarnation, &id, &queue, estimate_ms, ran_ms);
     }
 
-    /// Computes the forecasts anew if that is due.
+    /// Computes the forecasts anew if that is due, and in which services speeds count.
     pub(crate) fn update_forecasts(&mut self, now: u64) {
-        self.forecasts.update(now);
+        if !self.forecasts.update(now) {
+            return;
+        }
+        for service in self.desired.services.keys() {
+            let queues = self.desired.queues.iter();
+            let urgent = queues.filter(|queue| queue.service == *service && queue.priority == 0);
+            let stretch_milli = urgent.map(|queue| queue.stretch_milli).min().unwrap_or(0);
+            let workers = self.workers.values().filter(|worker| worker.info.service == *service);
+            let known = workers.filter_map(|worker| self.forecasts.speeds().get(&worker.info.incarnation));
+            let speeds = known.map(|speed| speed.milli).collect();
+            let classes = SpeedClasses::new(speeds, stretch_milli);
+            let is_new = classes.is_some() != self.speed_classes.contains_key(service);
+            if is_new {
+                self.log.push(match classes {
+                    Some(SpeedClasses { urgent_milli, fast_milli }) => format!(
+                        "event=speeds_count service={service} urgent_milli={urgent_milli} fast_milli={fast_milli}"
+                    ),
+                    None => format!("event=speeds_ignored service={service}"),
+                });
+            }
+            match classes {
+                Some(classes) => _ = self.speed_classes.insert(service.clone(), classes),
+                None => _ = self.speed_classes.remove(service),
+            }
+        }
+    }
+
+    /// Returns the classes of the speeds of the workers that may run a queue's jobs; `None` where speeds don't count.
+    pub(crate) fn speed_classes_of(&self, queue: &Queue) -> Option<&SpeedClasses> {
+        self.speed_classes.get(&queue.service)
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod report;
 pub mod resources;
 pub mod task;
+pub mod timing;
 pub mod unit;
 pub mod value;
 pub mod victims;
--- a/crates/fleet/src/pass.rs
+++ b/crates/fleet/src/pass.rs
@@ -31,7 +31,9 @@
 
 impl Pass {
     pub fn new(planner: &Planner, now: u64, wall: u64) -> Self {
-        let mut pool = Pool::new(&planner.workers, &planner.evacuated, &planner.isolated_workers(), now);
+        let isolated = planner.isolated_workers();
+        let speeds = |incarnation: &str| planner.forecasts.speed(incarnation).milli;
+        let mut pool = Pool::new(&planner.workers, &planner.evacuated, &isolated, speeds, now);
         planner.claims.add_to(&mut pool);
         Self {
             now,
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -12,6 +12,7 @@
 use crate::pool::{Need, Pool, PoolWorker, Room};
 use crate::preempt;
 use crate::resources::Resources;
+use crate::timing::JobTiming;
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::value::{LatestStarts, Timeliness, attainable_value, estimated_work_core_s};
 use crate::wait::WaitReason;
@@ -51,6 +52,8 @@
     pub value_density: f64,
     /// Latest start that preserves the timeliness, in milliseconds since 1970.
     pub latest_start: u64,
+    /// Estimated times of its job.
+    pub timing: JobTiming,
     /// Whether the guarantee's bound is so near that the unit has to start now, on any rack.
     pub must_start: bool,
 }
@@ -185,8 +188,21 @@
         let step = job.sub.steps.get(key.step as usize)?;
         let work = estimated_work_core_s(&job.sub).max(1.0);
         let value = self.mean_work(&job.sub.queue).value(queue.priority, work);
-        let latest_starts = LatestStarts::new(job, queue, key);
+        let urgent_classes = self.speed_classes_of(queue).filter(|_| queue.priority == 0);
+        let latest_starts = match urgent_classes {
+            // It goes to fast workers first.
+            Some(classes) => {
+                LatestStarts::with_duration_factor(job, queue, key, classes.duration_factor_milli())
+            }
+            None => LatestStarts::new(job, queue, key),
+        };
         let timeliness = latest_starts.timeliness(wall);
+        let ready_ms = job.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
+        let timing = JobTiming {
+            age_ms: wall.saturating_sub(ready_ms),
+            target_ms: job.critical_path_ms() * queue.stretch_milli / 1_000 + queue.full_value_ms,
+            remaining_ms: job.critical_path_from_ms(key.step),
+        };
         Some(Candidate {
             job: job.sub.job.clone(),
             key,
@@ -199,6 +215,7 @@
                 Timeliness::InTime => latest_starts.in_time,
                 Timeliness::Late | Timeliness::Missed => latest_starts.late,
             },
+            timing,
             must_start: false,
         })
     }
@@ -244,9 +261,12 @@
                 && worker.admits(&candidate.job)
                 && is_approved(worker)
         });
+        let classes = self.speed_classes_of(queue);
+        let is_urgent = candidate.priority == 0;
         let room = |(at, worker): (usize, &PoolWorker)| Room {
             worker: at,
             free: worker.unclaimed(candidate.guaranteed),
+            rank: classes.map_or(0, |classes| classes.rank(worker.speed_milli, is_urgent)),
         };
         let mut rooms: Vec<Room> = accepting.map(room).collect();
         // The unit's own claim doesn't count against it.
@@ -277,17 +297,20 @@
         let step = job.and_then(|job| job.sub.steps.get(candidate.key.step as usize));
         let unit = job.and_then(|job| job.units.get(&candidate.key));
         let (Some(step), Some(unit)) = (step, unit) else { return Err(WaitReason::Workers) };
-        if self.would_use_reserve(pass, candidate, step) {
+        let uses_reserve = self.would_use_reserve(pass, candidate, step);
+        let classes = self.queue_of(&candidate.job).and_then(|queue| self.speed_classes_of(queue));
+        if uses_reserve && classes.is_none() {
             return Err(WaitReason::Reserve);
         }
         let has_claim = self.claims.contains(&candidate.job, candidate.key);
         if unit.must_run_alone() {
-            return self.find_rooms(pass, candidate, step, unit).map_err(|_| WaitReason::Isolation);
+            let found = self.find_rooms(pass, candidate, step, unit, uses_reserve);
+            return found.map_err(|_| WaitReason::Isolation);
         }
         if !has_claim && pass.is_step_unplaceable(candidate) {
             return Err(WaitReason::Resources);
         }
-        let found = self.find_rooms(pass, candidate, step, unit);
+        let found = self.find_rooms(pass, candidate, step, unit, uses_reserve);
         if found == Err(WaitReason::Resources) && !step.gang && !has_claim && unit.failed_on.is_empty() {
             pass.mark_step_unplaceable(candidate);
         }
@@ -300,6 +323,7 @@
         candidate: &Candidate,
         step: &Step,
         unit: &Unit,
+        uses_reserve: bool,
     ) -> std::result::Result<Vec<usize>, WaitReason> {
         let pool = &pass.pool;
         let mut rooms = self.available_rooms(pool, pass.now, candidate, step);
@@ -319,10 +343,34 @@
         }
         let locality_wait_ms = step.estimate_ms * LOCALITY_WAIT_MILLI / 1_000;
         let wait_for_locality = pass.now < unit.since + locality_wait_ms;
-        match step.gang {
-            true => find_workers_for_gang(pool, &rooms, step, wait_for_locality, candidate.must_start),
-            false => find_worker_for_subtask(pool, &rooms, step, wait_for_locality),
+        let choose = |rooms: &[Room]| match step.gang {
+            true => find_workers_for_gang(pool, rooms, step, wait_for_locality, candidate.must_start),
+            false => find_worker_for_subtask(pool, rooms, step, wait_for_locality),
+        };
+        let Some(classes) = self.queue_of(&candidate.job).and_then(|queue| self.speed_classes_of(queue))
+        else {
+            return choose(&rooms);
+        };
+        let speed = |room: &Room| pool.workers[room.worker].speed_milli;
+        if uses_reserve {
+            // Workers on which urgent jobs are late are no part of the reserve.
+            rooms.retain(|room| !classes.suits_urgent(speed(room)));
+            return choose(&rooms).map_err(|_| WaitReason::Reserve);
+        }
+        if let Some(required) = candidate.timing.required_speed(candidate.timeliness) {
+            let sufficient: Vec<Room> =
+                rooms.iter().filter(|room| speed(room) >= required).copied().collect();
+            if let Ok(workers) = choose(&sufficient) {
+                return Ok(workers);
+            }
+            let may_wait = candidate.priority == 0
+                && candidate.timeliness == Timeliness::InTime
+                && !candidate.must_start;
+            if may_wait && can_ever_fit(pool, &sufficient, step) {
+                return Err(WaitReason::Speed);
+            }
         }
+        choose(&rooms)
     }
 
     /// Returns whether a unit that can still wait would use accelerators that are reserved for urgent jobs.
@@ -333,7 +381,12 @@
             return false;
         }
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
-        let workers = || pass.pool.workers.iter().filter(|worker| worker.service == queue.service);
+        let classes = self.speed_classes_of(queue);
+        let suits = |worker: &&PoolWorker| {
+            worker.service == queue.service
+                && classes.is_none_or(|classes| classes.suits_urgent(worker.speed_milli))
+        };
+        let workers = || pass.pool.workers.iter().filter(suits);
         let all: i64 = workers().map(|worker| worker.capacity.accelerators).sum();
         let usable = workers().filter(|worker| worker.is_usable);
         let free: i64 = usable.map(|worker| worker.free.accelerators.max(0)).sum();
@@ -360,6 +413,18 @@
     sub.steps.iter().map(|step| step.resources.accelerators * i64::from(step.count)).max().unwrap_or(0)
 }
 
+/// Returns whether a step's unit would fit on the given workers if they were empty, within one rack if it prefers that.
+fn can_ever_fit(pool: &Pool, rooms: &[Room], step: &Step) -> bool {
+    let need = Need::new(step, if step.gang { step.count } else { 1 });
+    let mut by_rack: Vec<Vec<Room>> =
+        vec![Vec::new(); if step.prefers_one_rack { pool.rack_count() } else { 1 }];
+    for room in rooms {
+        let rack = if step.prefers_one_rack { pool.workers[room.worker].rack } else { 0 };
+        by_rack[rack].push(Room { free: pool.workers[room.worker].capacity, ..*room });
+    }
+    by_rack.iter().any(|rooms| need.fits(rooms))
+}
+
 fn find_worker_for_subtask(
     pool: &Pool,
     rooms: &[Room],
@@ -371,7 +436,8 @@
         step.preferred_rack.as_deref().is_none_or(|rack| pool.workers[room.worker].has_label(rack))
     };
     let fits = rooms.iter().filter(|room| room.free.can_fit(&need));
-    let order = |room: &&Room| (!near(room), fit_order(room, &need, pool.workers[room.worker].is_idle));
+    let order =
+        |room: &&Room| (!near(room), room.rank, fit_order(room, &need, pool.workers[room.worker].is_idle));
     let Some(best) = fits.min_by_key(order) else { return Err(WaitReason::Resources) };
     // Waiting is pointless if no available worker is on the preferred rack.
     if wait_for_locality && !near(best) && rooms.iter().any(near) {
@@ -412,7 +478,7 @@
     let fitting = racks.iter().enumerate().filter(|(_, rooms)| !rooms.is_empty() && need.fits(rooms));
     let best = fitting.min_by_key(|(rack, rooms)| {
         let rest: i64 = rooms.iter().map(|room| room.free.accelerators).sum();
-        (!near(*rack), rest)
+        (!near(*rack), need.rank_of_assigned(rooms), rest)
     });
     if let Some(workers) = best.and_then(|(_, rooms)| need.assign(rooms)) {
         return Ok(workers);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -15,6 +15,7 @@
 use crate::record::{self, Record, new_job};
 use crate::resources::Resources;
 use crate::task::Task;
+use crate::timing::SpeedClasses;
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::value::{MeanWork, PreemptionOutcomes, Timeliness, attainable_value, estimated_work_core_s};
 use crate::view::Refusals;
@@ -98,6 +99,8 @@
     pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
     pub(crate) crashes: Crashes,
     pub(crate) forecasts: Forecasts,
+    /// Classes of the workers' speeds by service, for those services where speeds count.
+    pub(crate) speed_classes: BTreeMap<String, SpeedClasses>,
     /// When workers were lost recently, on the monotonic clock.
     pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
@@ -157,6 +160,7 @@
             given_up: BTreeMap::new(),
             crashes,
             forecasts: Forecasts::default(),
+            speed_classes: BTreeMap::new(),
             lost_at: Vec::new(),
             live,
             last_urgent_at: None,
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -37,6 +37,8 @@
     /// Index of its rack in the order of the racks' names.
     pub rack: usize,
     pub capacity: Resources,
+    /// Measured speed, in thousandths of the fleet's mean.
+    pub speed_milli: u64,
     /// Capacity that no run uses; negative amounts mean overcommitment.
     pub free: Resources,
     /// Whether nothing is placed on it.
@@ -104,6 +106,7 @@
         workers: &BTreeMap<String, Worker>,
         evacuated: &BTreeSet<String>,
         isolated: &BTreeMap<&str, &str>,
+        speed_milli: impl Fn(&str) -> u64,
         now: u64,
     ) -> Self {
         let names: BTreeSet<&str> = workers.values().map(Worker::rack).collect();
@@ -114,6 +117,7 @@
             labels: worker.info.labels.clone(),
             rack: racks.binary_search_by(|rack| rack.as_str().cmp(worker.rack())).unwrap_or_default(),
             capacity: worker.info.capacity,
+            speed_milli: speed_milli(&worker.info.incarnation),
             free: worker.free(),
             is_idle: worker.used == Resources::default(),
             occupants: occupants(worker),
@@ -195,6 +199,8 @@
     /// Index of the worker in the pool.
     pub worker: usize,
     pub free: Resources,
+    /// Order of preference by the worker's speed, the best first.
+    pub rank: u8,
 }
 
 /// Number and size of the members that need room at the same time.
@@ -232,13 +238,29 @@
         missing <= 0
     }
 
-    /// Returns the index of a worker for each member, the tightest fits first; `None` if they don't all fit.
+    /// Returns the sum of the ranks of the workers that [`Self::assign`] chooses.
+    pub fn rank_of_assigned(&self, rooms: &[Room]) -> u64 {
+        let mut by_rank: BTreeMap<u8, i64> = BTreeMap::new();
+        for room in rooms {
+            *by_rank.entry(room.rank).or_default() += self.members_in(&room.free);
+        }
+        let mut missing = self.members;
+        let mut sum = 0;
+        for (rank, members) in by_rank {
+            let chosen = members.min(missing);
+            missing -= chosen;
+            sum += u64::from(rank) * chosen as u64;
+        }
+        sum
+    }
+
+    /// Returns the index of a worker for each member, by rank and then the tightest fits first; `None` if they don't all fit.
     pub fn assign(&self, rooms: &[Room]) -> Option<Vec<usize>> {
         if !self.fits(rooms) {
             return None;
         }
         let mut order: Vec<&Room> = rooms.iter().filter(|room| room.free.can_fit(&self.per_member)).collect();
-        order.sort_by_key(|room| (room.free.accelerators, room.free.millicores, room.worker));
+        order.sort_by_key(|room| (room.rank, room.free.accelerators, room.free.millicores, room.worker));
         let mut workers = Vec::new();
         for room in order {
             let missing = self.members - workers.len() as i64;
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -6,7 +6,8 @@
 use crate::pass::Pass;
 use crate::place::Candidate;
 use crate::planner::Planner;
-use crate::pool::Need;
+use crate::pool::{Need, Room};
+use crate::timing::JobTiming;
 use crate::unit::{UnitKey, UnitState};
 use crate::value::{Timeliness, attainable_value};
 use crate::victims::{best_plan, eligible_victims, find_victims};
@@ -33,7 +34,8 @@
     let members = if step.gang { step.count } else { units.len() as u32 };
     let need = Need::new(&step, members);
     let victims = pass.victims.take().unwrap_or_else(|| find_victims(planner, pass));
-    let rooms = planner.available_rooms(&pass.pool, pass.now, candidate, &step);
+    let mut rooms = planner.available_rooms(&pass.pool, pass.now, candidate, &step);
+    drop_slow_workers(planner, pass, candidate, &mut rooms);
     let eligible = eligible_victims(&victims, candidate);
     let mut best = best_plan(&pass.pool, &rooms, &victims, &eligible, &need, step.prefers_one_rack);
     if best.is_none() && candidate.must_start && step.prefers_one_rack {
@@ -72,6 +74,19 @@
     }
 }
 
+/// Removes the workers on which a unit would not be as timely as it still can be once runs have been stopped for it.
+fn drop_slow_workers(planner: &Planner, pass: &Pass, candidate: &Candidate, rooms: &mut Vec<Room>) {
+    let queue = planner.queue_of(&candidate.job);
+    if candidate.must_start || queue.is_none_or(|queue| planner.speed_classes_of(queue).is_none()) {
+        return;
+    }
+    let age_ms = candidate.timing.age_ms + planner.timing.stop_ms;
+    let timing = JobTiming { age_ms, ..candidate.timing };
+    if let Some(required) = timing.required_speed(candidate.timeliness) {
+        rooms.retain(|room| pass.pool.workers[room.worker].speed_milli >= required);
+    }
+}
+
 /// Returns the waiting units of a candidate's step that have no claim, including its own.
 fn waiting_units_of_step(planner: &Planner, candidate: &Candidate) -> Vec<UnitKey> {
     let Some(job) = planner.jobs.get(&candidate.job) else { return Vec::new() };
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -111,9 +111,14 @@
 impl LatestStarts {
     /// Returns the latest starts of the units of a job's step.
     pub fn new(job: &Job, queue: &Queue, key: UnitKey) -> Self {
+        Self::with_duration_factor(job, queue, key, SLOW_WORKER_FACTOR_MILLI)
+    }
+
+    /// Returns them for runs that take longer than their estimates by a factor, in thousandths.
+    pub fn with_duration_factor(job: &Job, queue: &Queue, key: UnitKey, factor_milli: u64) -> Self {
         let ready_ms = job.due_ms(key.occurrence).unwrap_or(job.accepted_ms);
         let target_ms = job.critical_path_ms() * queue.stretch_milli / 1_000 + queue.full_value_ms;
-        let remaining_ms = job.critical_path_from_ms(key.step) * SLOW_WORKER_FACTOR_MILLI / 1_000;
+        let remaining_ms = job.critical_path_from_ms(key.step) * factor_milli / 1_000;
         Self {
             in_time: (ready_ms + target_ms).saturating_sub(remaining_ms),
             late: (ready_ms + 3 * target_ms).saturating_sub(remaining_ms),
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -13,6 +13,8 @@
     Workers,
     /// The usable workers have too few free resources.
     Resources,
+    /// Resources are free, but only on workers on which it would be late.
+    Speed,
     /// Runs are being stopped for it.
     Stops,
     /// Resources are free, but not on the rack that it prefers or within one rack.
