Keep free for urgent jobs what lately arrived together

Callers of both deployments with bursts saw urgent gangs late that waited for runs to be stopped: a stop takes most of their slack, and the reserve was a fixed 15% of the accelerators.

Change: the reserve is what urgent jobs that arrived within 2 s of each other needed in the last 30 s, from 15 to 40%; a job that arrives alone is served by stops as before. Whether speeds count no longer changes with each measurement, and a stop is expected to take half of its bound.

--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -76,9 +76,9 @@
             let workers = self.workers.values().filter(|worker| worker.info.service == *service);
             let known = workers.filter_map(|worker| self.forecasts.speeds().get(&worker.info.incarnation));
             let speeds = known.map(|speed| speed.milli).collect();
-            let classes = SpeedClasses::new(speeds, stretch_milli);
-            let is_new = classes.is_some() != self.speed_classes.contains_key(service);
-            if is_new {
+            let counted = self.speed_classes.contains_key(service);
+            let classes = SpeedClasses::new(speeds, stretch_milli, counted);
+            if classes.is_some() != counted {
                 self.log.push(match classes {
                     Some(SpeedClasses { urgent_milli, fast_milli }) => format!(
                         "event=speeds_count service={service} urgent_milli={urgent_milli} fast_milli={fast_milli}"
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod preempt;
 pub mod record;
 pub mod report;
+pub mod reserve;
 pub mod resources;
 pub mod task;
 pub mod timing;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -25,13 +25,6 @@
 /// reply.
 const GUARANTEE_MARGIN_MS: u64 = 900;
 
-/// Share of a service's accelerators that is kept free for urgent jobs while others can wait, in thousandths. Freeing
-/// them on demand is too slow: a stop takes most of the slack that an urgent job has.
-const URGENT_RESERVE_MILLI: i64 = 150;
-
-/// Time after the newest urgent job for which the reserve is kept; without urgent work it serves no purpose.
-const RESERVE_AFTER_URGENT_MS: u64 = 30_000;
-
 /// Time before its latest start from which a unit that is not urgent may use the reserve.
 const RESERVE_ACCESS_LEAD_MS: u64 = 1_000;
 
@@ -375,12 +368,11 @@
 
     /// Returns whether a unit that can still wait would use accelerators that are reserved for urgent jobs.
     pub(crate) fn would_use_reserve(&self, pass: &Pass, candidate: &Candidate, step: &Step) -> bool {
-        let urgent = self.last_urgent_at.is_some_and(|at| pass.now <= at + RESERVE_AFTER_URGENT_MS);
-        if !urgent || candidate.priority == 0 || pass.wall + RESERVE_ACCESS_LEAD_MS >= candidate.latest_start
-        {
+        if candidate.priority == 0 || pass.wall + RESERVE_ACCESS_LEAD_MS >= candidate.latest_start {
             return false;
         }
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
+        let Some(arrivals) = self.urgent_arrivals.get(&queue.service) else { return false };
         let classes = self.speed_classes_of(queue);
         let suits = |worker: &&PoolWorker| {
             worker.service == queue.service
@@ -391,7 +383,7 @@
         let usable = workers().filter(|worker| worker.is_usable);
         let free: i64 = usable.map(|worker| worker.free.accelerators.max(0)).sum();
         let members = if step.gang { i64::from(step.count) } else { 1 };
-        free - step.reserved().accelerators * members < all * URGENT_RESERVE_MILLI / 1_000
+        free - step.reserved().accelerators * members < arrivals.reserve(pass.now, all)
     }
 
     /// Removes the workers that already run as many subtasks of a step as its limit per worker allows.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -12,7 +12,9 @@
 use crate::desired::{Desired, Queue};
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
+use crate::place::peak_accelerators;
 use crate::record::{self, Record, new_job};
+use crate::reserve::UrgentArrivals;
 use crate::resources::Resources;
 use crate::task::Task;
 use crate::timing::SpeedClasses;
@@ -105,8 +107,8 @@
     pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
     pub(crate) live: BTreeSet<String>,
-    /// When the newest urgent job was submitted, on the monotonic clock.
-    pub(crate) last_urgent_at: Option<u64>,
+    /// Recent urgent jobs by service.
+    pub(crate) urgent_arrivals: BTreeMap<String, UrgentArrivals>,
     /// Number of the change that is being collected.
     pub(crate) change: u64,
     /// Number of the newest stored change.
@@ -163,7 +165,7 @@
             speed_classes: BTreeMap::new(),
             lost_at: Vec::new(),
             live,
-            last_urgent_at: None,
+            urgent_arrivals: BTreeMap::new(),
             change: 1,
             stored: 0,
             new_jobs: BTreeSet::new(),
@@ -273,8 +275,9 @@
             self.record_refusal(wall, sub, &refusal.reason, refusal.retry_after_ms);
             return Admission::Refused { reason: refusal.reason, retry_after_ms: refusal.retry_after_ms };
         }
-        if self.desired.queue(&sub.queue).is_some_and(|queue| queue.priority == 0) {
-            self.last_urgent_at = Some(now);
+        if let Some(queue) = self.desired.queue(&sub.queue).filter(|queue| queue.priority == 0) {
+            let arrivals = self.urgent_arrivals.entry(queue.service.clone()).or_default();
+            arrivals.record(now, peak_accelerators(sub));
         }
         self.mean_work.entry(sub.queue.clone()).or_default().record(estimated_work_core_s(sub));
         let mut job = new_job(sub.clone(), wall);
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -80,7 +80,7 @@
     if candidate.must_start || queue.is_none_or(|queue| planner.speed_classes_of(queue).is_none()) {
         return;
     }
-    let age_ms = candidate.timing.age_ms + planner.timing.stop_ms;
+    let age_ms = candidate.timing.age_ms + planner.timing.stop_ms / 2;
     let timing = JobTiming { age_ms, ..candidate.timing };
     if let Some(required) = timing.required_speed(candidate.timeliness) {
         rooms.retain(|room| pass.pool.workers[room.worker].speed_milli >= required);
--- a/crates/fleet/src/timing.rs
+++ b/crates/fleet/src/timing.rs
@@ -13,8 +13,9 @@
 /// may be errors of measurement.
 const SLOW_WORKERS_PERCENT: usize = 10;
 
-/// Error of a measured speed, in thousandths of it.
-const SPEED_ERROR_MILLI: u64 = 100;
+/// Factor by which the slow workers have to be faster than what makes urgent jobs late before speeds no longer count, in
+/// thousandths: more than the error of a measured speed, so that this doesn't change with each measurement.
+const HYSTERESIS_FACTOR_MILLI: u64 = 1_250;
 
 /// Workers of known speed from which their speeds are compared.
 const MIN_KNOWN_WORKERS: usize = 8;
@@ -69,14 +70,16 @@
 
 impl SpeedClasses {
     /// Returns the classes of workers of the given known speeds, or `None` if urgent jobs whose target is
-    /// `stretch_milli` thousandths of their work end in time on all but a few of them.
-    pub fn new(mut speeds: Vec<u64>, stretch_milli: u64) -> Option<Self> {
+    /// `stretch_milli` thousandths of their work end in time on all but a few of them. `counted` says whether the speeds
+    /// counted before.
+    pub fn new(mut speeds: Vec<u64>, stretch_milli: u64, counted: bool) -> Option<Self> {
         if speeds.len() < MIN_KNOWN_WORKERS || stretch_milli == 0 {
             return None;
         }
         speeds.sort_unstable();
         let slow_milli = speeds[speeds.len() * SLOW_WORKERS_PERCENT / 100];
-        if slow_milli * stretch_milli >= 1_000 * (1_000 + SPEED_ERROR_MILLI) {
+        let factor_milli = if counted { HYSTERESIS_FACTOR_MILLI } else { 1_000 };
+        if slow_milli * stretch_milli >= 1_000 * factor_milli {
             return None;
         }
         Some(Self {
