Make forecasts robust against chance, long runs and frozen workers, and bound their memory

Runs without a reported end were kept for ever.

A run with too little progress is an upper bound of the rate, on workers that report progress. Marks older than 20% of progress no longer count. A step's ratio is the median of its runs. Limits on runs by age of the last report and by worker, and on queues. The smallest measured progress is 2% instead of 4%.

--- a/crates/forecast/src/forecasts.rs
+++ b/crates/forecast/src/forecasts.rs
@@ -1,10 +1,13 @@
 //! The forecasts of a fleet.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::progress::{Mark, Progress, RunId, Track};
+use crate::progress::{Mark, Progress, RunId, StepId, Track};
 use crate::speeds::{self, Observation, Speed};
-use crate::stats::quantile;
+use crate::stats::{median, quantile};
+
+/// Newest ended runs of a step that count for the ratio of its work to its estimate.
+const RUNS_PER_STEP: usize = 32;
 
 /// Settings of the forecasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,11 +18,24 @@
     pub runs_per_worker: usize,
     /// Newest steps of a queue that the correction of its estimates follows from.
     pub steps_per_queue: usize,
+    /// Time after its last report at which a run without a reported end is forgotten, in milliseconds.
+    pub report_retention_ms: u64,
+    /// Runs in progress that are kept for one worker; the one reported least recently gives way.
+    pub tracks_per_worker: usize,
+    /// Queues with corrections; the one whose steps ended least recently gives way.
+    pub queues: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { update_interval_ms: 250, runs_per_worker: 24, steps_per_queue: 48 }
+        Self {
+            update_interval_ms: 250,
+            runs_per_worker: 24,
+            steps_per_queue: 48,
+            report_retention_ms: 60_000,
+            tracks_per_worker: 512,
+            queues: 256,
+        }
     }
 }
 
@@ -49,18 +65,36 @@
     }
 }
 
+/// Ratios of a step's ended runs.
+#[derive(Clone, Debug)]
+struct StepRatios {
+    step: StepId,
+    /// Logarithms of the ratio of work to estimate, oldest first.
+    logs: VecDeque<f64>,
+}
+
 /// Forecasts from the reported progress of all runs. Old evidence gives way to new.
+///
+/// Its memory is bounded by [`Settings`] for each worker and queue, whether or not runs report an end. Workers are kept
+/// until [`Forecasts::remove_worker`].
 #[derive(Clone, Debug, Default)]
 pub struct Forecasts {
     settings: Settings,
     /// Runs in progress.
     tracks: BTreeMap<RunId, Track>,
+    /// Number of runs in progress on each worker.
+    track_counts: BTreeMap<String, usize>,
     /// Rates of the newest runs of each worker, oldest first.
     observations: BTreeMap<String, Vec<Observation>>,
+    /// Workers that have reported progress; others may not report any.
+    reporting: BTreeSet<String>,
     speeds: BTreeMap<String, Speed>,
-    /// Logarithms of the ratio of work to estimate, oldest first, by queue.
-    ratios: BTreeMap<String, VecDeque<(RunId, f64)>>,
+    /// Ratios of the newest steps of each queue, oldest first.
+    ratios: BTreeMap<String, VecDeque<StepRatios>>,
+    /// Queues in the order of their last ratio.
+    queue_order: VecDeque<String>,
     updated_at: Option<u64>,
+    expired_at: u64,
     changed: bool,
 }
 
@@ -76,35 +110,56 @@
         }
         let mark = Mark { at: now, percent };
         let Some(track) = self.tracks.get_mut(run).filter(|track| track.worker == worker) else {
-            self.tracks.insert(run.clone(), Track::new(worker, mark));
+            self.remove_run(run);
+            self.add_track(run, Track::new(worker, mark));
             return Progress::Used;
         };
         let progress = track.record(mark);
         let rate = match progress {
             Progress::Used => track.rate(),
             Progress::Unchanged => track.rate_if_stalled(now),
-            Progress::Invalid(_) => None,
+            Progress::Invalid(_) => return progress,
         };
+        if progress == Progress::Used && !self.reporting.contains(worker) {
+            self.reporting.insert(worker.to_owned());
+        }
         if let Some(rate) = rate {
-            self.observe(worker, run, rate);
+            self.observe(worker, run, rate, false);
+        } else if let Some(bound) = track.rate_bound(now).filter(|_| self.reporting.contains(worker)) {
+            self.observe(worker, run, bound, true);
         }
         progress
     }
 
-    fn observe(&mut self, worker: &str, run: &RunId, rate: f64) {
+    fn add_track(&mut self, run: &RunId, track: Track) {
+        let count = self.track_counts.entry(track.worker.clone()).or_default();
+        *count += 1;
+        if *count > self.settings.tracks_per_worker.max(1) {
+            let of_worker = self.tracks.iter().filter(|(_, known)| known.worker == track.worker);
+            let oldest = of_worker.min_by_key(|(_, known)| known.reported_at).map(|(run, _)| run.clone());
+            oldest.iter().for_each(|run| self.remove_run(run));
+        }
+        self.tracks.insert(run.clone(), track);
+    }
+
+    fn observe(&mut self, worker: &str, run: &RunId, rate: f64, is_bound: bool) {
+        let Some(track) = self.tracks.get_mut(run) else { return };
         let log_rate = rate.max(f64::MIN_POSITIVE).ln();
         let runs = self.observations.entry(worker.to_owned()).or_default();
         match runs.iter_mut().find(|known| known.run == *run) {
-            Some(known) => known.log_rate = log_rate,
-            None => runs.push(Observation { run: run.clone(), log_rate }),
+            Some(known) => (known.log_rate, known.is_bound) = (log_rate, is_bound),
+            // A run that has given way to newer ones stays out.
+            None if track.is_observed => return,
+            None => runs.push(Observation { run: run.clone(), log_rate, is_bound }),
         }
+        track.is_observed = true;
         let excess = runs.len().saturating_sub(self.settings.runs_per_worker.max(1));
         runs.drain(..excess);
         self.changed = true;
     }
 
     /// Records the end of a run of a queue's job. `ran_ms` is its duration if it ended with its result; the ratio of its
-    /// work to `estimate_ms` then counts for the queue, once for each step.
+    /// work to `estimate_ms` then counts for the queue, by the median of the runs of each step.
     pub fn record_end(
         &mut self,
         worker: &str,
@@ -113,34 +168,57 @@
         estimate_ms: u64,
         ran_ms: Option<u64>,
     ) {
-        self.tracks.remove(run);
+        self.remove_run(run);
         let Some(ran_ms) = ran_ms.filter(|ms| *ms > 0) else { return };
         let work_ms = ran_ms as f64 * self.speed(worker).milli as f64 / 1_000.0;
         let log_ratio = (work_ms / estimate_ms.max(1) as f64).ln();
-        let ratios = self.ratios.entry(queue.to_owned()).or_default();
-        if ratios.iter().any(|(known, _)| known.step == run.step) {
-            return;
+        self.queue_order.retain(|known| known != queue);
+        self.queue_order.push_back(queue.to_owned());
+        if self.queue_order.len() > self.settings.queues.max(1)
+            && let Some(oldest) = self.queue_order.pop_front()
+        {
+            self.ratios.remove(&oldest);
+        }
+        let steps = self.ratios.entry(queue.to_owned()).or_default();
+        match steps.iter_mut().find(|known| known.step == run.step) {
+            Some(known) => {
+                known.logs.push_back(log_ratio);
+                if known.logs.len() > RUNS_PER_STEP {
+                    known.logs.pop_front();
+                }
+            }
+            None => steps.push_back(StepRatios { step: run.step.clone(), logs: [log_ratio].into() }),
         }
-        ratios.push_back((run.clone(), log_ratio));
-        if ratios.len() > self.settings.steps_per_queue.max(1) {
-            ratios.pop_front();
+        if steps.len() > self.settings.steps_per_queue.max(1) {
+            steps.pop_front();
         }
     }
 
     /// Forgets a run that ended without a result.
     pub fn remove_run(&mut self, run: &RunId) {
-        self.tracks.remove(run);
+        let Some(track) = self.tracks.remove(run) else { return };
+        if let Some(count) = self.track_counts.get_mut(&track.worker) {
+            *count -= 1;
+            if *count == 0 {
+                self.track_counts.remove(&track.worker);
+            }
+        }
     }
 
     /// Forgets a worker incarnation; the next one of its name may be of another kind.
     pub fn remove_worker(&mut self, worker: &str) {
-        self.observations.remove(worker);
+        self.changed |= self.observations.remove(worker).is_some();
         self.speeds.remove(worker);
+        self.reporting.remove(worker);
+        self.track_counts.remove(worker);
         self.tracks.retain(|_, track| track.worker != worker);
     }
 
     /// Computes the speeds anew if there is new evidence and the last time is long enough ago; returns whether it did.
+    ///
+    /// Forgets runs that have not been reported for [`Settings::report_retention_ms`].
     pub fn update(&mut self, now: u64) -> bool {
+        self.expire_tracks(now);
         let is_due = self.updated_at.is_none_or(|at| now >= at + self.settings.update_interval_ms);
         if !self.changed || !is_due {
             return false;
@@ -150,6 +228,24 @@
         true
     }
 
+    fn expire_tracks(&mut self, now: u64) {
+        let retention_ms = self.settings.report_retention_ms;
+        // Each check reads all tracks.
+        if now < self.expired_at + retention_ms / 4 {
+            return;
+        }
+        self.expired_at = now;
+        let is_overdue = |track: &Track| now > track.reported_at + retention_ms;
+        let overdue = self.tracks.iter().filter(|(_, track)| is_overdue(track));
+        let overdue: Vec<RunId> = overdue.map(|(run, _)| run.clone()).collect();
+        overdue.iter().for_each(|run| self.remove_run(run));
+    }
+
+    /// Returns the number of runs in progress that are kept.
+    pub fn runs(&self) -> usize {
+        self.tracks.len()
+    }
+
     /// Returns the speed of a worker; that of the fleet's mean, without runs, if nothing is known of it.
     pub fn speed(&self, worker: &str) -> Speed {
         self.speeds.get(worker).copied().unwrap_or_default()
@@ -170,12 +266,15 @@
     /// Returns the range of the remaining time of a run; `None` until its progress has been measured.
     pub fn remaining(&self, run: &RunId, now: u64) -> Option<Remaining> {
         let track = self.tracks.get(run)?;
-        let rate = track.rate_if_stalled(now).or_else(|| track.rate())?;
         let left = 100_u64.saturating_sub(track.newest.percent) as f64;
-        let since_ms = now.saturating_sub(track.newest.at) as f64;
-        let ms = (left * 1_000.0 / rate - since_ms).max(0.0);
+        // The rate of a stalled run covers the time since its newest progress.
+        let (rate, since_ms) = match track.rate_if_stalled(now) {
+            Some(rate) => (rate, 0),
+            None => (track.rate()?, now.saturating_sub(track.newest.at)),
+        };
+        let ms = (left * 1_000.0 / rate - since_ms as f64).max(0.0);
         // Both marks are rounded to whole percents.
-        let error = 1.0 / (track.newest.percent - track.first.percent) as f64;
+        let error = 1.0 / track.measured_percent() as f64;
         let bound = |factor: f64| (ms * factor).round() as u64;
         Some(Remaining { low_ms: bound(1.0 - error), median_ms: bound(1.0), high_ms: bound(1.0 + error) })
     }
@@ -185,7 +284,8 @@
         let Some(ratios) = self.ratios.get(queue).filter(|ratios| !ratios.is_empty()) else {
             return Correction::default();
         };
-        let mut logs: Vec<f64> = ratios.iter().map(|(_, log)| *log).collect();
+        let of_step = |known: &StepRatios| median(&mut known.logs.iter().copied().collect::<Vec<f64>>());
+        let mut logs: Vec<f64> = ratios.iter().map(of_step).collect();
         let mut milli = |rank: f64| (quantile(&mut logs, rank).exp() * 1_000.0).round() as u64;
         Correction {
             lower_quartile_milli: milli(0.25),
--- a/crates/forecast/src/progress.rs
+++ b/crates/forecast/src/progress.rs
@@ -6,8 +6,20 @@
 /// Shortest time over which the rate of a run is measured, in milliseconds: reports have whole percents.
 const MIN_MEASURED_MS: u64 = 400;
 
-/// Smallest progress over which the rate of a run is measured, in percent.
-const MIN_MEASURED_PERCENT: u64 = 4;
+/// Smallest progress over which the rate of a run is measured, in percent. The rounding of both marks then has a standard
+/// deviation of 20% of the rate, as the work of a step's subtasks has.
+const MIN_MEASURED_PERCENT: u64 = 2;
+
+/// Progress that a run has missed by its rate when it counts as stalled, in percent.
+const STALLED_PERCENT: f64 = 12.0;
+
+/// Progress after which older marks no longer count, in percent. A run that slows down shows it within twice this
+/// progress, and the rounding of the marks stays below 5% of the rate.
+const WINDOW_PERCENT: u64 = 20;
+
+/// Largest first step from 0 that counts as progress, in percent. Workers report 0 when they don't know the progress and
+/// before a run has loaded its saved progress.
+const MAX_FIRST_STEP_PERCENT: u64 = 25;
 
 /// One run of a subtask.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -37,21 +49,37 @@
     pub percent: u64,
 }
 
-/// First and newest mark of a run.
+/// Marks of a run that its rate follows from.
 #[derive(Clone, Debug)]
 pub struct Track {
     pub worker: String,
+    /// Mark that the rate is measured from.
     pub first: Mark,
+    /// Mark that the rate is measured from once the run has progressed by [`WINDOW_PERCENT`] since; `None` before the
+    /// progress first changes.
+    next_first: Option<Mark>,
     pub newest: Mark,
+    /// When the run was last reported, with whatever progress.
+    pub reported_at: u64,
+    /// Whether the rate of the run has been an observation of its worker.
+    pub is_observed: bool,
 }
 
 impl Track {
     pub fn new(worker: &str, mark: Mark) -> Self {
-        Self { worker: worker.to_owned(), first: mark, newest: mark }
+        Self {
+            worker: worker.to_owned(),
+            first: mark,
+            next_first: None,
+            newest: mark,
+            reported_at: mark.at,
+            is_observed: false,
+        }
     }
 
     /// Adds a mark.
     pub fn record(&mut self, mark: Mark) -> Progress {
+        self.reported_at = self.reported_at.max(mark.at);
         if mark.percent < self.newest.percent {
             return Progress::Invalid("progress went back");
         }
@@ -59,25 +87,59 @@
             return Progress::Unchanged;
         }
         self.newest = mark;
+        match self.next_first {
+            None if self.first.percent == 0 && mark.percent > MAX_FIRST_STEP_PERCENT => {
+                (self.first, self.next_first) = (mark, Some(mark));
+            }
+            None => self.next_first = Some(mark),
+            Some(next) if mark.percent - next.percent >= WINDOW_PERCENT => {
+                (self.first, self.next_first) = (next, Some(mark));
+            }
+            Some(_) => (),
+        }
         Progress::Used
     }
 
     /// Returns the measured rate in percent per second; `None` until the marks are far enough apart.
     pub fn rate(&self) -> Option<f64> {
-        let (ms, percent) = (self.newest.at - self.first.at, self.newest.percent - self.first.percent);
+        let ms = self.newest.at.saturating_sub(self.first.at);
+        let percent = self.measured_percent();
         (ms >= MIN_MEASURED_MS && percent >= MIN_MEASURED_PERCENT)
             .then(|| percent as f64 * 1_000.0 / ms as f64)
     }
 
-    /// Returns the rate of a run that has reported the same progress for so long that it has slowed down: its whole
+    /// Returns the rate of a run that has reported the same progress for so long that it has slowed down: its measured
     /// progress over the whole time.
     pub fn rate_if_stalled(&self, now: u64) -> Option<f64> {
         let rate = self.rate()?;
-        let silent_ms = now.saturating_sub(self.newest.at);
+        let silent_ms = self.silent_ms(now);
         // By its rate it would have reported several further percents in this time.
         let expected = rate * silent_ms as f64 / 1_000.0;
-        let percent = (self.newest.percent - self.first.percent) as f64;
-        (expected > 3.0 * MIN_MEASURED_PERCENT as f64 && silent_ms > 2 * MIN_MEASURED_MS)
-            .then(|| percent * 1_000.0 / (now - self.first.at).max(1) as f64)
+        let is_stalled = expected > STALLED_PERCENT && silent_ms > 2 * MIN_MEASURED_MS;
+        (is_stalled && self.newest.percent < 100).then(|| self.mean_rate(now, self.measured_percent()))
+    }
+
+    /// Returns an upper bound of the rate of a run that has progressed too little to be measured; `None` until it has
+    /// reported the same progress for some time.
+    pub fn rate_bound(&self, now: u64) -> Option<f64> {
+        let is_silent = self.silent_ms(now) > 2 * MIN_MEASURED_MS;
+        let is_unmeasured = self.measured_percent() < MIN_MEASURED_PERCENT && self.newest.percent < 100;
+        // Reports have whole percents, so the run may be just short of the next one.
+        (is_silent && is_unmeasured).then(|| self.mean_rate(now, self.measured_percent() + 1))
+    }
+
+    /// Returns the progress between the marks that the rate follows from, in percent.
+    pub fn measured_percent(&self) -> u64 {
+        self.newest.percent - self.first.percent
+    }
+
+    /// Returns the time without new progress, in milliseconds, as far as reports cover it.
+    fn silent_ms(&self, now: u64) -> u64 {
+        now.min(self.reported_at).saturating_sub(self.newest.at)
+    }
+
+    fn mean_rate(&self, now: u64, percent: u64) -> f64 {
+        let ms = now.min(self.reported_at).saturating_sub(self.first.at);
+        percent as f64 * 1_000.0 / ms.max(1) as f64
     }
 }
--- a/crates/forecast/src/stats.rs
+++ b/crates/forecast/src/stats.rs
@@ -25,3 +25,16 @@
     let mut sizes: Vec<f64> = residuals.iter().map(|residual| residual.abs()).collect();
     median(&mut sizes) * DEVIATION_OF_MEDIAN
 }
+
+/// Returns the mean of the values after each is limited to `bound` on either side of it, by Huber; 0 without values.
+///
+/// It follows all values where these agree, unlike the median, and single outliers move it by at most `bound` over their
+/// number.
+pub fn bounded_mean(values: &[f64], bound: f64) -> f64 {
+    let mut mean = median(&mut values.to_vec());
+    for _ in 0..4 {
+        let excess = values.iter().map(|value| (value - mean).clamp(-bound, bound)).sum::<f64>();
+        mean += excess / values.len().max(1) as f64;
+    }
+    mean
+}
