Measure rates from the first change of progress, and update large fleets less often

Cause: the emulator reports every 100 ms a progress that is taken twice a second. The first mark of a run is then up to half a second old when it is seen, and the rate is too high: median error of the remaining time 16.7% at 0.5 s and 8.0% at 1 s after a start. An update of 160 workers with 24 runs each takes 2 ms; 730 workers would take more than 1% of a core.

Change: a rate starts at the first change of the progress as soon as the progress since is measurable. The interval of updates grows in proportion to the observations beyond 4,096.

--- a/crates/forecast/src/forecasts.rs
+++ b/crates/forecast/src/forecasts.rs
@@ -9,6 +9,10 @@
 /// Newest ended runs of a step that count for the ratio of its work to its estimate.
 const RUNS_PER_STEP: usize = 32;
 
+/// Observations that are computed at the shortest interval. More take longer, so that the share of a core that updates take
+/// stays below 1%: 4,000 take about 2 ms.
+const OBSERVATIONS_PER_INTERVAL: usize = 4_096;
+
 /// Settings of the forecasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -214,13 +218,21 @@
         self.tracks.retain(|_, track| track.worker != worker);
     }
 
-    /// Computes the speeds anew if there is new evidence and the last time is long enough ago; returns whether it did.
+    /// Computes the speeds anew if there is new evidence and the last time is long enough ago; returns whether it did. The
+    /// interval grows with the number of runs that the speeds follow from.
     ///
     /// Forgets runs that have not been reported for [`Settings::report_retention_ms`].
     pub fn update(&mut self, now: u64) -> bool {
         self.expire_tracks(now);
-        let is_due = self.updated_at.is_none_or(|at| now >= at + self.settings.update_interval_ms);
-        if !self.changed || !is_due {
+        let is_after = |intervals: usize| {
+            let ms = self.settings.update_interval_ms * intervals as u64;
+            self.updated_at.is_none_or(|at| now >= at + ms)
+        };
+        if !self.changed || !is_after(1) {
+            return false;
+        }
+        let observations: usize = self.observations.values().map(Vec::len).sum();
+        if !is_after(observations.div_ceil(OBSERVATIONS_PER_INTERVAL)) {
             return false;
         }
         self.speeds = speeds::compute(&self.observations);
--- a/crates/forecast/src/progress.rs
+++ b/crates/forecast/src/progress.rs
@@ -59,6 +59,9 @@
     /// progress first changes.
     next_first: Option<Mark>,
     pub newest: Mark,
+    /// Whether the rate is measured from a change of the progress. The first mark may be up to a report's interval old
+    /// when it is first seen.
+    is_first_change: bool,
     /// When the run was last reported, with whatever progress.
     pub reported_at: u64,
     /// Whether the rate of the run has been an observation of its worker.
@@ -72,6 +75,7 @@
             first: mark,
             next_first: None,
             newest: mark,
+            is_first_change: false,
             reported_at: mark.at,
             is_observed: false,
         }
@@ -87,6 +91,11 @@
             return Progress::Unchanged;
         }
         self.newest = mark;
+        if let Some(next) =
+            self.next_first.filter(|next| !self.is_first_change && Self::is_measured(*next, mark))
+        {
+            (self.first, self.is_first_change) = (next, true);
+        }
         match self.next_first {
             None if self.first.percent == 0 && mark.percent > MAX_FIRST_STEP_PERCENT => {
                 (self.first, self.next_first) = (mark, Some(mark));
@@ -100,12 +109,17 @@
         Progress::Used
     }
 
+    /// Returns whether progress between two marks is enough to be measured.
+    fn is_measured(first: Mark, newest: Mark) -> bool {
+        newest.at.saturating_sub(first.at) >= MIN_MEASURED_MS
+            && newest.percent - first.percent >= MIN_MEASURED_PERCENT
+    }
+
     /// Returns the measured rate in percent per second; `None` until the marks are far enough apart.
     pub fn rate(&self) -> Option<f64> {
         let ms = self.newest.at.saturating_sub(self.first.at);
         let percent = self.measured_percent();
-        (ms >= MIN_MEASURED_MS && percent >= MIN_MEASURED_PERCENT)
-            .then(|| percent as f64 * 1_000.0 / ms as f64)
+        Self::is_measured(self.first, self.newest).then(|| percent as f64 * 1_000.0 / ms as f64)
     }
 
     /// Returns the rate of a run that has reported the same progress for so long that it has slowed down: its measured
--- a/crates/forecast/tests/memory.rs
+++ b/crates/forecast/tests/memory.rs
@@ -86,3 +86,29 @@
     assert_eq!(forecasts.speed("a").milli, 1_000);
     assert_eq!(forecasts.speed("a").steps, 2);
 }
+
+/// Guards against updates of a large fleet that take more than a small share of a core.
+#[test]
+fn update_is_rarer_with_many_runs() {
+    let mut forecasts = Forecasts::default();
+    let report = |forecasts: &mut Forecasts, now: u64, workers: u64| {
+        for worker in 0..workers {
+            for run in 0..24 {
+                let id = RunId { run, ..run_id(worker / 20, worker as u32) };
+                forecasts.record_progress(now, &format!("w{worker}"), &id, now / 100);
+            }
+        }
+    };
+    report(&mut forecasts, 0, 40);
+    report(&mut forecasts, 500, 40);
+    assert!(forecasts.update(500));
+    report(&mut forecasts, 750, 40);
+    assert!(forecasts.update(750));
+    // 730 workers with 24 runs each have more than four times the runs of one interval.
+    report(&mut forecasts, 1_000, 730);
+    report(&mut forecasts, 1_500, 730);
+    assert!(forecasts.update(2_000));
+    report(&mut forecasts, 2_250, 730);
+    assert!(!forecasts.update(2_250) && !forecasts.update(3_249));
+    assert!(forecasts.update(3_250));
+}
--- a/crates/forecast/tests/remaining.rs
+++ b/crates/forecast/tests/remaining.rs
@@ -74,6 +74,20 @@
     assert!(left.is_some_and(|left| (6_500..=8_500).contains(&left)), "{left:?}");
 }
 
+/// Guards against a first mark that is older than the report that brings it, as when a planner is replaced: the time
+/// since then is too short, and the run looks fast.
+#[test]
+fn remaining_does_not_follow_an_old_first_mark() {
+    let mut forecasts = Forecasts::default();
+    // 8% every 500 ms, reported every 100 ms; the first mark is 400 ms old.
+    for report in 0..=12 {
+        forecasts.record_progress(report * 100, "w", &run_id(0), 20 + report.div_ceil(5) * 8);
+    }
+    // 28% at 100 ms, 36% at 600 ms and 44% at 1,100 ms.
+    let left = forecasts.remaining(&run_id(0), 1_200).map(|left| left.median_ms);
+    assert_eq!(left, Some(3_400));
+}
+
 /// Guards against a run that saves its result at 100% and is taken for frozen.
 #[test]
 fn remaining_of_a_finished_run_is_none_left() {
