Emulate uneven workers, long runs, reported progress and bursts of skewed accounts

Change: options of a load for workers, racks, speeds, capacity, differences in work, long runs, gangs at the speed of the slowest member, progress, bursts, accounts and memory ranges. New loads: `uneven` (55 workers, speeds 0.6, 1.0 and 1.6) and `bursty` (66 workers, bursts of four times the arrivals, six accounts skewed by 1.2, memory scarcest). Loads with progress print the errors of forecasts that are fed with the same reports as the planner.

--- a/crates/emul/src/args.rs
+++ b/crates/emul/src/args.rs
@@ -12,10 +12,10 @@
   sorrelland-emul [OPTIONS]
 
 Options:
-  --load NAME       hpms or cmsc (default hpms)
+  --load NAME       hpms, cmsc, uneven or bursty (default hpms)
   --seed N          first seed (default 1)
   --seeds N         number of seeds (default 20)
-  --workers N       workers (default 11)
+  --workers N       workers (default 11; uneven 55, bursty 66)
   --seconds N       time with arrivals (default 60)
   --rate X          multiple of the load's rates (default 1)
   --faults X        faults a minute (default 0)
@@ -28,7 +28,7 @@
 pub enum Command {
     Help,
     /// Run the load with each seed.
-    Run(Options),
+    Run(Box<Options>),
 }
 
 pub struct Options {
@@ -53,7 +53,7 @@
 ///
 /// Returns an error if an option or its value is invalid.
 pub fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
-    let (mut load, mut seed, mut seeds, mut workers) = ("hpms".to_owned(), 1, 20, 11);
+    let (mut load, mut seed, mut seeds, mut workers) = ("hpms".to_owned(), 1, 20, None);
     let (mut seconds, mut rate, mut faults) = (60, 1.0, 0.0);
     while let Some(arg) = parser.next()? {
         match arg {
@@ -61,7 +61,7 @@
             Arg::Long("load") => load = parser.value()?.string()?,
             Arg::Long("seed") => seed = parser.value()?.parse()?,
             Arg::Long("seeds") => seeds = parser.value()?.parse()?,
-            Arg::Long("workers") => workers = parser.value()?.parse()?,
+            Arg::Long("workers") => workers = Some(parser.value()?.parse()?),
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
             Arg::Long("rate") => rate = parser.value()?.parse()?,
             Arg::Long("faults") => faults = parser.value()?.parse()?,
@@ -70,8 +70,9 @@
     }
     let found = by_name(&load);
     let load = found.ok_or_else(|| lexopt::Error::Custom(format!("--load: unknown load {load:?}").into()))?;
+    let workers = workers.unwrap_or(load.workers);
     if workers == 0 || seeds == 0 {
         return Err(lexopt::Error::Custom("--workers and --seeds: must be at least 1".into()));
     }
-    Ok(Command::Run(Options { load, seed, seeds, workers, seconds, rate, faults }))
+    Ok(Command::Run(Box::new(Options { load, seed, seeds, workers, seconds, rate, faults })))
 }
--- a/crates/emul/src/cluster.rs
+++ b/crates/emul/src/cluster.rs
@@ -7,10 +7,7 @@
 use sorrelland_fleet::{Resources, Task};
 
 use crate::check::History;
-use crate::load::{HiddenProperties, JobGenerator};
-
-/// Number of workers in a rack.
-const WORKERS_PER_RACK: usize = 3;
+use crate::load::{HiddenProperties, JobGenerator, Load};
 
 /// Time after which a member of an incomplete gang ends.
 const GANG_TIMEOUT_MS: u64 = 3_000;
@@ -18,6 +15,9 @@
 /// Interval at which runs save their progress.
 const SAVE_INTERVAL_MS: f64 = 500.0;
 
+/// Interval at which a run reports its progress to its worker.
+const PROGRESS_INTERVAL_MS: u64 = 500;
+
 /// Slowdown of a step that prefers one rack while its subtasks run on several.
 const CROSS_RACK_SLOWDOWN: f64 = 3.0;
 
@@ -35,6 +35,10 @@
     saved_ms: f64,
     /// Time at which a requested stop takes effect.
     stop_at_ms: Option<u64>,
+    /// Work of the run as a multiple of its step's.
+    work_factor: f64,
+    /// Reported progress.
+    percent: u64,
 }
 
 /// A worker with its agent.
@@ -72,6 +76,17 @@
 pub struct Cluster {
     pub nodes: Vec<Node>,
     stop_ms: u64,
+    gangs_at_slowest: bool,
+    reports_progress: bool,
+}
+
+/// Workers of a unit's runs.
+#[derive(Default)]
+struct UnitWorkers {
+    members: u32,
+    racks: Vec<String>,
+    /// Speed of the slowest.
+    speed: f64,
 }
 
 /// Properties of the jobs that the emulation of runs needs.
@@ -80,16 +95,33 @@
     pub steps: &'a BTreeMap<String, Vec<sorrelland_fleet::Step>>,
 }
 
+impl JobTable<'_> {
+    pub(crate) fn step(&self, task: &Task) -> Option<&sorrelland_fleet::Step> {
+        self.steps.get(&task.job)?.get(task.step as usize)
+    }
+
+    /// Returns the queue of a subtask's job.
+    pub(crate) fn queue(&self, task: &Task) -> String {
+        self.hidden.get(&task.job).map(|properties| format!("q{}", properties.kind)).unwrap_or_default()
+    }
+
+    /// Returns the work of a run of a subtask, in milliseconds at speed 1.
+    fn work_ms(&self, task: &Task, work_factor: f64) -> Option<f64> {
+        let properties = self.hidden.get(&task.job)?;
+        properties.work_ms.get(task.step as usize).map(|work_ms| *work_ms as f64 * work_factor)
+    }
+}
+
 impl Cluster {
-    /// Creates `count` workers as in the users' request sheets: of three speeds, three to a rack.
-    pub fn new(count: usize, stop_ms: u64) -> Self {
+    /// Creates `count` workers of a load.
+    pub fn new(count: usize, load: &Load) -> Self {
         let node = |position: usize| Node {
             agent: format!("agent-{position}"),
             incarnation_number: 1,
             position,
-            rack: format!("r{}", position / WORKERS_PER_RACK),
-            speed: [0.8, 1.0, 1.25][position % 3],
-            capacity: Resources::new(128_000, 262_144, 8),
+            rack: format!("r{}", position / load.workers_per_rack),
+            speed: load.speeds[position % load.speeds.len()],
+            capacity: load.capacity,
             cut_off_until_ms: 0,
             broken: false,
             draining: false,
@@ -101,7 +133,17 @@
             highest_run: BTreeMap::new(),
             rejected: BTreeMap::new(),
         };
-        Self { nodes: (0..count).map(node).collect(), stop_ms }
+        Self {
+            nodes: (0..count).map(node).collect(),
+            stop_ms: load.stop_ms,
+            gangs_at_slowest: load.gangs_at_slowest,
+            reports_progress: load.reports_progress,
+        }
+    }
+
+    /// Returns the incarnation and the speed of each worker.
+    pub fn speeds(&self) -> Vec<(String, f64)> {
+        self.nodes.iter().map(|node| (node.incarnation_name(), node.speed)).collect()
     }
 
     /// Crashes a worker: its runs and unacknowledged ends are lost, and a new incarnation starts.
@@ -129,7 +171,7 @@
             task: task.clone(),
             run: *run,
             saved: if state.saved_ms > 0.0 { format!("{:.0}", state.saved_ms) } else { String::new() },
-            percent: 0,
+            percent: state.percent,
             measurement: 0,
         });
         let rejected = node.rejected.iter().map(|((task, run), reason)| NotStarted {
@@ -207,7 +249,20 @@
             }
             node.highest_run.insert(start.task.clone(), start.run);
             let saved_ms = start.saved.parse().unwrap_or(0.0);
-            let run = Run { started_ms: now_ms, done_ms: saved_ms, saved_ms, stop_at_ms: None };
+            let gang = jobs.step(&start.task).is_some_and(|step| step.gang);
+            let index = if gang { 0 } else { start.task.index };
+            let work_factor = jobs
+                .hidden
+                .get(&start.task.job)
+                .map_or(1.0, |properties| properties.work_factor(start.task.step, index, start.run));
+            let run = Run {
+                started_ms: now_ms,
+                done_ms: saved_ms,
+                saved_ms,
+                stop_at_ms: None,
+                work_factor,
+                percent: 0,
+            };
             node.runs.insert(key, run);
             history.record_start(now_ms, &start.task, start.run);
         }
@@ -230,19 +285,9 @@
         history: &mut History,
         failure_shares: &[f64],
     ) {
-        let mut running_units: BTreeMap<UnitRun, (u32, Vec<String>)> = BTreeMap::new();
-        for node in &self.nodes {
-            for (task, run) in node.runs.keys() {
-                let unit =
-                    running_units.entry((task.job.clone(), task.occurrence, task.step, *run)).or_default();
-                unit.0 += 1;
-                if !unit.1.contains(&node.rack) {
-                    unit.1.push(node.rack.clone());
-                }
-            }
-        }
+        let running_units = self.running_units();
         let mut ended_gangs = Vec::new();
-        let done_gangs = self.gangs_done_in_step(step_ms, jobs);
+        let done_gangs = self.gangs_done_in_step(step_ms, jobs, &running_units);
         for node in &mut self.nodes {
             let lapsed = now_ms > node.lease_end_ms;
             if lapsed {
@@ -257,8 +302,10 @@
                 };
                 let Some(properties) = jobs.hidden.get(&task.job) else { continue };
                 let unit = (task.job.clone(), task.occurrence, task.step, *run_number);
-                let (members, racks) =
-                    running_units.get(&unit).map_or((0, 0), |(members, racks)| (*members, racks.len()));
+                let unit = running_units.get(&unit);
+                let (members, racks) = unit.map_or((0, 0), |unit| (unit.members, unit.racks.len()));
+                let speed =
+                    unit.filter(|_| step.gang && self.gangs_at_slowest).map_or(node.speed, |unit| unit.speed);
                 if lapsed {
                     ending.push((key.clone(), EndReason::Lapsed));
                     continue;
@@ -281,11 +328,11 @@
                     continue;
                 }
                 let slowdown = if step.prefers_one_rack && racks > 1 { CROSS_RACK_SLOWDOWN } else { 1.0 };
-                run.done_ms += step_ms as f64 * node.speed / slowdown;
+                run.done_ms += step_ms as f64 * speed / slowdown;
                 if step.saves_progress {
                     run.saved_ms = (run.done_ms / SAVE_INTERVAL_MS).floor() * SAVE_INTERVAL_MS;
                 }
-                let work_ms = properties.work_ms.get(task.step as usize).copied().unwrap_or(1_000) as f64;
+                let work_ms = jobs.work_ms(task, run.work_factor).unwrap_or(1_000.0);
                 let fails = properties.always_fails || node.broken;
                 if fails && run.done_ms >= work_ms / 4.0 {
                     ending.push((key.clone(), EndReason::Failed));
@@ -333,24 +380,71 @@
                 }
             }
         }
+        if self.reports_progress {
+            self.update_percents(now_ms, step_ms, jobs);
+        }
+    }
+
+    /// Returns the workers of each unit with runs.
+    fn running_units(&self) -> BTreeMap<UnitRun, UnitWorkers> {
+        let mut units: BTreeMap<UnitRun, UnitWorkers> = BTreeMap::new();
+        for node in &self.nodes {
+            for (task, run) in node.runs.keys() {
+                let key = (task.job.clone(), task.occurrence, task.step, *run);
+                let unit =
+                    units.entry(key).or_insert(UnitWorkers { speed: node.speed, ..UnitWorkers::default() });
+                unit.members += 1;
+                unit.speed = unit.speed.min(node.speed);
+                if !unit.racks.contains(&node.rack) {
+                    unit.racks.push(node.rack.clone());
+                }
+            }
+        }
+        units
+    }
+
+    /// Updates the reported progress of the runs for which it is due. Members of a gang report that of the first one.
+    fn update_percents(&mut self, now_ms: u64, step_ms: u64, jobs: &JobTable<'_>) {
+        let percent = |task: &Task, run: &Run| {
+            let work_ms = jobs.work_ms(task, run.work_factor).unwrap_or(1_000.0);
+            ((100.0 * run.done_ms / work_ms) as u64).min(100)
+        };
+        let mut gangs: BTreeMap<UnitRun, u64> = BTreeMap::new();
+        for ((task, number), run) in self.nodes.iter().flat_map(|node| &node.runs) {
+            if task.index == 0 && jobs.step(task).is_some_and(|step| step.gang) {
+                let key = (task.job.clone(), task.occurrence, task.step, *number);
+                gangs.insert(key, percent(task, run));
+            }
+        }
+        for ((task, number), run) in self.nodes.iter_mut().flat_map(|node| &mut node.runs) {
+            if (now_ms - run.started_ms) % PROGRESS_INTERVAL_MS >= step_ms {
+                continue;
+            }
+            let gang = gangs.get(&(task.job.clone(), task.occurrence, task.step, *number));
+            run.percent = run.percent.max(gang.copied().unwrap_or_else(|| percent(task, run)));
+        }
     }
 }
 
 impl Cluster {
     /// Returns the gangs (job, step and run) whose first member may end as done in this step. The other members end
     /// with it, even if they were about to end for another reason.
-    fn gangs_done_in_step(&self, step_ms: u64, jobs: &JobTable<'_>) -> BTreeSet<(String, u32, u64)> {
+    fn gangs_done_in_step(
+        &self,
+        step_ms: u64,
+        jobs: &JobTable<'_>,
+        running_units: &BTreeMap<UnitRun, UnitWorkers>,
+    ) -> BTreeSet<(String, u32, u64)> {
         let mut gangs = BTreeSet::new();
         for node in &self.nodes {
             for ((task, run_number), run) in node.runs.iter().filter(|((task, _), _)| task.index == 0) {
-                let work_ms = jobs
-                    .hidden
-                    .get(&task.job)
-                    .and_then(|properties| properties.work_ms.get(task.step as usize));
-                let step = jobs.steps.get(&task.job).and_then(|steps| steps.get(task.step as usize));
-                let next_done_ms = run.done_ms + step_ms as f64 * node.speed;
-                if step.is_some_and(|step| step.gang)
-                    && work_ms.is_some_and(|work_ms| next_done_ms >= *work_ms as f64)
+                let work_ms = jobs.work_ms(task, run.work_factor);
+                let unit = (task.job.clone(), task.occurrence, task.step, *run_number);
+                let slowest = running_units.get(&unit).filter(|_| self.gangs_at_slowest);
+                let speed = slowest.map_or(node.speed, |unit| unit.speed);
+                let next_done_ms = run.done_ms + step_ms as f64 * speed;
+                if jobs.step(task).is_some_and(|step| step.gang)
+                    && work_ms.is_some_and(|work_ms| next_done_ms >= work_ms)
                 {
                     gangs.insert((task.job.clone(), task.step, *run_number));
                 }
--- a/crates/emul/src/lib.rs
+++ b/crates/emul/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod args;
 pub mod check;
 pub mod cluster;
+pub mod forecast;
 pub mod load;
 pub mod measure;
 pub mod run;
--- a/crates/emul/src/load.rs
+++ b/crates/emul/src/load.rs
@@ -42,6 +42,10 @@
     pub full_value_ms: u64,
     /// Number of failed runs after which a job fails.
     pub max_attempts: u32,
+    /// Range from which the memory of a job's subtasks is drawn, in megabytes; `None` for that of `cpu_memory`.
+    pub memory_range_mb: Option<(i64, i64)>,
+    /// Largest relative difference of a subtask's work from that of its step.
+    pub work_spread: f64,
 }
 
 /// Load of a deployment.
@@ -52,12 +56,57 @@
     pub kinds: Vec<JobKind>,
     /// Maximum time that it takes to stop a run, in milliseconds.
     pub stop_ms: u64,
+    /// Number of workers, unless the command line says otherwise.
+    pub workers: usize,
+    /// Number of workers in a rack.
+    pub workers_per_rack: usize,
+    /// Speeds of the workers, in turn.
+    pub speeds: &'static [f64],
+    /// Capacity of a worker.
+    pub capacity: Resources,
+    /// Whether a gang advances at the speed of its slowest worker, otherwise at that of its first member's.
+    pub gangs_at_slowest: bool,
+    /// Whether workers report progress in percent.
+    pub reports_progress: bool,
+    /// Runs that take longer than the work of their subtask; `None` for none.
+    pub long_runs: Option<LongRuns>,
+    /// Periods with more arrivals; `None` for none.
+    pub bursts: Option<Bursts>,
+    /// Number of client accounts.
+    pub accounts: u32,
+    /// Exponent of the accounts' shares of the jobs: the k-th account has a share proportional to k to the power of its
+    /// negative. 0 for equal shares.
+    pub account_skew: f64,
 }
 
+/// Runs that take a multiple of their subtask's work.
+#[derive(Clone, Copy, Debug)]
+pub struct LongRuns {
+    /// Share of all runs.
+    pub share: f64,
+    /// Multiple of the work.
+    pub factor: f64,
+}
+
+/// Periodic bursts of arrivals.
+#[derive(Clone, Copy, Debug)]
+pub struct Bursts {
+    /// Time from the start of a burst to that of the next, in milliseconds.
+    pub period_ms: u64,
+    /// Length of a burst, in milliseconds.
+    pub length_ms: u64,
+    /// Multiple of the arrivals during a burst.
+    pub factor: f64,
+}
+
+/// Share and multiple of long runs that the planning service and the member desk have seen.
+const LONG_RUNS: LongRuns = LongRuns { share: 1.0 / 30.0, factor: 7.0 };
+
 /// Numbers of accelerators of a subtask; 8 is drawn twice as often as each of the others.
 const ACCELERATOR_COUNTS: &[i64] = &[1, 2, 4, 8, 8];
 
-/// Returns the load of the deployment `hpms` or `cmsc`.
+/// Returns the load of the deployment `hpms` or `cmsc`, or a synthetic one: `uneven` has workers of three speeds and long
+/// runs, `bursty` has bursts of a few large accounts that exhaust the memory.
 pub fn by_name(name: &str) -> Option<Load> {
     let reprice = JobKind {
         name: "reprice",
@@ -77,6 +126,8 @@
         stretch_milli: 3_000,
         full_value_ms: 1_000,
         max_attempts: 4,
+        memory_range_mb: None,
+        work_spread: 0.0,
     };
     let window = JobKind {
         name: "window",
@@ -95,6 +146,8 @@
         stretch_milli: 1_500,
         full_value_ms: 250,
         max_attempts: 2,
+        memory_range_mb: None,
+        work_spread: 0.0,
         accelerators: ACCELERATOR_COUNTS,
     };
     let spares = JobKind {
@@ -115,9 +168,26 @@
         stretch_milli: 3_000,
         full_value_ms: 3_000,
         max_attempts: 4,
+        memory_range_mb: None,
+        work_spread: 0.0,
+    };
+    let load = Load {
+        name: "hpms",
+        kinds: Vec::new(),
+        stop_ms: 400,
+        workers: 11,
+        workers_per_rack: 3,
+        speeds: &[0.8, 1.0, 1.25],
+        capacity: Resources::new(128_000, 262_144, 8),
+        gangs_at_slowest: false,
+        reports_progress: false,
+        long_runs: None,
+        bursts: None,
+        accounts: 4,
+        account_skew: 0.0,
     };
     match name {
-        "hpms" => Some(Load { name: "hpms", kinds: vec![reprice, window, spares], stop_ms: 400 }),
+        "hpms" => Some(Load { kinds: vec![reprice, window, spares], ..load }),
         "cmsc" => {
             let render = JobKind {
                 name: "render",
@@ -148,7 +218,62 @@
                 max_attempts: 2,
                 ..spares
             };
-            Some(Load { name: "cmsc", kinds: vec![render, check, proof], stop_ms: 900 })
+            Some(Load { name: "cmsc", kinds: vec![render, check, proof], stop_ms: 900, ..load })
+        }
+        "uneven" => {
+            let kind = |kind: JobKind, rate: f64, cpu_memory| JobKind {
+                arrivals_per_s: kind.arrivals_per_s * rate,
+                cpu_memory,
+                estimate_error: 0.6,
+                work_spread: 0.3,
+                ..kind
+            };
+            Some(Load {
+                name: "uneven",
+                kinds: vec![
+                    kind(reprice, 5.0, (16_000, 32_000)),
+                    kind(window, 5.0, (8_000, 16_000)),
+                    kind(spares, 5.0, (6_000, 12_000)),
+                ],
+                workers: 55,
+                workers_per_rack: 6,
+                speeds: &[0.6, 1.0, 1.6],
+                capacity: Resources::new(64_000, 131_072, 8),
+                gangs_at_slowest: true,
+                reports_progress: true,
+                long_runs: Some(LONG_RUNS),
+                ..load
+            })
+        }
+        "bursty" => {
+            let kind = |kind: JobKind, rate: f64, memory_range_mb| JobKind {
+                arrivals_per_s: kind.arrivals_per_s * rate,
+                cpu_memory: (4_000, 0),
+                memory_range_mb: Some(memory_range_mb),
+                accelerators: &[0, 1],
+                estimate_error: 0.6,
+                work_spread: 0.15,
+                ..kind
+            };
+            Some(Load {
+                name: "bursty",
+                kinds: vec![
+                    kind(reprice, 5.0, (30_000, 68_000)),
+                    kind(window, 5.0, (15_000, 40_000)),
+                    kind(spares, 5.0, (15_000, 40_000)),
+                ],
+                workers: 66,
+                workers_per_rack: 8,
+                speeds: &[1.0, 1.3],
+                capacity: Resources::new(32_000, 131_072, 8),
+                gangs_at_slowest: true,
+                reports_progress: true,
+                long_runs: Some(LONG_RUNS),
+                bursts: Some(Bursts { period_ms: 30_000, length_ms: 8_000, factor: 4.0 }),
+                accounts: 6,
+                account_skew: 1.2,
+                ..load
+            })
         }
         _ => None,
     }
@@ -165,6 +290,30 @@
     pub always_fails: bool,
     /// Time from the first submission after which the caller cancels, in milliseconds.
     pub cancel_after_ms: Option<u64>,
+    /// Seed of the differences between its runs.
+    pub seed: u64,
+    /// Largest relative difference of a subtask's work from that of its step.
+    pub work_spread: f64,
+    pub long_runs: Option<LongRuns>,
+}
+
+impl HiddenProperties {
+    /// Returns the work of a run as a multiple of its step's work. All members of a gang have the same.
+    pub fn work_factor(&self, step: u32, index: u32, run: u64) -> f64 {
+        let seed = self.seed ^ (u64::from(step) << 32 | u64::from(index));
+        let mut factor = 1.0;
+        if self.work_spread > 0.0 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            factor += self.work_spread * rng.random_range(-1.0..1.0);
+        }
+        if let Some(long) = self.long_runs {
+            let mut rng = StdRng::seed_from_u64(seed ^ (run << 48));
+            if rng.random_range(0.0..1.0) < long.share {
+                factor *= long.factor;
+            }
+        }
+        factor
+    }
 }
 
 /// Seeded generator of jobs and of all other random values of a run.
@@ -206,9 +355,13 @@
         let choice = self.rng.random_range(0..params.accelerators.len());
         let work_ms = self.draw_around(params.work_ms, 0.5, 11_000.0).max(300.0);
         let estimate_ratio = 1.0 + params.estimate_error * (2.0 * self.draw_uniform() - 1.0);
+        let memory_mb = match params.memory_range_mb {
+            Some((low, high)) => self.rng.random_range(low..=high),
+            None => params.cpu_memory.1,
+        };
         let step = Step {
             count,
-            resources: Resources::new(params.cpu_memory.0, params.cpu_memory.1, params.accelerators[choice]),
+            resources: Resources::new(params.cpu_memory.0, memory_mb, params.accelerators[choice]),
             estimate_ms: (work_ms * estimate_ratio).max(100.0) as u64,
             saves_progress: self.draw_uniform() < params.saving_share,
             gang,
@@ -220,21 +373,41 @@
         if has_second_step {
             steps.push(Step { depends_on: vec![0], ..step });
         }
-        let hidden = HiddenProperties {
+        let mut hidden = HiddenProperties {
             kind,
             work_ms: vec![work_ms as u64; steps.len()],
             always_fails: self.draw_uniform() < params.always_failing_share,
             cancel_after_ms: (self.draw_uniform() < params.cancelled_share)
                 .then(|| 500 + (self.draw_uniform() * 8_000.0) as u64),
+            seed: 0,
+            work_spread: params.work_spread,
+            long_runs: load.long_runs,
         };
         let submission = Submission {
             job: format!("{:016x}", self.last_job),
             queue: format!("q{kind}"),
-            account: format!("account-{}", self.rng.random_range(0..4)),
+            account: format!("account-{}", self.draw_account(load)),
             spec: params.name.to_owned(),
             steps,
             schedule: None,
         };
+        if hidden.work_spread > 0.0 || hidden.long_runs.is_some() {
+            hidden.seed = self.rng.random();
+        }
         (submission, hidden)
     }
+
+    /// Draws the number of a client account.
+    fn draw_account(&mut self, load: &Load) -> u32 {
+        if load.account_skew == 0.0 {
+            return self.rng.random_range(0..load.accounts);
+        }
+        let weight = |account: u32| f64::from(account + 1).powf(-load.account_skew);
+        let mut left = self.draw_uniform() * (0..load.accounts).map(weight).sum::<f64>();
+        let is_drawn = |account: &u32| {
+            left -= weight(*account);
+            left < 0.0
+        };
+        (0..load.accounts).find(is_drawn).unwrap_or(load.accounts - 1)
+    }
 }
--- a/crates/emul/src/run.rs
+++ b/crates/emul/src/run.rs
@@ -10,6 +10,7 @@
 
 use crate::check::History;
 use crate::cluster::{Cluster, JobTable};
+use crate::forecast::{Errors, Observer};
 use crate::load::{HiddenProperties, JobGenerator, Load};
 use crate::measure::Measure;
 use crate::store::Store;
@@ -47,6 +48,8 @@
 #[derive(Debug)]
 pub struct Outcomes {
     pub measure: Measure,
+    /// Errors of the forecasts; `None` if the load's workers report no progress.
+    pub forecast_errors: Option<Errors>,
     /// Violated invariants.
     pub violations: Vec<String>,
     /// Total number of starts of runs on workers.
@@ -91,7 +94,7 @@
         version: 1,
         queues: load.kinds.iter().enumerate().map(queue).collect(),
         services: [("service".to_owned(), Service::default())].into(),
-        accounts: (0..4).map(account).collect(),
+        accounts: (0..load.accounts).map(account).collect(),
         keys: BTreeMap::new(),
     }
 }
@@ -103,7 +106,7 @@
     let desired = Arc::new(desired(load));
     let mut planner = Planner::new(timing(load), desired.clone(), Vec::new(), 0);
     let (mut store, mut history) = (Store::default(), History::default());
-    let mut cluster = Cluster::new(setup.workers, load.stop_ms);
+    let mut cluster = Cluster::new(setup.workers, load);
     let mut callers = generate_callers(setup, &mut generator);
     let hidden: BTreeMap<String, HiddenProperties> =
         callers.iter().map(|caller| (caller.submission.job.clone(), caller.hidden.clone())).collect();
@@ -114,6 +117,7 @@
     let jobs = JobTable { hidden: &hidden, steps: &steps };
     let failure_shares: Vec<f64> = load.kinds.iter().map(|kind| kind.failure_share).collect();
     let mut measure = Measure::new(load);
+    let mut observer = load.reports_progress.then(Observer::default);
     let mut planner_start_ms = 0;
     let mut now_ms = STEP_MS;
     while now_ms < setup.length_ms + DRAIN_MS {
@@ -125,6 +129,7 @@
                 if planner_killed {
                     planner = Planner::new(timing(load), desired.clone(), store.fence_and_recover(), now_ms);
                     planner_start_ms = now_ms + 2_000;
+                    observer.iter_mut().for_each(Observer::restart);
                 }
             }
         }
@@ -135,6 +140,9 @@
                     let agent = cluster.nodes[index].agent.clone();
                     if let Some(report) = cluster.report(now_ms, index) {
                         planner.apply_report(now_ms, now_ms, now_ms, &report);
+                        observer
+                            .iter_mut()
+                            .for_each(|observer| observer.record_report(now_ms, &report, &jobs));
                         if let Some(assignments) = planner.assignments(now_ms, &agent) {
                             cluster.apply_assignments(now_ms, index, &assignments, &jobs, &mut history);
                         }
@@ -147,17 +155,30 @@
             store.step(now_ms, &mut planner);
         }
         now_ms += STEP_MS;
+        if now_ms == setup.length_ms {
+            observer.iter_mut().for_each(|observer| observer.record_speeds(&cluster.speeds()));
+        }
     }
     let unended = callers.iter().filter(|caller| caller.accepted && !caller.ended);
     let unended = unended.map(|caller| caller.submission.job.clone()).collect();
     record_unended(load, &callers, &mut measure);
-    Outcomes { measure, violations: history.violations, starts: history.starts, unended }
+    Outcomes {
+        measure,
+        forecast_errors: observer.map(|observer| observer.errors),
+        violations: history.violations,
+        starts: history.starts,
+        unended,
+    }
 }
 
 fn generate_callers(setup: &Setup, generator: &mut JobGenerator) -> Vec<Caller> {
     let mut callers = Vec::new();
-    for index in 0..setup.load.kinds.len() {
-        let mut arrival_ms = generator.draw_gap_ms(setup.load.kinds[index].arrivals_per_s * setup.rate);
+    for (index, kind) in setup.load.kinds.iter().enumerate() {
+        let rate_at = |at_ms: u64| {
+            let burst = setup.load.bursts.filter(|bursts| at_ms % bursts.period_ms < bursts.length_ms);
+            kind.arrivals_per_s * setup.rate * burst.map_or(1.0, |bursts| bursts.factor)
+        };
+        let mut arrival_ms = generator.draw_gap_ms(rate_at(0));
         while arrival_ms < setup.length_ms {
             let (submission, hidden) = generator.generate_job(&setup.load, index);
             let first_ms = arrival_ms + 500;
@@ -170,7 +191,7 @@
                 accepted: false,
                 ended: false,
             });
-            arrival_ms += generator.draw_gap_ms(setup.load.kinds[index].arrivals_per_s * setup.rate).max(1);
+            arrival_ms += generator.draw_gap_ms(rate_at(arrival_ms)).max(1);
         }
     }
     callers.sort_by_key(|caller| caller.first_ms);
--- a/crates/sorrelland/src/bin/sorrelland-emul.rs
+++ b/crates/sorrelland/src/bin/sorrelland-emul.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use sorrelland_emul::args::{Command, HELP, parse};
+use sorrelland_emul::forecast::Errors;
 use sorrelland_emul::measure::table;
 use sorrelland_emul::{Setup, run};
 
@@ -19,6 +20,7 @@
         }
     };
     let mut measures = Vec::new();
+    let mut forecast_errors: Option<Errors> = None;
     let mut violated = false;
     for seed in options.seed..options.seed + options.seeds {
         let outcomes = run(&Setup {
@@ -34,7 +36,13 @@
             println!("seed {seed}: {violation}");
         }
         measures.push(outcomes.measure);
+        if let Some(errors) = &outcomes.forecast_errors {
+            forecast_errors.get_or_insert_default().extend(errors);
+        }
     }
     print!("{}", table(&options.load, &measures));
+    if let Some(errors) = forecast_errors {
+        print!("{}", errors.text());
+    }
     if violated { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
