Stop runs that would be lost with a worker that announces its departure

Cause: whatever still runs when a draining worker shuts down is lost, though the worker announces the time that it has left.

Change: the planner keeps the time of each announced departure. A run that saves progress is stopped when just enough time is left for its stop and its checkpoint; one that saves nothing is stopped at once if the lower bound of its remaining time is longer than the time left. Runs that end in time, and steps with `max_unavailable`, are left alone. A gang counts as a whole; its progress is now measured on its unit. The forecasts skip the 0% that an agent reports of a resumed run before the worker lists it.

Result: 29 new tests in virtual time pass. With the check for the 0% taken out, `tick_stops_resumed_run_before_departure` fails; with no departing units found, six of them fail.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -7,8 +7,9 @@
 use crate::forecast::run_id;
 use crate::incarnation;
 use crate::job::{Job, Outcome, Step};
+use crate::leaving::Departure;
 use crate::planner::{Agent, Planner, mark_ending, set_state};
-use crate::report::{End, EndReason, NotStarted, Report, WORKER_CRASHED};
+use crate::report::{End, EndReason, NotStarted, Report, Running, WORKER_CRASHED};
 use crate::resources::Resources;
 use crate::task::Task;
 use crate::unit::{Unit, UnitKey, UnitState};
@@ -206,13 +207,14 @@
             let (from, to) = (worker.info.capacity, info.capacity);
             self.log.push(format!("event=capacity_changed worker={incarnation} from={from} to={to}"));
         }
+        worker.departure = Departure::update(worker.departure, now, info);
         worker.info = info.clone();
         worker.agent.clone_from(&report.agent);
         worker.last_report_at = now;
         worker.running = running;
         let last_applied = worker.applied_end.0;
         for run in &report.running {
-            self.record_running(&incarnation, &run.task, run.run, run.percent, &run.saved);
+            self.record_running(now, &incarnation, run);
             self.forecast_progress(now, &incarnation, run);
         }
         let accounted = report.ended.iter().map(|end| (&end.task, end.run));
@@ -308,18 +310,21 @@
         (member.worker == incarnation && !member.released).then_some((job, key, offset))
     }
 
-    fn record_running(&mut self, incarnation: &str, task: &Task, run: u64, percent: u64, saved: &str) {
-        let Some((job, key, offset)) = self.member_mut(incarnation, task, run) else { return };
+    fn record_running(&mut self, now: u64, incarnation: &str, running: &Running) {
+        let Running { task, run, saved, percent, .. } = running;
+        let Some((job, key, offset)) = self.member_mut(incarnation, task, *run) else { return };
         let first_start = !job.started;
         job.started = true;
         if let Some(unit) = job.units.get_mut(&key) {
-            if !saved.is_empty() {
-                unit.saved = saved.to_owned();
+            let is_new_checkpoint = !saved.is_empty() && unit.saved != *saved;
+            if is_new_checkpoint {
+                unit.saved.clone_from(saved);
             }
             if let Some(member) = unit.members.get_mut(offset) {
                 member.seen = true;
-                member.percent = percent;
+                member.percent = *percent;
             }
+            unit.record_progress(now, is_new_checkpoint);
         }
         if first_start {
             self.mark_changed(&task.job);
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -1,11 +1,12 @@
 //! Feeds the forecasts with the progress and the ends that workers report.
 
-use sorrelland_forecast::{Progress, RunId};
+use sorrelland_forecast::{Progress, Remaining, RunId};
 
 use crate::job::Step;
 use crate::planner::Planner;
 use crate::report::{End, EndReason, Running};
 use crate::task::Task;
+use crate::unit::{Unit, UnitKey};
 use crate::worker::Worker;
 
 /// Returns the name of a run in the forecasts.
@@ -31,6 +32,9 @@
         if !is_comparable(step, worker) {
             return;
         }
+        if run.percent == 0 && self.continues_from_checkpoint(&run.task) {
+            return;
+        }
         let id = run_id(&run.task, run.run);
         if let Progress::Invalid(reason) = self.forecasts.record_progress(now, incarnation, &id, run.percent)
             && let Some(count) = self.line_limit.record(now, reason)
@@ -42,6 +46,25 @@
         }
     }
 
+    /// Returns whether the newest run of a subtask's unit started from saved progress. Its agent reports 0% until the
+    /// worker lists it, which is no measurement.
+    fn continues_from_checkpoint(&self, task: &Task) -> bool {
+        let unit = self.unit_of(task).and_then(|(key, _)| self.jobs.get(&task.job)?.units.get(&key));
+        unit.is_some_and(Unit::continues_from_checkpoint)
+    }
+
+    /// Returns the range of the remaining time of a unit's newest run; `None` until its progress has been measured.
+    pub(crate) fn remaining_of_unit(
+        &self,
+        now: u64,
+        job: &str,
+        key: UnitKey,
+        unit: &Unit,
+    ) -> Option<Remaining> {
+        // The forecasts leave out gangs, and runs whose rate says nothing of their worker's speed.
+        self.forecasts.remaining(&run_id(&key.task(job, 0), unit.run), now).or_else(|| unit.remaining(now))
+    }
+
     /// Records the end of a run that the planner had placed.
     pub(crate) fn forecast_end(&mut self, now: u64, incarnation: &str, end: &End) {
         let id = run_id(&end.task, end.run);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -404,6 +404,7 @@
         self.judge_suspects(now, wall);
         self.set_paces(now);
         self.update_forecasts(now);
+        self.stop_leaving_runs(now);
         self.place_waiting_units(now, wall);
     }
 
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::{Job, Outcome, Submission};
+use crate::run_progress::RunProgress;
 use crate::unit::{Unit, UnitKey};
 use crate::wait::Waits;
 
@@ -72,6 +73,7 @@
             placed_at: None,
             done_in_ms: 0,
             waits: Waits::default(),
+            progress: RunProgress::default(),
             ..unit.clone()
         };
         stored != default
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::Crash;
+use crate::run_progress::RunProgress;
 use crate::task::Task;
 use crate::wait::Waits;
 
@@ -98,6 +99,9 @@
     /// Waiting times since the unit became ready.
     #[serde(skip)]
     pub waits: Waits,
+    /// Measured progress of the newest run; a new planner relearns it from the reports.
+    #[serde(skip)]
+    pub progress: RunProgress,
 }
 
 impl Unit {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::leaving::Departure;
 use crate::report::{Running, WorkerInfo};
 use crate::resources::Resources;
 use crate::task::Task;
@@ -22,6 +23,8 @@
     pub info: WorkerInfo,
     /// Agent that manages the worker.
     pub agent: String,
+    /// When it shuts down, if it has announced that.
+    pub departure: Option<Departure>,
     /// When its agent last reported, on the monotonic clock.
     pub last_report_at: u64,
     /// When the newest grant to its agent ends, on the monotonic clock.
@@ -53,6 +56,7 @@
         Self {
             info,
             agent,
+            departure: None,
             last_report_at: now,
             granted_until: now,
             running: BTreeMap::new(),
--- a/crates/forecast/src/forecasts.rs
+++ b/crates/forecast/src/forecasts.rs
@@ -169,15 +169,7 @@
 
     /// Returns the range of the remaining time of a run; `None` until its progress has been measured.
     pub fn remaining(&self, run: &RunId, now: u64) -> Option<Remaining> {
-        let track = self.tracks.get(run)?;
-        let rate = track.rate_if_stalled(now).or_else(|| track.rate())?;
-        let left = 100_u64.saturating_sub(track.newest.percent) as f64;
-        let since_ms = now.saturating_sub(track.newest.at) as f64;
-        let ms = (left * 1_000.0 / rate - since_ms).max(0.0);
-        // Both marks are rounded to whole percents.
-        let error = 1.0 / (track.newest.percent - track.first.percent) as f64;
-        let bound = |factor: f64| (ms * factor).round() as u64;
-        Some(Remaining { low_ms: bound(1.0 - error), median_ms: bound(1.0), high_ms: bound(1.0 + error) })
+        self.tracks.get(run)?.remaining(now)
     }
 
     /// Returns how far the declared estimates of a queue are off.
--- a/crates/forecast/src/progress.rs
+++ b/crates/forecast/src/progress.rs
@@ -1,5 +1,7 @@
 //! Progress of single runs.
 
+use crate::forecasts::Remaining;
+
 /// A step of an occurrence of a job: the job's name, the occurrence and the step's number.
 pub type StepId = (String, u32, u32);
 
@@ -31,14 +33,14 @@
 }
 
 /// Progress of a run, in percent of its work, at a time.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
     pub at: u64,
     pub percent: u64,
 }
 
 /// First and newest mark of a run.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Track {
     pub worker: String,
     pub first: Mark,
@@ -80,4 +82,16 @@
         (expected > 3.0 * MIN_MEASURED_PERCENT as f64 && silent_ms > 2 * MIN_MEASURED_MS)
             .then(|| percent * 1_000.0 / (now - self.first.at).max(1) as f64)
     }
+
+    /// Returns the range of the remaining time; `None` until the rate has been measured.
+    pub fn remaining(&self, now: u64) -> Option<Remaining> {
+        let rate = self.rate_if_stalled(now).or_else(|| self.rate())?;
+        let left = 100_u64.saturating_sub(self.newest.percent) as f64;
+        let since_ms = now.saturating_sub(self.newest.at) as f64;
+        let ms = (left * 1_000.0 / rate - since_ms).max(0.0);
+        // Both marks are rounded to whole percents.
+        let error = 1.0 / (self.newest.percent - self.first.percent) as f64;
+        let bound = |factor: f64| (ms * factor).round() as u64;
+        Some(Remaining { low_ms: bound(1.0 - error), median_ms: bound(1.0), high_ms: bound(1.0 + error) })
+    }
 }
