Judge stops by measured remaining time and by the age of the checkpoint

Cause: the cost of a stop took the time since the placement for the lost work and the declared estimate for the time that is left. Estimates are off by factors of up to 2.5, and 85% of a long run may leave many seconds.

Change: `StoppableRun::stop_cost`, a pure function, returns the cost with its cause from the measured remaining time, the time since the last checkpoint, the job's other runs and its target by measured work. Nearly done means that the run ends hardly later than its stop would. The lines on preempted runs have the cost and its inputs. Runs without a measurement are judged by their estimates as before, except that one far over its estimate no longer counts as in time.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -316,15 +316,14 @@
         let first_start = !job.started;
         job.started = true;
         if let Some(unit) = job.units.get_mut(&key) {
-            let is_new_checkpoint = !saved.is_empty() && unit.saved != *saved;
-            if is_new_checkpoint {
-                unit.saved.clone_from(saved);
-            }
             if let Some(member) = unit.members.get_mut(offset) {
                 member.seen = true;
                 member.percent = *percent;
             }
-            unit.record_progress(now, is_new_checkpoint);
+            unit.record_progress(now, offset, saved);
+            if !saved.is_empty() {
+                unit.saved.clone_from(saved);
+            }
         }
         if first_start {
             self.mark_changed(&task.job);
--- a/crates/fleet/src/leaving.rs
+++ b/crates/fleet/src/leaving.rs
@@ -12,6 +12,7 @@
 use crate::job::Step;
 use crate::planner::Planner;
 use crate::report::WorkerInfo;
+use crate::stops::MAX_ESTIMATE_ERROR_MILLI;
 use crate::unit::{UnitKey, UnitState};
 
 /// Time that a stop needs on top of its own duration, in milliseconds: the announced time may be half a second old, since
@@ -22,9 +23,6 @@
 /// ones come from reports that took longer.
 const MIN_POSTPONEMENT_MS: u64 = 2_000;
 
-/// Factor by which the declared estimates are too low at worst, except for one run in thirty, in thousandths.
-const MAX_ESTIMATE_ERROR_MILLI: u64 = 2_500;
-
 /// When a worker shuts down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Departure {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod report;
 pub mod resources;
 pub mod run_progress;
+pub mod stops;
 pub mod task;
 pub mod unit;
 pub mod value;
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -67,6 +67,7 @@
         let Some(victim) = pass.victims.as_mut().and_then(|victims| victims.get_mut(victim)) else {
             continue;
         };
+        let reason = format!("{reason}: {}", victim.describe_stop());
         victim.mark_stopping();
         planner.evict(pass.now, &victim.job, victim.key, &reason);
     }
--- a/crates/fleet/src/run_progress.rs
+++ b/crates/fleet/src/run_progress.rs
@@ -12,9 +12,9 @@
     run: u64,
     /// Progress that all members have reached; `None` until each has reported.
     track: Option<Track>,
-    /// When the first report of the run arrived, on the monotonic clock.
-    first_report_at: u64,
-    /// When the saved progress last changed during the run, on the monotonic clock; `None` if it has not.
+    /// Saved progress that each member reported last.
+    saved: Vec<String>,
+    /// When one of them last changed during the run, on the monotonic clock; `None` if none has.
     saved_at: Option<u64>,
 }
 
@@ -24,12 +24,16 @@
         self.run > 1 && !self.saved.is_empty()
     }
 
-    /// Measures the progress of the newest run after a report of one of its members.
-    pub(crate) fn record_progress(&mut self, now: u64, is_new_checkpoint: bool) {
+    /// Measures the progress of the newest run after a report of the member at `offset`, whose saved progress is `saved`.
+    pub(crate) fn record_progress(&mut self, now: u64, offset: usize, saved: &str) {
         if self.progress.run != self.run {
-            self.progress = RunProgress { run: self.run, first_report_at: now, ..RunProgress::default() };
+            // The run began with what the unit had saved before.
+            let saved = vec![self.saved.clone(); self.members.len()];
+            self.progress = RunProgress { run: self.run, saved, ..RunProgress::default() };
         }
-        if is_new_checkpoint {
+        let known = self.progress.saved.get_mut(offset);
+        if let Some(known) = known.filter(|known| !saved.is_empty() && **known != saved) {
+            saved.clone_into(known);
             self.progress.saved_at = Some(now);
         }
         let running = self.members.iter().filter(|member| !member.released);
@@ -45,7 +49,7 @@
         let mark = Mark { at: now, percent };
         match &mut self.progress.track {
             Some(track) => {
-                // Progress that goes back is ignored and logged with the forecasts.
+                // Progress that goes back changes nothing.
                 let _: Progress = track.record(mark);
             }
             None => self.progress.track = Some(Track::new("", mark)),
@@ -58,13 +62,28 @@
         self.current_progress()?.track.as_ref()?.remaining(now)
     }
 
+    /// Returns the progress of the newest run, in percent.
+    pub fn percent(&self) -> u64 {
+        let track = self.current_progress().and_then(|progress| progress.track.as_ref());
+        track.map_or(0, |track| track.newest.percent)
+    }
+
+    /// Returns the time that the newest run takes from 0 to 100%, in milliseconds; `None` until its rate has been measured.
+    pub fn measured_duration_ms(&self) -> Option<u64> {
+        let percent_per_s = self.current_progress()?.track.as_ref()?.rate()?;
+        Some((100_000.0 / percent_per_s).round() as u64)
+    }
+
+    /// Returns whether the newest run has reported a checkpoint of its own.
+    pub fn has_reported_checkpoint(&self) -> bool {
+        self.current_progress().is_some_and(|progress| progress.saved_at.is_some())
+    }
+
     /// Returns the time for which the newest run has saved no progress, in milliseconds.
     pub fn unsaved_ms(&self, now: u64) -> u64 {
-        let progress = self.current_progress();
-        // A planner that did not place the run knows nothing of the checkpoints before the first report.
-        let started_at = self.placed_at.or(progress.map(|progress| progress.first_report_at));
-        let saved_at = progress.and_then(|progress| progress.saved_at);
-        now.saturating_sub(saved_at.or(started_at).unwrap_or(self.since))
+        let saved_at = self.current_progress().and_then(|progress| progress.saved_at);
+        // A planner that did not place the run knows nothing of earlier checkpoints.
+        now.saturating_sub(saved_at.or(self.placed_at).unwrap_or(self.since))
     }
 
     fn current_progress(&self) -> Option<&RunProgress> {
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -1,11 +1,14 @@
-//! Value of a job to its caller, and cost of stopping a run.
+//! Value of a job to its caller, and what the cost of stopping a run follows from.
 //!
 //! Under overload not every job can end in time; resources then go to the jobs with the highest value
 //! per core-second.
 
+use std::collections::BTreeMap;
+
 use crate::desired::Queue;
 use crate::job::{Job, Submission};
 use crate::planner::Planner;
+use crate::stops::{SLOW_WORKER_FACTOR_MILLI, StoppableRun};
 use crate::unit::{Unit, UnitKey, UnitState};
 
 /// Relative value of a mean job by the priority of its queue, from the users' data sheets. Lower priorities have the
@@ -21,12 +24,6 @@
 /// Share of its value that a late job keeps, between the 0.2 and 0.5 of the users' data sheets.
 const LATE_VALUE_SHARE: f64 = 0.3;
 
-/// Cost of lost work, in the unit of a job's value, from the users' price list.
-const LOST_WORK_COST_PER_CORE_S: f64 = 0.0019;
-
-/// Factor for slow workers and low estimates, in thousandths: the speeds of the users' workers differ by a quarter.
-const SLOW_WORKER_FACTOR_MILLI: u64 = 1_250;
-
 /// Mean work of a queue's jobs before the first one, from the users' data sheets.
 const INITIAL_MEAN_WORK_CORE_S: f64 = 900.0;
 
@@ -138,38 +135,131 @@
     }
 }
 
-impl Planner {
-    /// Returns the cost of stopping a placed unit's run now, in the unit of a job's value: the lost work, and the
-    /// value that the job may lose by the delay.
-    pub fn stop_cost(&self, now: u64, wall: u64, job: &Job, key: UnitKey, unit: &Unit) -> f64 {
-        if unit.state == UnitState::Ending {
-            // It is being stopped already.
-            return 0.0;
+/// What the runs of a job have in common when the cost of their stops is computed.
+#[derive(Clone, Debug)]
+pub struct JobProgress<'a> {
+    job: &'a Job,
+    queue: &'a Queue,
+    value: f64,
+    /// Longest measured work of the runs of a step, in milliseconds, by occurrence and step.
+    work_ms: BTreeMap<(u32, u32), u64>,
+    /// The two measured runs of an occurrence after which the job takes longest, with that time in milliseconds, longest
+    /// first.
+    longest: BTreeMap<u32, Vec<(u64, UnitKey)>>,
+}
+
+impl JobProgress<'_> {
+    /// Returns the time until the job's other runs and the steps after them are done, as far as measured.
+    fn others_ms(&self, key: UnitKey) -> u64 {
+        let longest = self.longest.get(&key.occurrence).into_iter().flatten();
+        longest.filter(|(_, other)| *other != key).map(|(ms, _)| *ms).max().unwrap_or(0)
+    }
+
+    /// Returns the target of an occurrence by measured work, which callers judge by; a step without counts with its
+    /// declared estimate.
+    fn measured_target_ms(&self, occurrence: u32) -> u64 {
+        let mut ends: Vec<u64> = Vec::new();
+        for (number, step) in (0..).zip(&self.job.sub.steps) {
+            let start_ms = step.depends_on.iter().filter_map(|before| ends.get(*before as usize)).max();
+            let work_ms = self.work_ms.get(&(occurrence, number)).copied().unwrap_or(step.estimate_ms);
+            ends.push(start_ms.copied().unwrap_or(0) + work_ms);
         }
-        let Some(step) = job.sub.steps.get(key.step as usize) else { return 0.0 };
-        let Some(queue) = self.desired.queue(&job.sub.queue) else { return 0.0 };
-        let ran_ms = now.saturating_sub(unit.since);
-        let unsaved_ms = if step.saves_progress || step.long_running {
-            ran_ms.min(CHECKPOINT_INTERVAL_MS)
-        } else {
-            ran_ms
+        let path_ms = ends.into_iter().max().unwrap_or(0);
+        path_ms * self.queue.stretch_milli / 1_000 + self.queue.full_value_ms
+    }
+}
+
+/// Returns the estimated time of the longest chain of steps after a step, in milliseconds.
+fn following_ms(job: &Job, step: u32) -> u64 {
+    let own_ms = job.sub.steps.get(step as usize).map_or(0, |step| step.estimate_ms);
+    (job.critical_path_from_ms(step) - own_ms) * SLOW_WORKER_FACTOR_MILLI / 1_000
+}
+
+impl Planner {
+    /// Returns what the stops of a job's runs have in common; `None` if its queue was removed.
+    pub fn job_progress<'a>(&'a self, now: u64, job: &'a Job) -> Option<JobProgress<'a>> {
+        let queue = self.desired.queue(&job.sub.queue)?;
+        let mut progress = JobProgress {
+            job,
+            queue,
+            value: self.mean_work(&job.sub.queue).value(queue.priority, estimated_work_core_s(&job.sub)),
+            work_ms: BTreeMap::new(),
+            longest: BTreeMap::new(),
         };
-        let cores = step.resources.weight() as f64 / 1_000.0 * unit.members.len() as f64;
-        let lost_work_cost = LOST_WORK_COST_PER_CORE_S * cores * unsaved_ms as f64 / 1_000.0;
-        if step.long_running {
-            return lost_work_cost;
+        for (key, unit) in &job.units {
+            let work_ms = match unit.state {
+                UnitState::Done => unit.done_in_ms,
+                UnitState::Placed => self.measured_work_ms(unit).unwrap_or(0),
+                UnitState::Waiting | UnitState::Ending => 0,
+            };
+            if work_ms > 0 {
+                let longest = progress.work_ms.entry((key.occurrence, key.step)).or_default();
+                *longest = work_ms.max(*longest);
+            }
+            if unit.state == UnitState::Placed
+                && let Some(remaining) = self.remaining_of_unit(now, &job.sub.job, *key, unit)
+            {
+                let longest = progress.longest.entry(key.occurrence).or_default();
+                longest.push((remaining.median_ms + following_ms(job, key.step), *key));
+                longest.sort_by(|one, other| other.cmp(one));
+                longest.truncate(2);
+            }
         }
-        let work = estimated_work_core_s(&job.sub);
-        let value = self.mean_work(&job.sub.queue).value(queue.priority, work);
-        let latest_starts = LatestStarts::new(job, queue, key);
-        let saved_ms = if step.saves_progress { ran_ms } else { 0 };
-        // If it continues, it started when it was placed; if it is stopped, it starts again after `RESTART_DELAY_MS`.
-        let value_if_kept = attainable_value(value, latest_starts.timeliness(wall.saturating_sub(ran_ms)));
-        let value_if_stopped = attainable_value(
-            value,
-            latest_starts.timeliness((wall + RESTART_DELAY_MS).saturating_sub(saved_ms)),
-        );
-        lost_work_cost + (value_if_kept - value_if_stopped).max(0.0)
+        Some(progress)
+    }
+
+    /// Returns the work of a unit's newest run by its measured rate, in milliseconds on a worker of the fleet's mean speed.
+    fn measured_work_ms(&self, unit: &Unit) -> Option<u64> {
+        let speed = |worker: &str| self.forecasts.speed(worker).milli;
+        // A gang advances with its slowest member.
+        let milli = unit.members.iter().map(|member| speed(&member.worker)).min()?;
+        Some(unit.measured_duration_ms()? * milli / 1_000)
+    }
+
+    /// Returns a placed unit's run with what the cost of stopping it now follows from.
+    pub fn stoppable_run(
+        &self,
+        now: u64,
+        wall: u64,
+        progress: &JobProgress,
+        key: UnitKey,
+        unit: &Unit,
+    ) -> Option<StoppableRun> {
+        let JobProgress { job, queue, value, .. } = progress;
+        let step = job.sub.steps.get(key.step as usize)?;
+        // A planner that did not place the run knows only its progress.
+        let done_ms = unit.measured_duration_ms().map_or(0, |ms| ms * unit.percent() / 100);
+        let done_ms = if unit.placed_at.is_none() { done_ms } else { 0 };
+        let ran_ms = now.saturating_sub(unit.since).max(done_ms);
+        let remaining = self.remaining_of_unit(now, &job.sub.job, key, unit);
+        // Without either, the reports say nothing of how old its checkpoint is.
+        let is_measured = remaining.is_some() || unit.has_reported_checkpoint();
+        let unsaved_ms = match (step.long_running, step.saves_progress) {
+            // What a long-running subtask has served is not lost.
+            (true, _) => ran_ms.min(CHECKPOINT_INTERVAL_MS),
+            (false, true) if is_measured => unit.unsaved_ms(now).min(ran_ms),
+            (false, true) => ran_ms.min(CHECKPOINT_INTERVAL_MS),
+            (false, false) => ran_ms,
+        };
+        let declared_ms = job.critical_path_ms() * queue.stretch_milli / 1_000 + queue.full_value_ms;
+        let target_ms = remaining.map_or(declared_ms, |_| progress.measured_target_ms(key.occurrence));
+        let age_ms = wall as i64 - job.due_ms(key.occurrence).unwrap_or(job.accepted_ms) as i64;
+        Some(StoppableRun {
+            cores: step.resources.weight() as f64 / 1_000.0 * unit.members.len() as f64,
+            ran_ms,
+            unsaved_ms,
+            estimate_ms: step.estimate_ms,
+            percent: unit.percent(),
+            remaining_ms: remaining.map(|remaining| remaining.median_ms),
+            following_ms: following_ms(job, key.step),
+            others_ms: progress.others_ms(key),
+            stop_ms: self.timing.stop_ms,
+            restart_ms: RESTART_DELAY_MS,
+            value: *value,
+            in_time_for_ms: target_ms as i64 - age_ms,
+            late_for_ms: 3 * target_ms as i64 - age_ms,
+            is_long_running: step.long_running,
+        })
     }
 
     pub(crate) fn mean_work(&self, queue: &str) -> MeanWork {
@@ -177,7 +267,7 @@
     }
 }
 
-/// Assumed time between two checkpoints of a run.
+/// Assumed time between two checkpoints of a run that reports neither progress nor checkpoints.
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
 /// Expected time from the stop of a run to its next start.
--- a/crates/fleet/src/victims.rs
+++ b/crates/fleet/src/victims.rs
@@ -12,10 +12,9 @@
 use crate::planner::Planner;
 use crate::pool::{Need, Pool, Room};
 use crate::resources::Resources;
+use crate::stops::{Cause, StopCost, StoppableRun};
 use crate::unit::{Unit, UnitKey, UnitState};
-
-/// Progress from which a run is not stopped: that would free its resources hardly earlier than its end.
-const NEARLY_DONE_PERCENT: u64 = 85;
+use crate::value::JobProgress;
 
 /// A placed unit that may be preempted.
 #[derive(Clone, Debug)]
@@ -29,11 +28,19 @@
     is_nearly_done: bool,
     /// Cost of stopping its run, in the unit of a job's value.
     stop_cost: f64,
+    /// What that cost follows from; `None` for a run that is being stopped already.
+    judged: Option<(StoppableRun, StopCost)>,
     /// Resources that it holds, by the worker's index in the pool.
     resources: Vec<(usize, Resources)>,
 }
 
 impl Victim {
+    /// Formats the cost of stopping its run and what it follows from, for the logs.
+    pub fn describe_stop(&self) -> String {
+        let judged = self.judged.map(|(run, cost)| format!("{cost}, {run}"));
+        judged.unwrap_or_else(|| "already stopping".to_owned())
+    }
+
     /// Records that its run is being stopped, which costs nothing more.
     pub fn mark_stopping(&mut self) {
         (self.stop_cost, self.is_nearly_done) = (0.0, false);
@@ -64,9 +71,16 @@
         let Some(job) = planner.jobs.get(name) else { continue };
         let priority = planner.desired.queue(&job.sub.queue).map_or(u32::MAX, |queue| queue.priority);
         let is_covered = covered.contains(name.as_str());
+        let holds_resources =
+            |unit: &Unit| unit.state == UnitState::Placed || unit.state == UnitState::Ending;
+        if !job.units.values().any(holds_resources) {
+            continue;
+        }
+        let progress = planner.job_progress(pass.now, job);
         for (key, unit) in &job.units {
-            if unit.state == UnitState::Placed || unit.state == UnitState::Ending {
-                victims.extend(victim(planner, pass, (job, *key, unit), priority, is_covered));
+            if holds_resources(unit) {
+                let unit = (job, progress.as_ref(), *key, unit);
+                victims.extend(victim(planner, pass, unit, priority, is_covered));
             }
         }
     }
@@ -76,7 +90,7 @@
 fn victim(
     planner: &Planner,
     pass: &Pass,
-    (job, key, unit): (&Job, UnitKey, &Unit),
+    (job, progress, key, unit): (&Job, Option<&JobProgress>, UnitKey, &Unit),
     priority: u32,
     is_covered: bool,
 ) -> Option<Victim> {
@@ -85,9 +99,10 @@
         // The step limits how many of its subtasks may be down, so none is preempted.
         return None;
     }
-    let percent = unit.members.iter().map(|member| member.percent).max().unwrap_or(0);
-    let is_nearly_done =
-        unit.state == UnitState::Placed && percent >= NEARLY_DONE_PERCENT && !step.long_running;
+    // A run that is being stopped already costs nothing, nor does one whose queue was removed.
+    let progress = progress.filter(|_| unit.state == UnitState::Placed);
+    let run = progress.and_then(|job| planner.stoppable_run(pass.now, pass.wall, job, key, unit));
+    let judged = run.map(|run| (run, run.stop_cost()));
     let mut resources: Vec<(usize, Resources)> = Vec::new();
     for member in unit.members.iter().filter(|member| !member.released) {
         let Some(worker) = pass.pool.index_of(&member.worker) else { continue };
@@ -101,8 +116,9 @@
         key,
         priority,
         is_covered,
-        is_nearly_done,
-        stop_cost: planner.stop_cost(pass.now, pass.wall, job, key, unit),
+        is_nearly_done: judged.is_some_and(|(_, cost)| cost.cause == Cause::NearlyDone),
+        stop_cost: judged.map_or(0.0, |(_, cost)| cost.cost),
+        judged,
         resources,
     })
 }
