--- a/crates/forecast/src/progress.rs
+++ b/crates/forecast/src/progress.rs
@@ -1,5 +1,7 @@
 //! Progress of single runs.
 
+use crate::forecasts::Remaining;
+
 /// A step of an occurrence of a job: the job's name, the occurrence and the step's number.
 pub type StepId = (String, u32, u32);
 
@@ -43,14 +45,14 @@
 }
 
 /// Progress of a run, in percent of its work, at a time.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
     pub at: u64,
     pub percent: u64,
 }
 
 /// Marks of a run that its rate follows from.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Track {
     pub worker: String,
     /// Mark that the rate is measured from.
@@ -156,4 +158,19 @@
         let ms = now.min(self.reported_at).saturating_sub(self.first.at);
         percent as f64 * 1_000.0 / ms.max(1) as f64
     }
+
+    /// Returns the range of the remaining time; `None` until the rate has been measured.
+    pub fn remaining(&self, now: u64) -> Option<Remaining> {
+        let left = 100_u64.saturating_sub(self.newest.percent) as f64;
+        // The rate of a stalled run covers the time since its newest progress.
+        let (rate, since_ms) = match self.rate_if_stalled(now) {
+            Some(rate) => (rate, 0),
+            None => (self.rate()?, now.saturating_sub(self.newest.at)),
+        };
+        let ms = (left * 1_000.0 / rate - since_ms as f64).max(0.0);
+        // Both marks are rounded to whole percents.
+        let error = 1.0 / self.measured_percent() as f64;
+        let bound = |factor: f64| (ms * factor).round() as u64;
+        Some(Remaining { low_ms: bound(1.0 - error), median_ms: bound(1.0), high_ms: bound(1.0 + error) })
+    }
 }
