Show the speeds of workers to operators

The speeds that the forecasts compute were visible nowhere.

The workers view has the columns speed and speed_steps, event=worker_speeds summarises the known speeds at most every 10 s, and four levels at the metrics address have their number, slowest, median and fastest.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -172,6 +172,13 @@
             metrics::set_gauge("workers_heard", reporting as u64);
             metrics::set_gauge("workers_known", known as u64);
             metrics::set_gauge("jobs_live", planner.live_jobs() as u64);
+            let speeds = planner.speed_summary();
+            metrics::set_gauge("worker_speeds_known", speeds.map_or(0, |speeds| speeds.known as u64));
+            if let Some(speeds) = speeds {
+                metrics::set_gauge("worker_speed_slowest_milli", speeds.slowest_milli);
+                metrics::set_gauge("worker_speed_median_milli", speeds.median_milli);
+                metrics::set_gauge("worker_speed_fastest_milli", speeds.fastest_milli);
+            }
             if planner.has_approval_requests() {
                 self.approval_requests.notify_one();
             }
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -8,6 +8,21 @@
 use crate::task::Task;
 use crate::worker::Worker;
 
+/// Minimum time between two log lines on the speeds of workers, and between two on the errors of forecasts, in
+/// milliseconds.
+pub(crate) const SUMMARY_INTERVAL_MS: u64 = 10_000;
+
+/// Speeds of the workers of which something is known, in thousandths of the fleet's mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpeedSummary {
+    /// Number of workers with a known speed.
+    pub known: usize,
+    pub slowest_milli: u64,
+    /// The lower one of the two in the middle if their number is even.
+    pub median_milli: u64,
+    pub fastest_milli: u64,
+}
+
 /// Returns the name of a run in the forecasts.
 pub fn run_id(task: &Task, run: u64) -> RunId {
     RunId { step: (task.job.clone(), task.occurrence, task.step), index: task.index, run }
@@ -65,5 +80,32 @@
     /// Computes the forecasts anew if that is due.
     pub(crate) fn update_forecasts(&mut self, now: u64) {
         self.forecasts.update(now);
+        self.log_speeds(now);
+    }
+
+    /// Returns the range of the workers' known speeds; `None` while none is known.
+    pub fn speed_summary(&self) -> Option<SpeedSummary> {
+        let mut speeds: Vec<u64> = self.forecasts.speeds().values().map(|speed| speed.milli).collect();
+        speeds.sort_unstable();
+        Some(SpeedSummary {
+            known: speeds.len(),
+            slowest_milli: *speeds.first()?,
+            median_milli: speeds[(speeds.len() - 1) / 2],
+            fastest_milli: *speeds.last()?,
+        })
+    }
+
+    fn log_speeds(&mut self, now: u64) {
+        if self.speeds_logged_at.is_some_and(|at| now < at + SUMMARY_INTERVAL_MS) {
+            return;
+        }
+        let Some(summary) = self.speed_summary() else { return };
+        self.speeds_logged_at = Some(now);
+        let SpeedSummary { known, slowest_milli, median_milli, fastest_milli } = summary;
+        let workers = self.workers.len();
+        self.log_line(format!(
+            "event=worker_speeds workers={workers} known={known} slowest_milli={slowest_milli} \
+             median_milli={median_milli} fastest_milli={fastest_milli}"
+        ));
     }
 }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -98,6 +98,8 @@
     pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
     pub(crate) crashes: Crashes,
     pub(crate) forecasts: Forecasts,
+    /// When the speeds of workers were last logged, on the monotonic clock.
+    pub(crate) speeds_logged_at: Option<u64>,
     /// When workers were lost recently, on the monotonic clock.
     pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
@@ -157,6 +159,7 @@
             given_up: BTreeMap::new(),
             crashes,
             forecasts: Forecasts::default(),
+            speeds_logged_at: None,
             lost_at: Vec::new(),
             live,
             last_urgent_at: None,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -130,6 +130,7 @@
 
     fn view_workers(&self, now: u64) -> Value {
         let row = |worker: &Worker| {
+            let speed = self.forecasts.speed(&worker.info.incarnation);
             json!({
                 "worker": worker.info.incarnation,
                 "agent": worker.agent,
@@ -139,6 +140,8 @@
                 "accelerators": format!("{}/{}", worker.used.accelerators, worker.info.capacity.accelerators),
                 "cores": format!("{}/{}", worker.used.millicores / 1_000, worker.info.capacity.millicores / 1_000),
                 "runs": worker.placed.len(),
+                "speed": speed.milli,
+                "speed_steps": speed.steps,
                 "heard_ms_ago": now.saturating_sub(worker.last_report_at),
             })
         };
@@ -151,6 +154,8 @@
             "accelerators",
             "cores",
             "runs",
+            "speed",
+            "speed_steps",
             "heard_ms_ago",
         ];
         table(&columns, self.workers.values().map(row))
