Tell operators how far forecasts of remaining times are off

Nobody could see whether the forecasts hold.

The forecast of a run 0.5, 1 and 2 s after its placement is kept until the run ends with its result and then compared with the true remaining time: a histogram at the metrics address, and event=forecast_error at most every 10 s.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -179,6 +179,9 @@
                 metrics::set_gauge("worker_speed_median_milli", speeds.median_milli);
                 metrics::set_gauge("worker_speed_fastest_milli", speeds.fastest_milli);
             }
+            for error in planner.take_forecast_errors() {
+                metrics::record_forecast_error(error);
+            }
             if planner.has_approval_requests() {
                 self.approval_requests.notify_one();
             }
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -9,6 +9,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use sorrelland_fleet::forecast_errors::ForecastError;
 use sorrelland_platform::serve::{self, Handler, Response};
 
 /// Result of serving metrics.
@@ -17,6 +18,9 @@
 /// Bucket boundaries, from a local answer to the longest wait of a caller.
 const LATENCY_BUCKETS_S: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 3.0];
 
+/// Bucket boundaries of the errors of forecasts, in percent of the true remaining time.
+const ERROR_BUCKETS_PERCENT: [f64; 9] = [5.0, 10.0, 20.0, 30.0, 50.0, 75.0, 100.0, 200.0, 400.0];
+
 struct Metrics {
     registry: Registry,
     _provider: SdkMeterProvider,
@@ -28,6 +32,7 @@
     append_seconds: Histogram<f64>,
     pass_seconds: Histogram<f64>,
     pass_gap_seconds: Histogram<f64>,
+    forecast_error_percent: Histogram<u64>,
     gauges: Gauge<u64>,
 }
 
@@ -61,6 +66,10 @@
         append_seconds: latency("sorrelland_append_seconds"),
         pass_seconds: latency("sorrelland_pass_seconds"),
         pass_gap_seconds: latency("sorrelland_pass_gap_seconds"),
+        forecast_error_percent: meter
+            .u64_histogram("sorrelland_forecast_error_percent")
+            .with_boundaries(ERROR_BUCKETS_PERCENT.to_vec())
+            .build(),
         gauges: meter.u64_gauge("sorrelland_level").build(),
         registry,
         _provider: provider,
@@ -141,6 +150,15 @@
     }
 }
 
+/// Records the size of an error of a forecast, by the age of the run and whether it took longer than forecast.
+pub fn record_forecast_error(error: ForecastError) {
+    if let Some(metrics) = METRICS.get() {
+        let side = if error.percent < 0 { "short" } else { "long" };
+        let labels = [KeyValue::new("age_ms", error.age_ms as i64), KeyValue::new("forecast", side)];
+        metrics.forecast_error_percent.record(error.percent.unsigned_abs(), &labels);
+    }
+}
+
 /// Sets a gauge, such as the number of live jobs or the version of the desired state.
 pub fn set_gauge(name: &'static str, value: u64) {
     if let Some(metrics) = METRICS.get() {
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -396,7 +396,7 @@
         if entry.reason == APPROVAL_REFUSED {
             self.approvals.invalidate(&Self::step_key_of(&entry.task), incarnation);
         }
-        self.forecasts.remove_run(&run_id(&entry.task, entry.run));
+        self.remove_forecast(&run_id(&entry.task, entry.run));
         let (task, run, reason) = (&entry.task, entry.run, &entry.reason);
         self.log_line(format!(
             "event=run_gone job={} task={task} run={run} worker={incarnation} ran_ms={ran_ms} why={reason:?} {source}",
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -2,10 +2,12 @@
 
 use sorrelland_forecast::{Progress, RunId};
 
+use crate::forecast_errors::ForecastError;
 use crate::job::Step;
 use crate::planner::Planner;
 use crate::report::{End, EndReason, Running};
 use crate::task::Task;
+use crate::unit::UnitState;
 use crate::worker::Worker;
 
 /// Minimum time between two log lines on the speeds of workers, and between two on the errors of forecasts, in
@@ -55,6 +57,22 @@
                 run.task, run.run, run.percent
             ));
         }
+        let unit = self.unit_of(&run.task).and_then(|(key, _)| self.jobs.get(&run.task.job)?.units.get(&key));
+        let unit = unit.filter(|unit| unit.run == run.run && unit.state == UnitState::Placed);
+        if let Some(placed_at) = unit.and_then(|unit| unit.placed_at) {
+            self.forecast_errors.watch(&id, placed_at);
+        }
+    }
+
+    /// Forgets a run that ended without its result.
+    pub(crate) fn remove_forecast(&mut self, id: &RunId) {
+        self.forecasts.remove_run(id);
+        self.forecast_errors.remove_run(id);
+    }
+
+    /// Drains the errors of forecasts that became known since the last call.
+    pub fn take_forecast_errors(&mut self) -> Vec<ForecastError> {
+        self.forecast_errors.take()
     }
 
     /// Records the end of a run that the planner had placed.
@@ -62,11 +80,15 @@
         let id = run_id(&end.task, end.run);
         let unit = self.unit_of(&end.task);
         let job = self.jobs.get(&end.task.job);
-        let Some(((key, _), job)) = unit.zip(job) else { return self.forecasts.remove_run(&id) };
+        let Some(((key, _), job)) = unit.zip(job) else { return self.remove_forecast(&id) };
         let step = job.sub.steps.get(key.step as usize);
         let Some((step, worker)) = step.zip(self.workers.get(incarnation)) else {
-            return self.forecasts.remove_run(&id);
+            return self.remove_forecast(&id);
         };
+        match end.reason {
+            EndReason::Done => self.forecast_errors.record_end(now, &id),
+            _ => self.forecast_errors.remove_run(&id),
+        }
         let unit = job.units.get(&key);
         // A run that continued from saved progress was shorter than its work.
         let placed_at = unit.filter(|unit| unit.run == 1).and_then(|unit| unit.placed_at);
@@ -80,6 +102,11 @@
     /// Computes the forecasts anew if that is due.
     pub(crate) fn update_forecasts(&mut self, now: u64) {
         self.forecasts.update(now);
+        let Self { forecasts, forecast_errors, .. } = self;
+        forecast_errors.sample(now, |run| forecasts.remaining(run, now).map(|remaining| remaining.median_ms));
+        if let Some(line) = forecast_errors.take_line(now) {
+            self.log_line(line);
+        }
         self.log_speeds(now);
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod desired;
 pub mod forecast;
+pub mod forecast_errors;
 pub mod incarnation;
 pub mod job;
 pub mod line_limit;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::claims::Claims;
 use crate::crash::Crashes;
 use crate::desired::{Desired, Queue};
+use crate::forecast_errors::ForecastErrors;
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
 use crate::record::{self, Record, new_job};
@@ -98,6 +99,7 @@
     pub(crate) given_up: BTreeMap<String, BTreeSet<(Task, u64)>>,
     pub(crate) crashes: Crashes,
     pub(crate) forecasts: Forecasts,
+    pub(crate) forecast_errors: ForecastErrors,
     /// When the speeds of workers were last logged, on the monotonic clock.
     pub(crate) speeds_logged_at: Option<u64>,
     /// When workers were lost recently, on the monotonic clock.
@@ -159,6 +161,7 @@
             given_up: BTreeMap::new(),
             crashes,
             forecasts: Forecasts::default(),
+            forecast_errors: ForecastErrors::default(),
             speeds_logged_at: None,
             lost_at: Vec::new(),
             live,
--- a/crates/fleet/tests/operators.rs
+++ b/crates/fleet/tests/operators.rs
@@ -4,8 +4,10 @@
 
 use common::{Fleet, step};
 use serde_json::Value;
+use sorrelland_fleet::forecast_errors::{AGES_MS, ForecastErrors};
 use sorrelland_fleet::report::EndReason;
 use sorrelland_fleet::view::Query;
+use sorrelland_forecast::RunId;
 
 /// Work of a subtask on a worker of the fleet's mean speed, in milliseconds.
 const WORK_MS: u64 = 2_000;
@@ -99,3 +101,83 @@
     assert!(lines[0].contains("workers=3 known=3 slowest_milli="), "{}", lines[0]);
     assert!(lines[0].contains(" median_milli=") && lines[0].contains(" fastest_milli="), "{}", lines[0]);
 }
+
+// Guards against errors of forecasts that operators can't see, or that are judged by another time than the run's end.
+#[test]
+fn end_of_run_tells_errors_of_its_forecasts() {
+    let mut fleet = Fleet::new(3);
+    run_at_speeds(&mut fleet, "a", &[500, 500, 500]);
+    let errors = fleet.planner.take_forecast_errors();
+    for age_ms in AGES_MS {
+        let of_age: Vec<i64> =
+            errors.iter().filter(|error| error.age_ms == age_ms).map(|error| error.percent).collect();
+        // Progress that is reported evenly every 100 ms is forecast to within a report and a percent. The progress of a
+        // run without a forecast at 0.5 s counts as such in the line only.
+        assert!(of_age.iter().all(|percent| percent.abs() <= 15), "age {age_ms}: {of_age:?}");
+        assert!(age_ms == 500 || of_age.len() == 3, "age {age_ms}: {of_age:?}");
+    }
+    assert!(fleet.planner.take_forecast_errors().is_empty(), "errors are counted twice");
+    let lines = lines_of(&fleet.planner.take_log(), "forecast_error");
+    assert_eq!(lines.len(), 1, "{lines:#?}");
+    for field in [" forecasts_1000ms=3 without_1000ms=0 median_percent_1000ms=", " abs_p90_percent_2000ms="] {
+        assert!(lines[0].contains(field), "{field:?} missing in {}", lines[0]);
+    }
+}
+
+fn run_id(index: u32) -> RunId {
+    RunId { step: ("a".to_owned(), 0, 0), index, run: 1 }
+}
+
+// Guards against an error with the wrong sign or base.
+#[test]
+fn record_end_compares_forecast_with_true_remaining_time() {
+    let mut errors = ForecastErrors::default();
+    errors.watch(&run_id(0), 10_000);
+    errors.sample(10_500, |_| None);
+    errors.sample(11_000, |_| Some(500));
+    errors.sample(12_000, |_| Some(2_000));
+    errors.record_end(13_000, &run_id(0));
+    let found: Vec<(u64, i64)> = errors.take().iter().map(|error| (error.age_ms, error.percent)).collect();
+    assert_eq!(found, [(1_000, -75), (2_000, 100)]);
+    assert_eq!(errors.take_line(22_999), None, "a line before 10 s have passed");
+    let line = errors.take_line(23_000).unwrap();
+    assert!(
+        line.starts_with("event=forecast_error forecasts_500ms=0 without_500ms=1 forecasts_1000ms=1 "),
+        "{line}"
+    );
+    assert!(line.contains(" median_percent_1000ms=-75 abs_median_percent_1000ms=75 "), "{line}");
+    assert_eq!(errors.take_line(60_000), None, "a line without errors");
+}
+
+// Guards against errors from late ticks, from runs without a result, and from the last moments of a run.
+#[test]
+fn record_end_leaves_out_what_cannot_be_compared() {
+    let mut errors = ForecastErrors::default();
+    errors.watch(&run_id(0), 0);
+    errors.sample(900, |_| Some(0));
+    errors.record_end(5_000, &run_id(0));
+    errors.watch(&run_id(1), 0);
+    errors.sample(500, |_| Some(0));
+    errors.remove_run(&run_id(1));
+    errors.record_end(5_000, &run_id(1));
+    errors.watch(&run_id(2), 0);
+    errors.sample(500, |_| Some(0));
+    errors.record_end(550, &run_id(2));
+    assert_eq!(errors.take(), []);
+    assert_eq!(errors.watched(), 0);
+}
+
+// Guards against memory that grows with the number of runs.
+#[test]
+fn watch_is_bounded() {
+    let mut errors = ForecastErrors::default();
+    for index in 0..10_000 {
+        errors.watch(&run_id(index), 0);
+    }
+    let watched = errors.watched();
+    assert!(watched < 5_000, "{watched} runs are watched");
+    errors.sample(500, |_| Some(1_000));
+    (0..10_000).for_each(|index| errors.record_end(2_000, &run_id(index)));
+    assert_eq!(errors.watched(), 0);
+    assert!(errors.take().len() <= watched.min(2_000), "errors pile up for metrics that nobody takes");
+}
