Judge lateness by the measured work

The target of event=job_ended followed from the time that runs took, so a gang on slow workers had a later target and counted as in time; the burn report and why judged by declared estimates, which are off by up to 2.5.

A run's work is now its time times the speed of its worker, for a gang of the slowest member. job_ended has target_ms by the declared estimates, measured_target_ms by the measured work and late; sorrellandctl late, why and burn judge by the measured target, as does value_lost. Whether a preemption paid is still judged by declared estimates, so no decision changes.

Three tests in crates/fleet/tests/operators.rs and two in crates/ctl/tests/late.rs pass: a gang that took 10 s at speed 0.6 with stretch 1.5 counts as late, as does a job declared at 20 s that took 1 s and ended after 11 s.

--- a/crates/ctl/src/late.rs
+++ b/crates/ctl/src/late.rs
@@ -106,6 +106,7 @@
     pub cause: &'static str,
     /// Time from the caller's first attempt to the end, in milliseconds.
     pub age_ms: i64,
+    /// Target by the measured work, in milliseconds.
     pub target_ms: i64,
     pub declared_ms: i64,
     /// Longest chain of runs that gave the result, in milliseconds.
@@ -185,7 +186,9 @@
                 self.ended_ms = line.at_ms;
                 self.outcome = line.field("outcome").to_owned();
                 self.cancelled = self.outcome == "Cancelled";
-                self.target_ms = line.number("target_ms").unwrap_or_default();
+                // Versions before this one logged the target by measured durations as `target_ms`.
+                let target_ms = line.number("measured_target_ms").or_else(|| line.number("target_ms"));
+                self.target_ms = target_ms.unwrap_or_default();
                 self.value = line.number("value").unwrap_or_default();
                 self.value_lost = line.number("value_lost").unwrap_or_default();
             }
--- a/crates/ctl/tests/late.rs
+++ b/crates/ctl/tests/late.rs
@@ -176,3 +176,16 @@
     let midnight_ms = 1_769_817_600_000;
     assert_eq!(report(lines(), midnight_ms + 1).jobs, 0);
 }
+
+// Guards against lateness judged by the declared estimates: the target of both jobs by these lies between.
+#[yare::parameterized(
+    late = { "target_ms=9000 measured_target_ms=2000 late=true", 1 },
+    in_time = { "target_ms=2000 measured_target_ms=9000 late=false", 0 },
+)]
+fn report_judges_by_measured_target(targets: &str, late: usize) {
+    let ended =
+        format!("event=job_ended job=a outcome=Completed age_ms=5000 {targets} value=4.00 value_lost=2.80");
+    let found = report_of(&[(0, ACCEPTED), (0, PLACED), (10, STARTED), (5_000, DONE), (5_000, &ended)]);
+    assert_eq!(found.late.len(), late, "{found:#?}");
+    assert!(found.late.iter().all(|job| job.target_ms == 2_000), "{found:#?}");
+}
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -333,18 +333,23 @@
             return false;
         }
         self.forecast_end(now, incarnation, end);
+        let speed_milli = self.slowest_member_milli(&end.task);
         let Some((job, key, _)) = self.member_mut(incarnation, &end.task, end.run) else { return false };
         job.started = true;
         let long_running = job.sub.steps.get(key.step as usize).is_some_and(|step| step.long_running);
         let Some(unit) = job.units.get_mut(&key) else { return false };
         let ran_ms = unit.placed_at.map_or(0, |at| now.saturating_sub(at));
+        // A run that continued from saved progress was shorter than its work.
+        let is_measured = unit.run == 1 || unit.saved.is_empty();
         if !end.saved.is_empty() {
             unit.saved = end.saved.clone();
         }
         let mut failed = false;
         match end.reason {
             EndReason::Done if !long_running => {
-                unit.done_in_ms = unit.done_in_ms.max(ran_ms);
+                if is_measured {
+                    unit.measured_work_ms = unit.measured_work_ms.max(ran_ms * speed_milli / 1_000);
+                }
                 set_state(unit, UnitState::Done, now);
             }
             EndReason::Failed => {
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -99,6 +99,14 @@
         self.forecasts.record_end(incarnation, &id, &queue, estimate_ms, ran_ms);
     }
 
+    /// Returns the speed of the slowest worker on which a member of a subtask's unit is placed: a gang advances as fast as
+    /// its slowest member.
+    pub(crate) fn slowest_member_milli(&self, task: &Task) -> u64 {
+        let unit = self.unit_of(task).and_then(|(key, _)| self.jobs.get(&task.job)?.units.get(&key));
+        let members = unit.into_iter().flat_map(|unit| &unit.members);
+        members.map(|member| self.forecasts.speed(&member.worker).milli).min().unwrap_or(1_000)
+    }
+
     /// Computes the forecasts anew if that is due.
     pub(crate) fn update_forecasts(&mut self, now: u64) {
         self.forecasts.update(now);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -363,18 +363,22 @@
     fn log_job_end(&mut self, name: &str, outcome: Outcome) {
         let Some(job) = self.jobs.get(name) else { return };
         let age_ms = job.ended_ms.saturating_sub(job.accepted_ms);
-        let target_ms = self.measured_target_ms(job).unwrap_or_default();
+        let target_ms = self.target_ms(job).unwrap_or_default();
+        let measured_target_ms = self.measured_target_ms(job).unwrap_or_default();
+        let late = self.is_late(job, job.ended_ms);
         let value = self.value_in_time(&job.sub);
         let kept = match outcome {
             Outcome::Cancelled => value,
-            Outcome::Completed if job.sub.schedule.is_some() || age_ms <= target_ms => value,
-            Outcome::Completed if age_ms <= 3 * target_ms => attainable_value(value, Timeliness::Late),
+            Outcome::Completed if job.sub.schedule.is_some() || age_ms <= measured_target_ms => value,
+            Outcome::Completed if age_ms <= 3 * measured_target_ms => {
+                attainable_value(value, Timeliness::Late)
+            }
             Outcome::Completed | Outcome::Failed => 0.0,
         };
         let lost = value - kept;
         self.log_line(format!(
             "event=job_ended job={name} outcome={outcome:?} age_ms={age_ms} target_ms={target_ms} \
-             value={value:.2} value_lost={lost:.2}"
+             measured_target_ms={measured_target_ms} late={late} value={value:.2} value_lost={lost:.2}"
         ));
     }
 
@@ -383,10 +387,11 @@
         self.mean_work(&sub.queue).value(self.priority(&sub.queue), estimated_work_core_s(sub))
     }
 
-    /// Records whether a job that preempted others ended in time.
+    /// Records whether a job that preempted others ended in time by its declared estimates, on which its preemptions were
+    /// decided.
     fn record_preemption_result(&mut self, name: &str) {
         let Some(job) = self.jobs.get(name).filter(|job| job.preempted_others) else { return };
-        if let Some(in_time) = self.ended_in_time(job) {
+        if let Some(in_time) = self.ended_in_declared_time(job) {
             let queue = job.sub.queue.clone();
             self.preemption_outcomes.entry(queue).or_default().record(in_time);
         }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -70,7 +70,7 @@
             crashed_at: 0,
             placed_in: 0,
             placed_at: None,
-            done_in_ms: 0,
+            measured_work_ms: 0,
             waits: Waits::default(),
             ..unit.clone()
         };
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -92,9 +92,10 @@
     /// When the newest run was placed, on the monotonic clock; `None` if an earlier planner placed it.
     #[serde(skip)]
     pub placed_at: Option<u64>,
-    /// Duration of the run that ended with a result, in milliseconds; 0 until then.
+    /// Work of the run that ended with a result, as its duration in milliseconds on a worker of the fleet's mean speed; 0
+    /// if it was not measured.
     #[serde(skip)]
-    pub done_in_ms: u64,
+    pub measured_work_ms: u64,
     /// Waiting times since the unit became ready.
     #[serde(skip)]
     pub waits: Waits,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -251,33 +251,54 @@
         body
     }
 
-    /// Returns whether an ended job completed within its target; `None` for a job that has not ended or was cancelled,
-    /// and for scheduled and long-running jobs, which the objective does not cover.
+    /// Returns whether an ended job completed within the target by its measured work; `None` for a job that has not ended
+    /// or was cancelled, and for scheduled and long-running jobs, which the objective does not cover.
     pub(crate) fn ended_in_time(&self, job: &Job) -> Option<bool> {
+        self.ended_within(job, self.measured_target_ms(job))
+    }
+
+    /// Returns whether an ended job completed within the target by its declared estimates; otherwise like
+    /// [`Self::ended_in_time`].
+    pub(crate) fn ended_in_declared_time(&self, job: &Job) -> Option<bool> {
+        self.ended_within(job, self.target_ms(job))
+    }
+
+    fn ended_within(&self, job: &Job, target_ms: Option<u64>) -> Option<bool> {
         let outcome = job.outcome.filter(|outcome| *outcome != Outcome::Cancelled)?;
         if job.sub.schedule.is_some() || job.is_long_running() {
             return None;
         }
         let duration_ms = job.ended_ms.saturating_sub(job.accepted_ms);
-        Some(
-            outcome == Outcome::Completed
-                && self.target_ms(job).is_none_or(|target_ms| duration_ms <= target_ms),
-        )
+        Some(outcome == Outcome::Completed && target_ms.is_none_or(|target_ms| duration_ms <= target_ms))
+    }
+
+    /// Returns whether a job completed late by its measured work, or has not ended and is already late.
+    pub(crate) fn is_late(&self, job: &Job, wall: u64) -> bool {
+        match job.outcome {
+            Some(Outcome::Completed) => self.ended_in_time(job) == Some(false),
+            Some(Outcome::Failed | Outcome::Cancelled) => false,
+            None if job.sub.schedule.is_some() || job.is_long_running() => false,
+            None => {
+                let age_ms = wall.saturating_sub(job.accepted_ms);
+                self.measured_target_ms(job).is_some_and(|target_ms| age_ms > target_ms)
+            }
+        }
     }
 
-    /// Returns the target of an ended job by the measured durations of its subtasks, since declared ones may be far
-    /// off; a step without a measured duration counts with its declared one.
+    /// Returns the target of a job by the measured work of its steps, since declared estimates may be far off and a slow
+    /// worker takes longer than the work; a step without measured work counts with its declared estimate.
     pub(crate) fn measured_target_ms(&self, job: &Job) -> Option<u64> {
         let queue = self.desired.queue(&job.sub.queue)?;
         let mut sub = job.sub.clone();
         for (number, step) in (0..).zip(&mut sub.steps) {
-            let measured = job.units_of(0, number).map(|(_, unit)| unit.done_in_ms).max();
+            let measured = job.units_of(0, number).map(|(_, unit)| unit.measured_work_ms).max();
             step.estimate_ms = measured.filter(|ms| *ms > 0).unwrap_or(step.estimate_ms);
         }
         Some(critical_path_ms(&sub) * queue.stretch_milli / 1_000 + queue.full_value_ms)
     }
 
-    fn target_ms(&self, job: &Job) -> Option<u64> {
+    /// Returns the target of a job by the declared estimates of its steps.
+    pub(crate) fn target_ms(&self, job: &Job) -> Option<u64> {
         let queue = self.desired.queue(&job.sub.queue)?;
         Some(critical_path_ms(&job.sub) * queue.stretch_milli / 1_000 + queue.full_value_ms)
     }
@@ -318,6 +339,8 @@
         body["state"] = json!(state_name(job));
         body["age_ms"] = json!(wall.saturating_sub(job.accepted_ms));
         body["target_ms"] = json!(self.target_ms(job));
+        body["measured_target_ms"] = json!(self.measured_target_ms(job));
+        body["late"] = json!(self.is_late(job, wall));
         body
     }
 
--- a/crates/fleet/tests/operators.rs
+++ b/crates/fleet/tests/operators.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
-use common::{Fleet, step};
+use std::sync::Arc;
+
+use common::{Fleet, desired, queue, step};
 use serde_json::Value;
+use sorrelland_fleet::Step;
+use sorrelland_fleet::desired::{Desired, Queue};
 use sorrelland_fleet::forecast_errors::{AGES_MS, ForecastErrors};
 use sorrelland_fleet::report::EndReason;
 use sorrelland_fleet::view::Query;
@@ -181,3 +185,106 @@
     assert_eq!(errors.watched(), 0);
     assert!(errors.take().len() <= watched.min(2_000), "errors pile up for metrics that nobody takes");
 }
+
+/// Returns the number in a field of a log line.
+fn number(line: &str, field: &str) -> u64 {
+    let value = line.split(' ').find_map(|pair| pair.strip_prefix(&format!("{field}=")));
+    value.and_then(|text| text.parse().ok()).unwrap_or_else(|| panic!("no {field} in {line}"))
+}
+
+/// Returns a fleet of six workers with known speeds of about 0.6, 1.0 and 1.6, two of each.
+fn fleet_with_speeds() -> Fleet {
+    let mut fleet = Fleet::new(6);
+    for job in ["a", "b", "c", "d"] {
+        run_at_speeds(&mut fleet, job, &[600, 600, 1_000, 1_000, 1_600, 1_600]);
+    }
+    fleet.planner.take_log();
+    fleet
+}
+
+/// Runs a gang of three, one on each of the first workers, for a time; returns the line on its end.
+fn run_gang(fleet: &mut Fleet, estimate_ms: u64, ms: u64) -> String {
+    let gang = Step { gang: true, estimate_ms, ..step(3, 8) };
+    fleet.submit("gang", "plain", vec![gang]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    let on: Vec<bool> = fleet.reports.iter().map(|report| !report.running.is_empty()).collect();
+    assert_eq!(on, [true, true, true, false, false, false]);
+    for _ in 0..ms / REPORT_INTERVAL_MS {
+        fleet.advance(REPORT_INTERVAL_MS);
+    }
+    fleet.end_runs("gang", EndReason::Done);
+    fleet.advance(0);
+    lines_of(&fleet.planner.take_log(), "job_ended").remove(0)
+}
+
+// Guards against a gang on a slow worker that counts as long instead of late: its caller's target is by its work.
+#[test]
+fn job_ended_judges_gang_by_work_on_slowest_member() {
+    let mut fleet = fleet_with_speeds();
+    let slowest = fleet.planner.speed_summary().unwrap().slowest_milli;
+    let queue = Queue { stretch_milli: 1_500, full_value_ms: 250, ..queue("plain", 1) };
+    let desired = Desired { version: 2, queues: vec![queue], ..desired() };
+    fleet.planner.set_desired(Arc::new(desired));
+    // By the declared estimate, and by the time that it ran, it would be in time.
+    let line = run_gang(&mut fleet, 9_000, 10_000);
+    assert_eq!(number(&line, "target_ms"), 13_750, "{line}");
+    let expected_ms = 10_000 * slowest / 1_000 * 3 / 2 + 250;
+    assert!(number(&line, "measured_target_ms").abs_diff(expected_ms) <= 300, "{expected_ms} in {line}");
+    assert!(line.contains(" late=true "), "{line}");
+}
+
+// Guards against lateness judged by a declared estimate that is far off, and against views that disagree.
+#[test]
+fn views_judge_lateness_by_measured_work() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("first", "plain", vec![Step { estimate_ms: 20_000, ..step(1, 8) }]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.submit("late", "plain", vec![Step { estimate_ms: 20_000, ..step(1, 8) }]);
+    for _ in 0..10 {
+        fleet.advance(1_000);
+    }
+    fleet.end_runs("first", EndReason::Done);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(1_000);
+    assert_eq!(
+        view(&fleet, Query::Explain("late".to_owned()))["late"],
+        false,
+        "late before its work is known"
+    );
+    fleet.end_runs("late", EndReason::Done);
+    fleet.advance(0);
+    let log = fleet.planner.take_log();
+    let lines = lines_of(&log, "job_ended");
+    assert!(lines[0].contains(" job=first ") && lines[0].contains(" late=false "), "{}", lines[0]);
+    // It took 1 s but ended after 11 s: by its work it had 4 s, by the declared estimate 61 s.
+    assert!(lines[1].contains(" job=late ") && lines[1].contains(" late=true "), "{}", lines[1]);
+    assert_eq!(number(&lines[1], "target_ms"), 61_000);
+    assert!((4_000..4_100).contains(&number(&lines[1], "measured_target_ms")), "{}", lines[1]);
+    let why = view(&fleet, Query::Explain("late".to_owned()));
+    assert_eq!((&why["late"], &why["target_ms"]), (&Value::from(true), &Value::from(61_000)));
+    assert_eq!(why["measured_target_ms"], number(&lines[1], "measured_target_ms"));
+    let burn = view(&fleet, Query::ServiceLevels);
+    assert_eq!((&burn["rows"][0]["in_time"], &burn["rows"][0]["late"]), (&Value::from(1), &Value::from(1)));
+}
+
+// Guards against a target of 0 for work that no run measured, and against a resumed run that counts as short work.
+#[test]
+fn job_ended_falls_back_to_declared_estimate() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("a", "plain", vec![Step { saves_progress: true, estimate_ms: 5_000, ..step(1, 8) }]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.reports[0].running[0].saved = "half".to_owned();
+    fleet.advance(1_000);
+    fleet.end_runs("a", EndReason::Stopped);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(1_000);
+    fleet.end_runs("a", EndReason::Done);
+    fleet.advance(0);
+    let line = lines_of(&fleet.planner.take_log(), "job_ended").remove(0);
+    assert_eq!(number(&line, "measured_target_ms"), 16_000, "{line}");
+}
