Show what each account bears when capacity is short

Operators could not see whose runs are stopped, whose jobs are refused and whose are late.

The accounts view counts these with the time since the last one, shows how long the oldest waiting job has waited, and lists accounts without an entry in the desired state. Counts of at most 1,000 accounts are kept. preempt.rs has one more line, which counts the run that it stops.

Two tests in crates/fleet/tests/operators.rs pass.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate is synchronous and does no network I/O. Callers pass in the time: `now` is a monotonic clock in
 //! milliseconds that includes suspended time, `wall` is milliseconds since 1970.
 
+pub mod account_counts;
 pub mod admit;
 pub mod apply_report;
 pub mod approvals;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,6 +5,7 @@
 
 use sorrelland_forecast::Forecasts;
 
+use crate::account_counts::{AccountCounts, AccountEvent};
 use crate::admit;
 use crate::approvals::Approvals;
 use crate::claims::Claims;
@@ -125,6 +126,7 @@
     /// Ignored reports since the last call of [`Self::take_ignored_reports`], by reason.
     pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
     pub(crate) refusals: Refusals,
+    pub(crate) account_counts: AccountCounts,
 }
 
 impl Planner {
@@ -178,6 +180,7 @@
             line_limit: LineLimit::default(),
             ignored_reports: BTreeMap::new(),
             refusals: Refusals::new(),
+            account_counts: AccountCounts::default(),
         }
     }
 
@@ -272,6 +275,7 @@
             return Admission::Accepted { change: job.accepted_in };
         }
         if let Err(refusal) = admit::check_admission(self, now, sub) {
+            self.account_counts.record(now, &sub.account, AccountEvent::Refused);
             self.record_refusal(wall, sub, &refusal.reason, refusal.retry_after_ms);
             return Admission::Refused { reason: refusal.reason, retry_after_ms: refusal.retry_after_ms };
         }
@@ -352,6 +356,9 @@
         for key in keys {
             self.wake_member_agents(name, key);
         }
+        if let Some(job) = self.jobs.get(name).filter(|job| self.is_late(job, wall)) {
+            self.account_counts.record(now, &job.sub.account, AccountEvent::Late);
+        }
         self.log_job_end(name, outcome);
         self.mark_changed(name);
         self.approvals.remove_job(name);
@@ -548,6 +555,13 @@
         ));
     }
 
+    /// Counts a run of a job that is stopped in favor of another job, for operators.
+    pub(crate) fn record_stopped_for_other(&mut self, now: u64, name: &str) {
+        if let Some(job) = self.jobs.get(name) {
+            self.account_counts.record(now, &job.sub.account, AccountEvent::Stopped);
+        }
+    }
+
     /// Returns the total capacity of the known workers of a service.
     pub fn capacity_of(&self, service: &str) -> Resources {
         let mut total = Resources::default();
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -68,6 +68,7 @@
             continue;
         };
         victim.mark_stopping();
+        planner.record_stopped_for_other(pass.now, &victim.job);
         planner.evict(pass.now, &victim.job, victim.key, &reason);
     }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,10 +1,11 @@
 //! Views for operators: jobs, workers, accounts, refusals, service levels, and the explanation of a job's state.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use crate::account_counts::Counts;
 use crate::admit::critical_path_ms;
 use crate::job::{Job, JobState, Outcome};
 use crate::pass::Pass;
@@ -85,7 +86,7 @@
         match query {
             Query::Jobs => self.view_jobs(wall),
             Query::Workers => self.view_workers(now),
-            Query::Accounts => self.view_accounts(),
+            Query::Accounts => self.view_accounts(now, wall),
             Query::Refused => self.view_refused(wall),
             Query::ServiceLevels => self.view_service_levels(wall),
             Query::Explain(job) => self.explain_job(job, now, wall),
@@ -171,33 +172,64 @@
         }
     }
 
-    fn view_accounts(&self) -> Value {
-        let row = |(name, account): (&String, &crate::desired::Account)| {
-            let jobs =
-                self.live.iter().filter_map(|job| self.jobs.get(job)).filter(|job| job.sub.account == *name);
-            let (mut urgent, mut used, mut waiting, mut running) = (0, 0, 0, 0);
+    fn view_accounts(&self, now: u64, wall: u64) -> Value {
+        let live = || self.live.iter().filter_map(|job| self.jobs.get(job));
+        let mut names: BTreeSet<&str> = self.desired.accounts.keys().map(String::as_str).collect();
+        names.extend(self.account_counts.accounts());
+        names.extend(live().map(|job| job.sub.account.as_str()));
+        let row = |name: &str| {
+            let jobs = live().filter(|job| job.sub.account == name);
+            let (mut urgent, mut used, mut waiting, mut running, mut longest_wait_ms) = (0, 0, 0, 0, None);
             for job in jobs.filter(|job| job.outcome.is_none()) {
                 let is_urgent = self.desired.queue(&job.sub.queue).is_some_and(|queue| queue.priority == 0);
                 urgent += if is_urgent { peak_accelerators(&job.sub) } else { 0 };
-                (waiting, running) =
-                    if job.started { (waiting, running + 1) } else { (waiting + 1, running) };
+                if job.started {
+                    running += 1;
+                } else {
+                    waiting += 1;
+                    longest_wait_ms = longest_wait_ms.max(Some(wall.saturating_sub(job.accepted_ms)));
+                }
                 for (key, unit) in &job.units {
                     let per_member =
                         job.sub.steps.get(key.step as usize).map_or(0, |step| step.resources.accelerators);
                     used += per_member * unit.members.iter().filter(|member| !member.released).count() as i64;
                 }
             }
+            let guaranteed =
+                self.desired.accounts.get(name).map_or(0, |account| account.guaranteed_accelerators);
+            let Counts { stopped, refused, late } = self.account_counts.get(name);
             json!({
                 "account": name,
-                "guaranteed": account.guaranteed_accelerators,
+                "guaranteed": guaranteed,
                 "urgent": urgent,
                 "accelerators": used,
                 "waiting": waiting,
+                "longest_wait_ms": longest_wait_ms,
                 "running": running,
+                "stopped": stopped.count,
+                "stopped_ms_ago": stopped.ms_ago(now),
+                "refused": refused.count,
+                "refused_ms_ago": refused.ms_ago(now),
+                "late": late.count,
+                "late_ms_ago": late.ms_ago(now),
             })
         };
-        let columns = ["account", "guaranteed", "urgent", "accelerators", "waiting", "running"];
-        table(&columns, self.desired.accounts.iter().map(row))
+        let columns = [
+            "account",
+            "guaranteed",
+            "urgent",
+            "accelerators",
+            "waiting",
+            "longest_wait_ms",
+            "running",
+            "stopped",
+            "stopped_ms_ago",
+            "refused",
+            "refused_ms_ago",
+            "late",
+            "late_ms_ago",
+        ];
+        table(&columns, names.into_iter().map(row))
     }
 
     fn view_refused(&self, wall: u64) -> Value {
--- a/crates/fleet/tests/operators.rs
+++ b/crates/fleet/tests/operators.rs
@@ -6,11 +6,13 @@
 
 use common::{Fleet, desired, queue, step};
 use serde_json::Value;
-use sorrelland_fleet::Step;
+use sorrelland_fleet::account_counts::{AccountCounts, AccountEvent};
 use sorrelland_fleet::desired::{Desired, Queue};
 use sorrelland_fleet::forecast_errors::{AGES_MS, ForecastErrors};
+use sorrelland_fleet::planner::Admission;
 use sorrelland_fleet::report::EndReason;
 use sorrelland_fleet::view::Query;
+use sorrelland_fleet::{Step, Submission};
 use sorrelland_forecast::RunId;
 
 /// Work of a subtask on a worker of the fleet's mean speed, in milliseconds.
@@ -288,3 +290,74 @@
     let line = lines_of(&fleet.planner.take_log(), "job_ended").remove(0);
     assert_eq!(number(&line, "measured_target_ms"), 16_000, "{line}");
 }
+
+fn submit_for(fleet: &mut Fleet, account: &str, job: &str, queue: &str, steps: Vec<Step>) -> Admission {
+    let sub = Submission {
+        job: job.to_owned(),
+        queue: queue.to_owned(),
+        account: account.to_owned(),
+        steps,
+        ..Submission::default()
+    };
+    fleet.planner.submit(fleet.now, fleet.now, &sub)
+}
+
+// Guards against operators who can't see which account bears the cost of a shortage.
+#[test]
+fn view_accounts_counts_what_each_account_bears() {
+    let mut fleet = Fleet::new(1);
+    submit_for(&mut fleet, "guest", "first", "low", vec![step(1, 8)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    fleet.advance(10);
+    submit_for(&mut fleet, "museum", "urgent", "urgent", vec![step(1, 8)]);
+    for _ in 0..30 {
+        fleet.advance(100);
+    }
+    fleet.end_runs("first", EndReason::Stopped);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    for _ in 0..20 {
+        fleet.advance(1_000);
+    }
+    let refused = submit_for(&mut fleet, "guest", "huge", "low", vec![step(1, 1_000)]);
+    assert!(matches!(refused, Admission::Refused { .. }));
+    fleet.advance(500);
+    let accounts = view(&fleet, Query::Accounts);
+    let guest = row(&accounts, "guest");
+    assert_eq!((&guest["stopped"], &guest["refused"], &guest["late"]), (&1.into(), &1.into(), &0.into()));
+    assert_eq!((&guest["refused_ms_ago"], &guest["late_ms_ago"]), (&500.into(), &Value::Null));
+    assert!(guest["stopped_ms_ago"].as_u64().unwrap() > 20_000, "{guest:#}");
+    // Its first job ran before, so it doesn't count as waiting.
+    assert_eq!((&guest["waiting"], &guest["running"]), (&0.into(), &1.into()));
+    let museum = row(&accounts, "museum");
+    assert_eq!((&museum["stopped"], &museum["refused"], &museum["late"]), (&0.into(), &0.into(), &0.into()));
+
+    // The urgent job ends, and the first one runs for a moment, long after its target.
+    fleet.end_runs("urgent", EndReason::Done);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    submit_for(&mut fleet, "", "public", "low", vec![step(1, 8)]);
+    fleet.advance(1_000);
+    fleet.end_runs("first", EndReason::Done);
+    fleet.advance(0);
+    let accounts = view(&fleet, Query::Accounts);
+    let guest = row(&accounts, "guest");
+    assert_eq!((&guest["late"], &guest["late_ms_ago"]), (&1.into(), &0.into()), "{guest:#}");
+    let public = row(&accounts, "");
+    assert_eq!((&public["waiting"], &public["longest_wait_ms"]), (&1.into(), &1_000.into()), "{public:#}");
+}
+
+// Guards against memory that grows with the accounts that ever sent a job.
+#[test]
+fn record_drops_account_without_event_for_longest() {
+    let mut counts = AccountCounts::default();
+    for at in 0..5_000 {
+        counts.record(at, &format!("account-{at}"), AccountEvent::Refused);
+        counts.record(at, "busy", AccountEvent::Late);
+    }
+    assert_eq!(counts.accounts().count(), 1_000);
+    assert_eq!(counts.get("busy").late.count, 5_000);
+    assert_eq!(counts.get("account-4999").refused.count, 1);
+    assert_eq!(counts.get("account-0").refused.count, 0);
+}
