--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -3,14 +3,30 @@
 use sorrelland_forecast::{Progress, Remaining, RunId};
 
 use crate::desired::Queue;
+use crate::forecast_errors::ForecastError;
 use crate::job::Step;
 use crate::planner::Planner;
 use crate::report::{End, EndReason, Running};
 use crate::task::Task;
 use crate::timing::SpeedClasses;
-use crate::unit::{Unit, UnitKey};
+use crate::unit::{Unit, UnitKey, UnitState};
 use crate::worker::Worker;
 
+/// Minimum time between two log lines on the speeds of workers, and between two on the errors of forecasts, in
+/// milliseconds.
+pub(crate) const SUMMARY_INTERVAL_MS: u64 = 10_000;
+
+/// Speeds of the workers of which something is known, in thousandths of the fleet's mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SpeedSummary {
+    /// Number of workers with a known speed.
+    pub known: usize,
+    pub slowest_milli: u64,
+    /// The lower one of the two in the middle if their number is even.
+    pub median_milli: u64,
+    pub fastest_milli: u64,
+}
+
 /// Returns the name of a run in the forecasts.
 pub fn run_id(task: &Task, run: u64) -> RunId {
     RunId { step: (task.job.clone(), task.occurrence, task.step), index: task.index, run }
@@ -46,6 +62,22 @@
                 run.task, run.run, run.percent
             ));
         }
+        let unit = self.unit_of(&run.task).and_then(|(key, _)| self.jobs.get(&run.task.job)?.units.get(&key));
+        let unit = unit.filter(|unit| unit.run == run.run && unit.state == UnitState::Placed);
+        if let Some(placed_at) = unit.and_then(|unit| unit.placed_at) {
+            self.forecast_errors.watch(&id, placed_at);
+        }
+    }
+
+    /// Forgets a run that ended without its result.
+    pub(crate) fn remove_forecast(&mut self, id: &RunId) {
+        self.forecasts.remove_run(id);
+        self.forecast_errors.remove_run(id);
+    }
+
+    /// Drains the errors of forecasts that became known since the last call.
+    pub fn take_forecast_errors(&mut self) -> Vec<ForecastError> {
+        self.forecast_errors.take()
     }
 
     /// Returns whether the newest run of a subtask's unit started from saved progress. Its agent reports 0% until the
@@ -72,11 +104,15 @@
         let id = run_id(&end.task, end.run);
         let unit = self.unit_of(&end.task);
         let job = self.jobs.get(&end.task.job);
-        let Some(((key, _), job)) = unit.zip(job) else { return self.forecasts.remove_run(&id) };
+        let Some(((key, _), job)) = unit.zip(job) else { return self.remove_forecast(&id) };
         let step = job.sub.steps.get(key.step as usize);
         let Some((step, worker)) = step.zip(self.workers.get(incarnation)) else {
-            return self.forecasts.remove_run(&id);
+            return self.remove_forecast(&id);
         };
+        match end.reason {
+            EndReason::Done => self.forecast_errors.record_end(now, &id),
+            _ => self.forecast_errors.remove_run(&id),
+        }
         let unit = job.units.get(&key);
         // A run that continued from saved progress was shorter than its work.
         let placed_at = unit.filter(|unit| unit.run == 1).and_then(|unit| unit.placed_at);
@@ -89,9 +125,18 @@
 
     /// Computes the forecasts anew if that is due, and in which services speeds count.
     pub(crate) fn update_forecasts(&mut self, now: u64) {
-        if !self.forecasts.update(now) {
-            return;
+        if self.forecasts.update(now) {
+            self.update_speed_classes();
+        }
+        let Self { forecasts, forecast_errors, .. } = self;
+        forecast_errors.sample(now, |run| forecasts.remaining(run, now).map(|remaining| remaining.median_ms));
+        if let Some(line) = forecast_errors.take_line(now) {
+            self.log_line(line);
         }
+        self.log_speeds(now);
+    }
+
+    fn update_speed_classes(&mut self) {
         for service in self.desired.services.keys() {
             let queues = self.desired.queues.iter();
             let urgent = queues.filter(|queue| queue.service == *service && queue.priority == 0);
@@ -120,4 +165,38 @@
     pub(crate) fn speed_classes_of(&self, queue: &Queue) -> Option<&SpeedClasses> {
         self.speed_classes.get(&queue.service)
     }
+
+    /// Returns the speed of the slowest worker on which a member of a subtask's unit is placed: a gang advances as fast as
+    /// its slowest member.
+    pub(crate) fn slowest_member_milli(&self, task: &Task) -> u64 {
+        let unit = self.unit_of(task).and_then(|(key, _)| self.jobs.get(&task.job)?.units.get(&key));
+        let members = unit.into_iter().flat_map(|unit| &unit.members);
+        members.map(|member| self.forecasts.speed(&member.worker).milli).min().unwrap_or(1_000)
+    }
+
+    /// Returns the range of the workers' known speeds; `None` while none is known.
+    pub fn speed_summary(&self) -> Option<SpeedSummary> {
+        let mut speeds: Vec<u64> = self.forecasts.speeds().values().map(|speed| speed.milli).collect();
+        speeds.sort_unstable();
+        Some(SpeedSummary {
+            known: speeds.len(),
+            slowest_milli: *speeds.first()?,
+            median_milli: speeds[(speeds.len() - 1) / 2],
+            fastest_milli: *speeds.last()?,
+        })
+    }
+
+    fn log_speeds(&mut self, now: u64) {
+        if self.speeds_logged_at.is_some_and(|at| now < at + SUMMARY_INTERVAL_MS) {
+            return;
+        }
+        let Some(summary) = self.speed_summary() else { return };
+        self.speeds_logged_at = Some(now);
+        let SpeedSummary { known, slowest_milli, median_milli, fastest_milli } = summary;
+        let workers = self.workers.len();
+        self.log_line(format!(
+            "event=worker_speeds workers={workers} known={known} slowest_milli={slowest_milli} \
+             median_milli={median_milli} fastest_milli={fastest_milli}"
+        ));
+    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate is synchronous and does no network I/O. Callers pass in the time: `now` is a monotonic clock in
 //! milliseconds that includes suspended time, `wall` is milliseconds since 1970.
 
+pub mod account_counts;
 pub mod admit;
 pub mod apply_report;
 pub mod approvals;
@@ -12,6 +13,7 @@
 pub mod crash;
 pub mod desired;
 pub mod forecast;
+pub mod forecast_errors;
 pub mod incarnation;
 pub mod job;
 pub mod leaving;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -5,11 +5,13 @@
 
 use sorrelland_forecast::Forecasts;
 
+use crate::account_counts::{AccountCounts, AccountEvent};
 use crate::admit;
 use crate::approvals::Approvals;
 use crate::claims::Claims;
 use crate::crash::Crashes;
 use crate::desired::{Desired, Queue};
+use crate::forecast_errors::ForecastErrors;
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
 use crate::place::peak_accelerators;
@@ -103,6 +105,9 @@
     pub(crate) forecasts: Forecasts,
     /// Classes of the workers' speeds by service, for those services where speeds count.
     pub(crate) speed_classes: BTreeMap<String, SpeedClasses>,
+    pub(crate) forecast_errors: ForecastErrors,
+    /// When the speeds of workers were last logged, on the monotonic clock.
+    pub(crate) speeds_logged_at: Option<u64>,
     /// When workers were lost recently, on the monotonic clock.
     pub(crate) lost_at: Vec<u64>,
     /// Jobs that have not ended or whose members still occupy resources.
@@ -126,6 +131,7 @@
     /// Ignored reports since the last call of [`Self::take_ignored_reports`], by reason.
     pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
     pub(crate) refusals: Refusals,
+    pub(crate) account_counts: AccountCounts,
 }
 
 impl Planner {
@@ -163,6 +169,8 @@
             crashes,
             forecasts: Forecasts::default(),
             speed_classes: BTreeMap::new(),
+            forecast_errors: ForecastErrors::default(),
+            speeds_logged_at: None,
             lost_at: Vec::new(),
             live,
             urgent_arrivals: BTreeMap::new(),
@@ -178,6 +186,7 @@
             line_limit: LineLimit::default(),
             ignored_reports: BTreeMap::new(),
             refusals: Refusals::new(),
+            account_counts: AccountCounts::default(),
         }
     }
 
@@ -272,6 +281,7 @@
             return Admission::Accepted { change: job.accepted_in };
         }
         if let Err(refusal) = admit::check_admission(self, now, sub) {
+            self.account_counts.record(now, &sub.account, AccountEvent::Refused);
             self.record_refusal(wall, sub, &refusal.reason, refusal.retry_after_ms);
             return Admission::Refused { reason: refusal.reason, retry_after_ms: refusal.retry_after_ms };
         }
@@ -353,6 +363,9 @@
         for key in keys {
             self.wake_member_agents(name, key);
         }
+        if let Some(job) = self.jobs.get(name).filter(|job| self.is_late(job, wall)) {
+            self.account_counts.record(now, &job.sub.account, AccountEvent::Late);
+        }
         self.log_job_end(name, outcome);
         self.mark_changed(name);
         self.approvals.remove_job(name);
@@ -364,18 +377,22 @@
     fn log_job_end(&mut self, name: &str, outcome: Outcome) {
         let Some(job) = self.jobs.get(name) else { return };
         let age_ms = job.ended_ms.saturating_sub(job.accepted_ms);
-        let target_ms = self.measured_target_ms(job).unwrap_or_default();
+        let target_ms = self.target_ms(job).unwrap_or_default();
+        let measured_target_ms = self.measured_target_ms(job).unwrap_or_default();
+        let late = self.is_late(job, job.ended_ms);
         let value = self.value_in_time(&job.sub);
         let kept = match outcome {
             Outcome::Cancelled => value,
-            Outcome::Completed if job.sub.schedule.is_some() || age_ms <= target_ms => value,
-            Outcome::Completed if age_ms <= 3 * target_ms => attainable_value(value, Timeliness::Late),
+            Outcome::Completed if job.sub.schedule.is_some() || age_ms <= measured_target_ms => value,
+            Outcome::Completed if age_ms <= 3 * measured_target_ms => {
+                attainable_value(value, Timeliness::Late)
+            }
             Outcome::Completed | Outcome::Failed => 0.0,
         };
         let lost = value - kept;
         self.log_line(format!(
             "event=job_ended job={name} outcome={outcome:?} age_ms={age_ms} target_ms={target_ms} \
-             value={value:.2} value_lost={lost:.2}"
+             measured_target_ms={measured_target_ms} late={late} value={value:.2} value_lost={lost:.2}"
         ));
     }
 
@@ -384,10 +401,11 @@
         self.mean_work(&sub.queue).value(self.priority(&sub.queue), estimated_work_core_s(sub))
     }
 
-    /// Records whether a job that preempted others ended in time.
+    /// Records whether a job that preempted others ended in time by its declared estimates, on which its preemptions were
+    /// decided.
     fn record_preemption_result(&mut self, name: &str) {
         let Some(job) = self.jobs.get(name).filter(|job| job.preempted_others) else { return };
-        if let Some(in_time) = self.ended_in_time(job) {
+        if let Some(in_time) = self.ended_in_declared_time(job) {
             let queue = job.sub.queue.clone();
             self.preemption_outcomes.entry(queue).or_default().record(in_time);
         }
@@ -545,6 +563,13 @@
         ));
     }
 
+    /// Counts a run of a job that is stopped in favor of another job, for operators.
+    pub(crate) fn record_stopped_for_other(&mut self, now: u64, name: &str) {
+        if let Some(job) = self.jobs.get(name) {
+            self.account_counts.record(now, &job.sub.account, AccountEvent::Stopped);
+        }
+    }
+
     /// Returns the total capacity of the known workers of a service.
     pub fn capacity_of(&self, service: &str) -> Resources {
         let mut total = Resources::default();
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -71,6 +71,7 @@
         };
         let reason = format!("{reason}: {}", victim.describe_stop());
         victim.mark_stopping();
+        planner.record_stopped_for_other(pass.now, &victim.job);
         planner.evict(pass.now, &victim.job, victim.key, &reason);
     }
 }
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -193,7 +193,7 @@
         };
         for (key, unit) in &job.units {
             let work_ms = match unit.state {
-                UnitState::Done => unit.done_in_ms,
+                UnitState::Done => unit.measured_work_ms,
                 UnitState::Placed => self.measured_work_ms(unit).unwrap_or(0),
                 UnitState::Waiting | UnitState::Ending => 0,
             };
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,10 +1,11 @@
 //! Views for operators: jobs, workers, accounts, refusals, service levels, and the explanation of a job's state.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use crate::account_counts::Counts;
 use crate::admit::critical_path_ms;
 use crate::job::{Job, JobState, Outcome};
 use crate::pass::Pass;
@@ -85,7 +86,7 @@
         match query {
             Query::Jobs => self.view_jobs(wall),
             Query::Workers => self.view_workers(now),
-            Query::Accounts => self.view_accounts(),
+            Query::Accounts => self.view_accounts(now, wall),
             Query::Refused => self.view_refused(wall),
             Query::ServiceLevels => self.view_service_levels(wall),
             Query::Explain(job) => self.explain_job(job, now, wall),
@@ -130,6 +131,7 @@
 
     fn view_workers(&self, now: u64) -> Value {
         let row = |worker: &Worker| {
+            let speed = self.forecasts.speed(&worker.info.incarnation);
             json!({
                 "worker": worker.info.incarnation,
                 "agent": worker.agent,
@@ -139,6 +141,8 @@
                 "accelerators": format!("{}/{}", worker.used.accelerators, worker.info.capacity.accelerators),
                 "cores": format!("{}/{}", worker.used.millicores / 1_000, worker.info.capacity.millicores / 1_000),
                 "runs": worker.placed.len(),
+                "speed": speed.milli,
+                "speed_steps": speed.steps,
                 "heard_ms_ago": now.saturating_sub(worker.last_report_at),
             })
         };
@@ -151,6 +155,8 @@
             "accelerators",
             "cores",
             "runs",
+            "speed",
+            "speed_steps",
             "heard_ms_ago",
         ];
         table(&columns, self.workers.values().map(row))
@@ -166,33 +172,64 @@
         }
     }
 
-    fn view_accounts(&self) -> Value {
-        let row = |(name, account): (&String, &crate::desired::Account)| {
-            let jobs =
-                self.live.iter().filter_map(|job| self.jobs.get(job)).filter(|job| job.sub.account == *name);
-            let (mut urgent, mut used, mut waiting, mut running) = (0, 0, 0, 0);
+    fn view_accounts(&self, now: u64, wall: u64) -> Value {
+        let live = || self.live.iter().filter_map(|job| self.jobs.get(job));
+        let mut names: BTreeSet<&str> = self.desired.accounts.keys().map(String::as_str).collect();
+        names.extend(self.account_counts.accounts());
+        names.extend(live().map(|job| job.sub.account.as_str()));
+        let row = |name: &str| {
+            let jobs = live().filter(|job| job.sub.account == name);
+            let (mut urgent, mut used, mut waiting, mut running, mut longest_wait_ms) = (0, 0, 0, 0, None);
             for job in jobs.filter(|job| job.outcome.is_none()) {
                 let is_urgent = self.desired.queue(&job.sub.queue).is_some_and(|queue| queue.priority == 0);
                 urgent += if is_urgent { peak_accelerators(&job.sub) } else { 0 };
-                (waiting, running) =
-                    if job.started { (waiting, running + 1) } else { (waiting + 1, running) };
+                if job.started {
+                    running += 1;
+                } else {
+                    waiting += 1;
+                    longest_wait_ms = longest_wait_ms.max(Some(wall.saturating_sub(job.accepted_ms)));
+                }
                 for (key, unit) in &job.units {
                     let per_member =
                         job.sub.steps.get(key.step as usize).map_or(0, |step| step.resources.accelerators);
                     used += per_member * unit.members.iter().filter(|member| !member.released).count() as i64;
                 }
             }
+            let guaranteed =
+                self.desired.accounts.get(name).map_or(0, |account| account.guaranteed_accelerators);
+            let Counts { stopped, refused, late } = self.account_counts.get(name);
             json!({
                 "account": name,
-                "guaranteed": account.guaranteed_accelerators,
+                "guaranteed": guaranteed,
                 "urgent": urgent,
                 "accelerators": used,
                 "waiting": waiting,
+                "longest_wait_ms": longest_wait_ms,
                 "running": running,
+                "stopped": stopped.count,
+                "stopped_ms_ago": stopped.ms_ago(now),
+                "refused": refused.count,
+                "refused_ms_ago": refused.ms_ago(now),
+                "late": late.count,
+                "late_ms_ago": late.ms_ago(now),
             })
         };
-        let columns = ["account", "guaranteed", "urgent", "accelerators", "waiting", "running"];
-        table(&columns, self.desired.accounts.iter().map(row))
+        let columns = [
+            "account",
+            "guaranteed",
+            "urgent",
+            "accelerators",
+            "waiting",
+            "longest_wait_ms",
+            "running",
+            "stopped",
+            "stopped_ms_ago",
+            "refused",
+            "refused_ms_ago",
+            "late",
+            "late_ms_ago",
+        ];
+        table(&columns, names.into_iter().map(row))
     }
 
     fn view_refused(&self, wall: u64) -> Value {
@@ -246,33 +283,54 @@
         body
     }
 
-    /// Returns whether an ended job completed within its target; `None` for a job that has not ended or was cancelled,
-    /// and for scheduled and long-running jobs, which the objective does not cover.
+    /// Returns whether an ended job completed within the target by its measured work; `None` for a job that has not ended
+    /// or was cancelled, and for scheduled and long-running jobs, which the objective does not cover.
     pub(crate) fn ended_in_time(&self, job: &Job) -> Option<bool> {
+        self.ended_within(job, self.measured_target_ms(job))
+    }
+
+    /// Returns whether an ended job completed within the target by its declared estimates; otherwise like
+    /// [`Self::ended_in_time`].
+    pub(crate) fn ended_in_declared_time(&self, job: &Job) -> Option<bool> {
+        self.ended_within(job, self.target_ms(job))
+    }
+
+    fn ended_within(&self, job: &Job, target_ms: Option<u64>) -> Option<bool> {
         let outcome = job.outcome.filter(|outcome| *outcome != Outcome::Cancelled)?;
         if job.sub.schedule.is_some() || job.is_long_running() {
             return None;
         }
         let duration_ms = job.ended_ms.saturating_sub(job.accepted_ms);
-        Some(
-            outcome == Outcome::Completed
-                && self.target_ms(job).is_none_or(|target_ms| duration_ms <= target_ms),
-        )
+        Some(outcome == Outcome::Completed && target_ms.is_none_or(|target_ms| duration_ms <= target_ms))
+    }
+
+    /// Returns whether a job completed late by its measured work, or has not ended and is already late.
+    pub(crate) fn is_late(&self, job: &Job, wall: u64) -> bool {
+        match job.outcome {
+            Some(Outcome::Completed) => self.ended_in_time(job) == Some(false),
+            Some(Outcome::Failed | Outcome::Cancelled) => false,
+            None if job.sub.schedule.is_some() || job.is_long_running() => false,
+            None => {
+                let age_ms = wall.saturating_sub(job.accepted_ms);
+                self.measured_target_ms(job).is_some_and(|target_ms| age_ms > target_ms)
+            }
+        }
     }
 
-    /// Returns the target of an ended job by the measured durations of its subtasks, since declared ones may be far
-    /// off; a step without a measured duration counts with its declared one.
+    /// Returns the target of a job by the measured work of its steps, since declared estimates may be far off and a slow
+    /// worker takes longer than the work; a step without measured work counts with its declared estimate.
     pub(crate) fn measured_target_ms(&self, job: &Job) -> Option<u64> {
         let queue = self.desired.queue(&job.sub.queue)?;
         let mut sub = job.sub.clone();
         for (number, step) in (0..).zip(&mut sub.steps) {
-            let measured = job.units_of(0, number).map(|(_, unit)| unit.done_in_ms).max();
+            let measured = job.units_of(0, number).map(|(_, unit)| unit.measured_work_ms).max();
             step.estimate_ms = measured.filter(|ms| *ms > 0).unwrap_or(step.estimate_ms);
         }
         Some(critical_path_ms(&sub) * queue.stretch_milli / 1_000 + queue.full_value_ms)
     }
 
-    fn target_ms(&self, job: &Job) -> Option<u64> {
+    /// Returns the target of a job by the declared estimates of its steps.
+    pub(crate) fn target_ms(&self, job: &Job) -> Option<u64> {
         let queue = self.desired.queue(&job.sub.queue)?;
         Some(critical_path_ms(&job.sub) * queue.stretch_milli / 1_000 + queue.full_value_ms)
     }
@@ -313,6 +371,8 @@
         body["state"] = json!(state_name(job));
         body["age_ms"] = json!(wall.saturating_sub(job.accepted_ms));
         body["target_ms"] = json!(self.target_ms(job));
+        body["measured_target_ms"] = json!(self.measured_target_ms(job));
+        body["late"] = json!(self.is_late(job, wall));
         body
     }
 
