Refuse only jobs that will certainly have no value, and rank by account

Cause: admission counted all queued work of the same or higher priority as ahead of a job, whether or not it would be placed before it, and took declared estimates at their word. In bursts most less urgent jobs were refused that could have been in time, and a large account's burst delayed small accounts.

Change: overload.rs has the order of waiting work and the decision on a job; placement and admission share it. A job is refused if even the lower quartile of the work that ranks before it leaves the job no value. While a service is full and several accounts wait, accounts under their max-min fair share come first at the same priority and timeliness. Retry-After is the time until the work ahead has drained, spread by priority, deadline and the hash of the job's name. Refusals are logged with their inputs and counted by cause.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -178,6 +178,9 @@
             for (reason, count) in planner.take_ignored_reports() {
                 metrics::count_ignored_reports(reason, count);
             }
+            for (cause, count) in planner.take_refusals() {
+                metrics::count_refusals(cause, count);
+            }
             (planner.take_log(), planner.take_agents_to_wake())
         };
         for line in lines {
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -24,6 +24,7 @@
     announcements: Counter<u64>,
     incarnations_ended: Counter<u64>,
     reports_ignored: Counter<u64>,
+    submissions_refused: Counter<u64>,
     request_seconds: Histogram<f64>,
     append_seconds: Histogram<f64>,
     pass_seconds: Histogram<f64>,
@@ -57,6 +58,7 @@
         announcements: meter.u64_counter("sorrelland_announcements").build(),
         incarnations_ended: meter.u64_counter("sorrelland_incarnations_ended").build(),
         reports_ignored: meter.u64_counter("sorrelland_reports_ignored").build(),
+        submissions_refused: meter.u64_counter("sorrelland_submissions_refused").build(),
         request_seconds: latency("sorrelland_request_seconds"),
         append_seconds: latency("sorrelland_append_seconds"),
         pass_seconds: latency("sorrelland_pass_seconds"),
@@ -116,6 +118,13 @@
     }
 }
 
+/// Counts submissions that the planner refused, by the cause.
+pub fn count_refusals(cause: &'static str, count: u64) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.submissions_refused.add(count, &[KeyValue::new("cause", cause)]);
+    }
+}
+
 /// Records how long the answer to a request took.
 pub fn record_request(operation: &'static str, status: StatusCode, started_at: Instant) {
     if let Some(metrics) = METRICS.get() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod incarnation;
 pub mod job;
 pub mod line_limit;
+pub mod overload;
 pub mod pace;
 pub mod pass;
 pub mod place;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -5,8 +5,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::admit;
 use crate::desired::Queue;
 use crate::job::{Job, Step, Submission};
+use crate::overload::{FairShares, Rank, Share};
 use crate::pass::Pass;
 use crate::planner::Planner;
 use crate::pool::{Need, Pool, PoolWorker, Room};
@@ -45,6 +47,8 @@
     pub guaranteed: bool,
     /// Timeliness of the job if the unit starts now.
     pub timeliness: Timeliness,
+    /// Part of its account's fair share that the unit falls into.
+    pub share: Share,
     /// Value of the job if it ends in time.
     pub value: f64,
     /// Value that the job can still attain, per core-second of its work.
@@ -55,6 +59,20 @@
     pub must_start: bool,
 }
 
+impl Candidate {
+    /// Returns the position in the order of placement.
+    pub fn rank(&self) -> Rank {
+        Rank {
+            guaranteed: self.guaranteed,
+            timeliness: self.timeliness,
+            priority: self.priority,
+            share: self.share,
+            value_density: self.value_density,
+            latest_start: self.latest_start,
+        }
+    }
+}
+
 impl Planner {
     /// Places waiting units in order of rank, and preempts others for a unit that doesn't fit if that gains more value
     /// than it costs.
@@ -133,6 +151,47 @@
 
     /// Returns the waiting units whose dependencies are done and whose occurrence is due, in order of placement.
     pub fn candidates(&self, now: u64, wall: u64) -> Vec<Candidate> {
+        let mut candidates = self.unranked_candidates(now, wall);
+        sort_by_rank(&mut candidates);
+        if self.rank_by_account(&mut candidates) {
+            sort_by_rank(&mut candidates);
+        }
+        candidates
+    }
+
+    /// Sets the share of the candidates of full services, given in order of rank; returns whether there are any.
+    fn rank_by_account(&self, candidates: &mut [Candidate]) -> bool {
+        let account_of = |candidate: &Candidate| self.jobs.get(&candidate.job).map(|job| &job.sub.account);
+        let first = candidates.first().map(account_of);
+        if candidates.iter().all(|candidate| Some(account_of(candidate)) == first) {
+            return false;
+        }
+        let mut is_changed = false;
+        for (service, demand) in admit::demands(self, candidates) {
+            let Some(fair) = FairShares::new(&demand, &self.capacity_of(service)) else { continue };
+            let shared: Vec<(usize, &str, Resources)> = candidates
+                .iter()
+                .enumerate()
+                .filter(|(_, candidate)| !candidate.guaranteed && candidate.timeliness != Timeliness::Missed)
+                .filter_map(|(at, candidate)| {
+                    let job = self.jobs.get(&candidate.job)?;
+                    let step = job.sub.steps.get(candidate.key.step as usize)?;
+                    let queue = self.desired.queue(&job.sub.queue)?;
+                    let need = admit::unit_need(step);
+                    (queue.service == service).then_some((at, job.sub.account.as_str(), need))
+                })
+                .collect();
+            let shares = fair.classify(shared.iter().map(|(_, account, need)| (*account, *need)));
+            for ((at, _, _), share) in shared.into_iter().zip(shares) {
+                candidates[at].share = share;
+                is_changed = true;
+            }
+        }
+        is_changed
+    }
+
+    /// Returns the waiting units whose dependencies are done and whose occurrence is due.
+    pub(crate) fn unranked_candidates(&self, now: u64, wall: u64) -> Vec<Candidate> {
         let covered = self.jobs_within_guarantees();
         let start_within_ms =
             self.timing.reclaim_ms.saturating_sub(self.timing.stop_ms + GUARANTEE_MARGIN_MS);
@@ -158,15 +217,6 @@
                 candidates.push(Candidate { key: *key, must_start, ..candidate.clone() });
             }
         }
-        candidates.sort_by(|one, other| {
-            let rank =
-                |c: &Candidate| (!c.guaranteed, c.timeliness == Timeliness::Missed, c.priority, c.timeliness);
-            rank(one)
-                .cmp(&rank(other))
-                .then(other.value_density.total_cmp(&one.value_density))
-                .then(one.latest_start.cmp(&other.latest_start))
-                .then(one.key.cmp(&other.key))
-        });
         candidates
     }
 
@@ -190,15 +240,13 @@
         Some(Candidate {
             job: job.sub.job.clone(),
             key,
-            priority: if step.uses_idle_cpu { u32::MAX } else { queue.priority },
+            priority: admit::priority(queue, step.uses_idle_cpu),
             guaranteed,
             timeliness,
+            share: Share::Under,
             value,
             value_density: attainable_value(value, timeliness) / work,
-            latest_start: match timeliness {
-                Timeliness::InTime => latest_starts.in_time,
-                Timeliness::Late | Timeliness::Missed => latest_starts.late,
-            },
+            latest_start: latest_start(&latest_starts, timeliness),
             must_start: false,
         })
     }
@@ -355,6 +403,18 @@
     }
 }
 
+/// Returns the latest start that preserves a timeliness, in milliseconds since 1970.
+pub(crate) fn latest_start(latest_starts: &LatestStarts, timeliness: Timeliness) -> u64 {
+    match timeliness {
+        Timeliness::InTime => latest_starts.in_time,
+        Timeliness::Late | Timeliness::Missed => latest_starts.late,
+    }
+}
+
+fn sort_by_rank(candidates: &mut [Candidate]) {
+    candidates.sort_by(|one, other| one.rank().compare(&other.rank()).then(one.key.cmp(&other.key)));
+}
+
 /// Returns the accelerators that the widest step of a job uses when all its subtasks run at once.
 pub fn peak_accelerators(sub: &Submission) -> i64 {
     sub.steps.iter().map(|step| step.resources.accelerators * i64::from(step.count)).max().unwrap_or(0)
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -121,6 +121,8 @@
     /// Ignored reports since the last call of [`Self::take_ignored_reports`], by reason.
     pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
     pub(crate) refusals: Refusals,
+    /// Refusals since the last call of [`Self::take_refusals`], by cause.
+    refusals_by_cause: BTreeMap<&'static str, u64>,
 }
 
 impl Planner {
@@ -172,6 +174,7 @@
             line_limit: LineLimit::default(),
             ignored_reports: BTreeMap::new(),
             refusals: Refusals::new(),
+            refusals_by_cause: BTreeMap::new(),
         }
     }
 
@@ -197,6 +200,11 @@
         std::mem::take(&mut self.ignored_reports)
     }
 
+    /// Drains the numbers of refused submissions, by cause.
+    pub fn take_refusals(&mut self) -> BTreeMap<&'static str, u64> {
+        std::mem::take(&mut self.refusals_by_cause)
+    }
+
     /// Drains the agents whose assignments changed, independent of what is stored.
     pub fn take_agents_to_wake(&mut self) -> Vec<String> {
         std::mem::take(&mut self.agents_to_wake).into_iter().collect()
@@ -265,8 +273,14 @@
         if let Some(job) = self.jobs.get(&sub.job) {
             return Admission::Accepted { change: job.accepted_in };
         }
-        if let Err(refusal) = admit::check_admission(self, now, sub) {
+        if let Err(refusal) = admit::check_admission(self, now, wall, sub) {
             self.record_refusal(wall, sub, &refusal.reason, refusal.retry_after_ms);
+            let cause = refusal.cause.name();
+            *self.refusals_by_cause.entry(cause).or_default() += 1;
+            self.log_line(format!(
+                "event=admission_refused job={} queue={} account={} cause={cause} retry_after_ms={} {}",
+                sub.job, sub.queue, sub.account, refusal.retry_after_ms, refusal.inputs
+            ));
             return Admission::Refused { reason: refusal.reason, retry_after_ms: refusal.retry_after_ms };
         }
         if self.desired.queue(&sub.queue).is_some_and(|queue| queue.priority == 0) {
