--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod job;
 pub mod leaving;
 pub mod line_limit;
+pub mod overload;
 pub mod pace;
 pub mod pass;
 pub mod place;
