Explain where a job would go without submitting it

Operators could only find out by submitting the job.

sorrellandctl platform explain FILE posts the job with its queue and account to /show/explain at any entry. The planner copies its state, submits the job to the copy and runs one tick there, so that the answer comes from its own admission, placement and preemption: refused with the Retry-After, or for each step the workers or the reason of the wait, and the runs that would be stopped. Bad input gets an error that names the field. Calls between entries have one more request, Explain, as the last variant.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -414,6 +414,10 @@
             PlannerRequest::View(query) => {
                 Reply::View(lock(&self.planner).view(&query, now_ms(), wall_ms()).to_string())
             }
+            PlannerRequest::Explain(sub) => {
+                let trial = lock(&self.planner).trial();
+                Reply::View(trial.explain(now_ms(), wall_ms(), &sub).to_string())
+            }
             PlannerRequest::Cancel(job) => {
                 let change = lock(&self.planner).cancel(now_ms(), wall_ms(), &job);
                 let Some(change) = change else { return Reply::Cancelled(false) };
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -42,6 +42,8 @@
     /// Reads a view for an operator.
     #[serde(rename = "Show")]
     View(Query),
+    /// Shows where a job would be placed, without submitting it; the reply is a view.
+    Explain(Submission),
 }
 
 /// The planner's reply to a request.
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -23,6 +23,7 @@
   sorrellandctl [options] cancel-job NAME
   sorrellandctl [options] platform VIEW
   sorrellandctl [options] platform why JOB
+  sorrellandctl [options] platform explain FILE
   sorrellandctl [--json] late FILE... [--since TIME]
   sorrellandctl [--json] runs SUBTASK FILE...
   sorrellandctl [options] STATEMENT...
@@ -30,7 +31,8 @@
   sorrellandctl [options]
 
 The first four are for callers and need an account's key. On the users' platform, --entry is the metrics
-address of any entry, and a VIEW is one of jobs, workers, accounts, refused and burn. A STATEMENT is in the
+address of any entry, and a VIEW is one of jobs, workers, accounts, refused and burn; `explain` shows
+where the job in a JSON file (queue, account, steps) would be placed now, and why, without submitting it. A STATEMENT is in the
 operators' language (docs/LANGUAGE.md) and needs an operator's key. `late` reads the log lines of all processes
 on the users' platform and shows where the time of each late job went; `runs` shows which runs of a subtask may
 have overlapped, and why. Without a command, statements are read from standard input, with a prompt and history
@@ -102,6 +104,11 @@
         /// File for a chart of the error budget burn.
         svg: Option<String>,
     },
+    /// Show where a job would be placed on the users' platform, without submitting it.
+    Explain {
+        /// File with the job as JSON.
+        path: String,
+    },
     /// Report on late jobs from log files.
     Late {
         /// Log files of all processes.
@@ -241,6 +248,10 @@
         ["job", name] => Ok(Command::Job { name: (*name).to_owned() }),
         ["cancel-job", name] => Ok(Command::CancelJob { name: (*name).to_owned() }),
         ["platform", "why", job] => Ok(Command::Platform { view: format!("why/{job}"), svg: None }),
+        ["platform", "explain", path] => Ok(Command::Explain { path: (*path).to_owned() }),
+        ["platform", "explain", ..] => {
+            Err(lexopt::Error::Custom("platform explain takes one file".into()).into())
+        }
         ["platform", view] => Ok(Command::Platform { view: (*view).to_owned(), svg: raw.svg }),
         ["late", first, others @ ..] => Ok(Command::Late {
             files: [*first].iter().chain(others).map(ToString::to_string).collect(),
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -57,6 +57,13 @@
             }
             report(args, response)
         }
+        Command::Explain { path } => match read_job(path) {
+            Ok(job) => report(args, client.call(Method::POST, "/show/explain", Some(&job)).await),
+            Err(e) => {
+                eprintln!("{path}: {e}");
+                EXIT_USAGE
+            }
+        },
         Command::Late { files, since_ms } => report_late_jobs(args, files, *since_ms),
         Command::Runs { task, files } => report_runs(args, task, files),
         Command::Statement { text } => run_statement(args, &client, text).await,
@@ -115,6 +122,20 @@
     EXIT_DONE
 }
 
+/// Reads a job from a JSON file.
+///
+/// # Errors
+///
+/// Returns why the file can't be read, or is not a JSON object.
+pub fn read_job(path: &str) -> Result<Value, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string())?;
+    match serde_json::from_str(&text) {
+        Ok(job @ Value::Object(_)) => Ok(job),
+        Ok(_) => Err("not a job: a JSON object with queue, account and steps is needed".to_owned()),
+        Err(e) => Err(format!("not JSON: {e}")),
+    }
+}
+
 /// Reads files; `None` if one can't be read, which is reported on standard error.
 fn read_files(paths: &[String]) -> Option<Vec<String>> {
     let read = |path: &String| match std::fs::read(path) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod report;
 pub mod resources;
 pub mod task;
+pub mod trial;
 pub mod unit;
 pub mod value;
 pub mod victims;
--- a/crates/fleet/src/line_limit.rs
+++ b/crates/fleet/src/line_limit.rs
@@ -6,7 +6,7 @@
 const LINE_INTERVAL_MS: u64 = 5_000;
 
 /// Passes the first event of each kind at once, and later ones at most every [`LINE_INTERVAL_MS`].
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct LineLimit {
     /// When the newest line of a kind was due, and the number of events since then.
     kinds: BTreeMap<&'static str, (u64, u64)>,
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -76,6 +76,7 @@
 }
 
 /// In-memory state of the planner.
+#[derive(Clone, Debug)]
 pub struct Planner {
     pub(crate) timing: Timing,
     /// When this planner was created, on the monotonic clock.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -377,7 +377,7 @@
     }
 
     /// Returns an explanation of a unit's state, as text for operators.
-    fn explain_unit(
+    pub(crate) fn explain_unit(
         &self,
         now: u64,
         wall: u64,
@@ -492,7 +492,7 @@
     }
 }
 
-fn table(columns: &[&str], rows: impl Iterator<Item = Value>) -> Value {
+pub(crate) fn table(columns: &[&str], rows: impl Iterator<Item = Value>) -> Value {
     let mut rows: Vec<Value> = rows.take(MAX_ROWS + 1).collect();
     let has_more = rows.len() > MAX_ROWS;
     rows.truncate(MAX_ROWS);
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -42,6 +42,11 @@
         first
     }
 
+    /// Returns the reason that the last pass found; `None` if the unit doesn't wait.
+    pub fn reason(&self) -> Option<WaitReason> {
+        self.current.map(|(reason, _)| reason)
+    }
+
     /// Ends the wait at `now` and returns the waiting times in milliseconds, by reason.
     pub fn end(&mut self, now: u64) -> BTreeMap<WaitReason, u64> {
         self.close(now);
--- a/crates/fleet/tests/operators.rs
+++ b/crates/fleet/tests/operators.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use common::{Fleet, desired, queue, step};
-use serde_json::Value;
+use serde_json::{Value, json};
 use sorrelland_fleet::account_counts::{AccountCounts, AccountEvent};
 use sorrelland_fleet::desired::{Desired, Queue};
 use sorrelland_fleet::forecast_errors::{AGES_MS, ForecastErrors};
+use sorrelland_fleet::job::Schedule;
 use sorrelland_fleet::planner::Admission;
 use sorrelland_fleet::report::EndReason;
 use sorrelland_fleet::view::Query;
@@ -361,3 +363,109 @@
     assert_eq!(counts.get("account-4999").refused.count, 1);
     assert_eq!(counts.get("account-0").refused.count, 0);
 }
+
+fn submission(queue: &str, steps: Vec<Step>) -> Submission {
+    Submission { queue: queue.to_owned(), account: "museum".to_owned(), steps, ..Submission::default() }
+}
+
+/// Returns a full fleet of three workers: one runs a job of low priority, and a job waits for all of them.
+fn busy_fleet() -> Fleet {
+    let mut fleet = Fleet::new(3);
+    // An urgent job has so little time that runs are stopped for it at once.
+    let urgent = Queue { stretch_milli: 1_500, full_value_ms: 250, ..queue("urgent", 0) };
+    let queues = vec![urgent, queue("plain", 1), queue("low", 2)];
+    fleet.planner.set_desired(Arc::new(Desired { version: 2, queues, ..desired() }));
+    fleet.submit("low", "low", vec![Step { estimate_ms: 5_000, ..step(3, 8) }]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    assert!(matches!(fleet.submit("next", "low", vec![step(3, 8)]), Admission::Accepted { .. }));
+    fleet.advance(10);
+    fleet
+}
+
+// Guards against an answer that changes what it is about: state, records to store, agents to wake, lines and counts.
+#[yare::parameterized(
+    placed = { "plain", vec![step(1, 0)] },
+    preempting = { "urgent", vec![Step { gang: true, estimate_ms: 100, ..step(2, 8) }] },
+    waiting = { "low", vec![step(3, 8)] },
+    refused = { "plain", vec![step(1, 1_000)] },
+)]
+fn explain_changes_nothing(queue: &str, steps: Vec<Step>) {
+    let mut fleet = busy_fleet();
+    fleet.planner.take_log();
+    fleet.planner.take_agents_to_wake();
+    fleet.planner.take_agents_to_wake_after_store();
+    let (now, before) = (fleet.now + 5_000, format!("{:?}", fleet.planner));
+    fleet.planner.trial().explain(now, now, &submission(queue, steps));
+    assert_eq!(format!("{:?}", fleet.planner), before);
+    assert!(fleet.planner.take_changes().is_none(), "there are records to store");
+    assert!(fleet.planner.take_agents_to_wake().is_empty(), "agents are woken");
+    assert!(fleet.planner.take_agents_to_wake_after_store().is_empty(), "agents are woken");
+    assert!(fleet.planner.take_log().is_empty(), "lines are logged");
+    assert_eq!(fleet.planner.state("trial"), None);
+}
+
+// Guards against an answer from other rules than those by which the same job is placed right after.
+#[test]
+fn explain_names_workers_that_submit_gets() {
+    let mut fleet = Fleet::new(6);
+    fleet.submit("other", "plain", vec![step(2, 5)]);
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    let gang = Step { gang: true, ..step(3, 4) };
+    let after = Step { depends_on: vec![0], ..step(2, 1) };
+    let steps = vec![gang, after, step(2, 6)];
+    let answer = fleet.planner.trial().explain(fleet.now, fleet.now, &submission("plain", steps.clone()));
+    assert_eq!(answer["admitted"], true, "{answer:#}");
+    fleet.submit("real", "plain", steps);
+    fleet.advance(0);
+    let log = fleet.planner.take_log();
+    for number in [0, 2] {
+        let mut workers: BTreeMap<String, u64> = BTreeMap::new();
+        for line in lines_of(&log, "placed") {
+            if line.contains(&format!(" task=real.0.{number}.")) {
+                let names = line.rsplit_once("workers=").unwrap().1;
+                names.split(',').for_each(|name| *workers.entry(name.to_owned()).or_default() += 1);
+            }
+        }
+        assert_eq!(answer["rows"][number]["workers"], json!(workers), "step {number} of {answer:#}");
+    }
+    let why = answer["rows"][1]["why"].as_str().unwrap();
+    assert_eq!(why, "a step that it depends on is not done");
+}
+
+// Guards against a wait or refusal without its reason.
+#[test]
+fn explain_tells_reason_of_wait_and_refusal() {
+    let fleet = busy_fleet();
+    let explain = |queue: &str, steps: Vec<Step>| {
+        fleet.planner.trial().explain(fleet.now, fleet.now, &submission(queue, steps))
+    };
+    let waits = explain("low", vec![step(1, 8)]);
+    assert_eq!((&waits["admitted"], &waits["stops"]), (&json!(true), &json!(0)));
+    assert_eq!((&waits["rows"][0]["placed"], &waits["rows"][0]["waiting"]), (&json!(0), &json!(1)));
+    let why = waits["rows"][0]["why"].as_str().unwrap();
+    assert!(why.starts_with("resources: waiting for 0 ms, workers: 3 without room"), "{why}");
+
+    let refused = explain("plain", vec![step(1, 1_000)]);
+    assert_eq!((&refused["admitted"], &refused["retry_after_ms"]), (&json!(false), &json!(60_000)));
+    assert!(refused["why"].as_str().unwrap().contains("the fleet has 0"), "{refused:#}");
+
+    let later = Schedule { occurrences: 2, first_ms: fleet.now + 700, interval_ms: 1_000 };
+    let sub = Submission { schedule: Some(later), ..submission("plain", vec![step(1, 1)]) };
+    let due = fleet.planner.trial().explain(fleet.now, fleet.now, &sub);
+    assert_eq!(due["rows"][0]["why"], "due in 700 ms", "{due:#}");
+}
+
+// Guards against stops that operators aren't told about.
+#[test]
+fn explain_tells_runs_that_would_be_stopped() {
+    let fleet = busy_fleet();
+    let urgent = Step { gang: true, estimate_ms: 100, ..step(2, 8) };
+    let now = fleet.now;
+    let answer = fleet.planner.trial().explain(now, now, &submission("urgent", vec![urgent]));
+    let stops = answer["stops"].as_u64().unwrap();
+    assert_eq!(stops, 2, "{answer:#}");
+    assert!(answer["stopped_runs"].as_str().unwrap().contains("low.0.0."), "{answer:#}");
+    assert!(answer["rows"][0]["why"].as_str().unwrap().starts_with("stops: "), "{answer:#}");
+}
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -360,6 +360,47 @@
     assert_eq!(platform.run_ctl(1, &[]).0, 2);
 }
 
+// Guards against a question about a job that submits it, and against an entry that can't pass it on to the planner.
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_explains_from_any_entry_where_a_job_would_go() {
+    let platform = Platform::start(2, 2).await;
+    // A start of the platform itself runs a job on each worker.
+    let starts = async || {
+        let events = platform.history().await;
+        events.into_iter().filter(|event| event.0 == "start").collect::<Vec<_>>()
+    };
+    let before = starts().await;
+    let path = platform.env.dir().join("job.json");
+    let file = path.display().to_string();
+    let write = |gpu: u32| {
+        let mut step = step(1);
+        step["gpu"] = json!(gpu);
+        let job = json!({"queue": "orders", "account": "museum", "steps": [step]});
+        std::fs::write(&path, job.to_string()).unwrap();
+    };
+    for index in 1..=2 {
+        write(8);
+        let (status, text) = platform.run_ctl(index, &["explain", &file]);
+        assert_eq!(status, 0, "{text}");
+        assert!(text.contains("placed on ") && text.contains("admitted: true"), "{text}");
+        write(64);
+        let (status, text) = platform.run_ctl(index, &["explain", &file]);
+        assert_eq!(status, 0, "{text}");
+        assert!(text.contains("admitted: false") && text.contains("retry_after_ms: 60000"), "{text}");
+        std::fs::write(&path, r#"{"queue": "elsewhere"}"#).unwrap();
+        let (status, text) = platform.run_ctl(index, &["explain", &file]);
+        assert_eq!(status, 2, "{text}");
+        assert!(text.contains("unknown queue"), "{text}");
+    }
+    let (_, text) = platform.run_ctl(1, &["jobs", "--json"]);
+    let jobs: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(jobs["rows"], json!([]), "{text}");
+    let (_, text) = platform.run_ctl(1, &["refused", "--json"]);
+    let refused: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(refused["rows"], json!([]), "{text}");
+    assert_eq!(starts().await, before, "subtasks were started");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_reports_burn_of_ended_jobs() {
     let platform = Platform::start(1, 1).await;
