Test the gauges and the histogram with separate processes

No test showed that speeds and forecast errors reach the metrics address: the stand-in of the worker reported no progress. It now reports that of runs outside gangs in percent of run_ms.

metrics_have_speeds_and_forecast_errors in crates/sorrelland/tests/platform.rs passes; it failed before the stand-in was changed.

--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -11,6 +11,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use sorrelland_control::calls::{EntryPool, ReportReply, call};
+use sorrelland_web::Client;
 
 fn job(number: u32) -> String {
     format!("{number:016x}")
@@ -401,6 +402,35 @@
     assert_eq!(starts().await, before, "subtasks were started");
 }
 
+// Guards against figures that the planner computes but the metrics address doesn't have.
+#[tokio::test]
+async fn metrics_have_speeds_and_forecast_errors() {
+    let platform = Platform::start(1, 3).await;
+    let mut full_worker = step(3);
+    full_worker["gpu"] = json!(8);
+    assert_eq!(platform.submit(1, &job(1), json!([full_worker]), "run_ms=2500").await, 200);
+    platform.await_state(&job(1), "completed", Duration::from_secs(10)).await;
+    let url = format!("http://{}/metrics", platform.env.address(11, 9_464));
+    let client = Client::new(Duration::from_secs(2));
+    let (mut text, expected) = (
+        String::new(),
+        [
+            "sorrelland_level{of=\"worker_speeds_known\"",
+            "sorrelland_level{of=\"worker_speed_slowest_milli\"",
+            "sorrelland_forecast_error_percent_bucket{age_ms=\"1000\"",
+        ],
+    );
+    for _ in 0..50 {
+        let response = client.send(Method::GET, &url, &[], Default::default()).await.unwrap();
+        text = String::from_utf8(response.body.to_vec()).unwrap();
+        if expected.iter().all(|name| text.contains(name)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("not all of {expected:?} are in {text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_reports_burn_of_ended_jobs() {
     let platform = Platform::start(1, 1).await;
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -72,12 +72,23 @@
 }
 
 struct Run {
+    run_ms: u64,
     end_ms: u64,
     stopped: bool,
     fails: bool,
     gang: Option<Gang>,
 }
 
+impl Run {
+    /// Returns the progress in percent; 0 for a member of a gang, whose progress depends on the others.
+    fn percent(&self, clock_ms: u64) -> u64 {
+        match self.gang {
+            Some(_) => 0,
+            None => 100 - (self.end_ms.saturating_sub(clock_ms) * 100 / self.run_ms.max(1)).min(100),
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     /// Highest fencing token received.
@@ -360,7 +371,7 @@
     state.history.push(json!({"what": "start", "task": task, "run": run, "at_ms": at_ms}));
     // A member of a gang gets its end when all members are present.
     let end_ms = if gang.is_some() { u64::MAX } else { clock_ms + run_ms };
-    state.running.insert((task, run), Run { end_ms, stopped: false, fails, gang });
+    state.running.insert((task, run), Run { run_ms, end_ms, stopped: false, fails, gang });
     if spec.contains("crashes") {
         tokio::spawn(crash(worker.clone()));
     }
@@ -441,7 +452,10 @@
         let _ = tokio::time::timeout(wait, run_ended).await;
     }
     let state = lock(&worker.state);
-    let running: Vec<Value> = state.running.keys().map(|(task, run)| json!([task, run, "", 0, 0])).collect();
+    let clock_ms = worker.clock_ms();
+    let row =
+        |((task, number), run): (&(String, u64), &Run)| json!([task, number, "", run.percent(clock_ms), 0]);
+    let running: Vec<Value> = state.running.iter().map(row).collect();
     let mut reply = json!({"clock_ms": worker.clock_ms(), "running": running, "finished": state.finished});
     worker.tell_start(&mut reply);
     respond(StatusCode::OK, &reply)
