--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod stops;
 pub mod task;
 pub mod timing;
+pub mod trial;
 pub mod unit;
 pub mod value;
 pub mod victims;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -69,6 +69,15 @@
     }
 }
 
+impl Candidate {
+    /// Returns whether a quarter of the time in which it has to start is over. Estimates are off, so a unit that
+    /// waits for longer may end too late.
+    fn has_waited_long(&self, wall: u64) -> bool {
+        let ready_at = wall.saturating_sub(self.timing.age_ms);
+        4 * self.timing.age_ms >= self.latest_start.saturating_sub(ready_at)
+    }
+}
+
 impl Planner {
     /// Places waiting units in order of rank, and preempts others for a unit that doesn't fit if that gains more value
     /// than it costs.
@@ -431,7 +440,11 @@
         let usable = workers().filter(|worker| worker.is_usable);
         let free: i64 = usable.map(|worker| worker.free.accelerators.max(0)).sum();
         let members = if step.gang { i64::from(step.count) } else { 1 };
-        free - step.reserved().accelerators * members < arrivals.reserve(pass.now, all)
+        let reserve = match candidate.has_waited_long(pass.wall) {
+            true => arrivals.min_reserve(pass.now, all),
+            false => arrivals.reserve(pass.now, all),
+        };
+        free - step.reserved().accelerators * members < reserve
     }
 
     /// Removes the workers that already run as many subtasks of a step as its limit per worker allows.
--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -19,6 +19,10 @@
 /// milliseconds: a stop, the report of its end and storing the placement.
 const FREEING_MS: u64 = 2_000;
 
+/// Urgent jobs from which an arrival together is a burst. For fewer, runs can be stopped without delay; those of a burst
+/// compete for the same runs.
+const MIN_JOBS_OF_BURST: usize = 3;
+
 /// Recent urgent jobs of a service.
 #[derive(Clone, Debug, Default)]
 pub struct UrgentArrivals {
@@ -39,21 +43,26 @@
         }
     }
 
-    /// Returns how many of `all` accelerators to keep free; 0 without recent urgent jobs.
+    /// Returns how many of `all` accelerators are kept free in any case; 0 without recent urgent jobs.
+    pub fn min_reserve(&self, now: u64, all: i64) -> i64 {
+        let is_recent = self.recent.back().is_some_and(|(at, _)| at + RETENTION_MS >= now);
+        if is_recent { all * MIN_RESERVE_MILLI / 1_000 } else { 0 }
+    }
+
+    /// Returns how many of `all` accelerators to keep free from work with enough slack; 0 without recent urgent jobs.
     pub fn reserve(&self, now: u64, all: i64) -> i64 {
         let recent = || self.recent.iter().filter(|(at, _)| at + RETENTION_MS >= now);
         if recent().next().is_none() {
             return 0;
         }
-        let (mut jobs, mut together, mut peak) = (0, 0, 0);
+        let (mut jobs, mut together, mut peak) = (0_usize, 0, 0);
         let mut oldest = recent().peekable();
         for (at, accelerators) in recent() {
             (jobs, together) = (jobs + 1, together + accelerators);
             while let Some((_, accelerators)) = oldest.next_if(|(from, _)| from + FREEING_MS < *at) {
                 (jobs, together) = (jobs - 1, together - accelerators);
             }
-            // For a job that arrives alone runs can be stopped; several compete for the same ones.
-            if jobs > 1 {
+            if jobs >= MIN_JOBS_OF_BURST {
                 peak = peak.max(together);
             }
         }
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -11,6 +11,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use sorrelland_control::calls::{EntryPool, ReportReply, call};
+use sorrelland_web::Client;
 
 fn job(number: u32) -> String {
     format!("{number:016x}")
@@ -360,6 +361,76 @@
     assert_eq!(platform.run_ctl(1, &[]).0, 2);
 }
 
+// Guards against a question about a job that submits it, and against an entry that can't pass it on to the planner.
+#[tokio::test(flavor = "multi_thread")]
+async fn tool_explains_from_any_entry_where_a_job_would_go() {
+    let platform = Platform::start(2, 2).await;
+    // A start of the platform itself runs a job on each worker.
+    let starts = async || {
+        let events = platform.history().await;
+        events.into_iter().filter(|event| event.0 == "start").collect::<Vec<_>>()
+    };
+    let before = starts().await;
+    let path = platform.env.dir().join("job.json");
+    let file = path.display().to_string();
+    let write = |gpu: u32| {
+        let mut step = step(1);
+        step["gpu"] = json!(gpu);
+        let job = json!({"queue": "orders", "account": "museum", "steps": [step]});
+        std::fs::write(&path, job.to_string()).unwrap();
+    };
+    for index in 1..=2 {
+        write(8);
+        let (status, text) = platform.run_ctl(index, &["explain", &file]);
+        assert_eq!(status, 0, "{text}");
+        assert!(text.contains("placed on ") && text.contains("admitted: true"), "{text}");
+        write(64);
+        let (status, text) = platform.run_ctl(index, &["explain", &file]);
+        assert_eq!(status, 0, "{text}");
+        assert!(text.contains("admitted: false") && text.contains("retry_after_ms: 60000"), "{text}");
+        std::fs::write(&path, r#"{"queue": "elsewhere"}"#).unwrap();
+        let (status, text) = platform.run_ctl(index, &["explain", &file]);
+        assert_eq!(status, 2, "{text}");
+        assert!(text.contains("unknown queue"), "{text}");
+    }
+    let (_, text) = platform.run_ctl(1, &["jobs", "--json"]);
+    let jobs: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(jobs["rows"], json!([]), "{text}");
+    let (_, text) = platform.run_ctl(1, &["refused", "--json"]);
+    let refused: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(refused["rows"], json!([]), "{text}");
+    assert_eq!(starts().await, before, "subtasks were started");
+}
+
+// Guards against figures that the planner computes but the metrics address doesn't have.
+#[tokio::test]
+async fn metrics_have_speeds_and_forecast_errors() {
+    let platform = Platform::start(1, 3).await;
+    let mut full_worker = step(3);
+    full_worker["gpu"] = json!(8);
+    assert_eq!(platform.submit(1, &job(1), json!([full_worker]), "run_ms=2500").await, 200);
+    platform.await_state(&job(1), "completed", Duration::from_secs(10)).await;
+    let url = format!("http://{}/metrics", platform.env.address(11, 9_464));
+    let client = Client::new(Duration::from_secs(2));
+    let (mut text, expected) = (
+        String::new(),
+        [
+            "sorrelland_level{of=\"worker_speeds_known\"",
+            "sorrelland_level{of=\"worker_speed_slowest_milli\"",
+            "sorrelland_forecast_error_percent_bucket{age_ms=\"1000\"",
+        ],
+    );
+    for _ in 0..50 {
+        let response = client.send(Method::GET, &url, &[], Default::default()).await.unwrap();
+        text = String::from_utf8(response.body.to_vec()).unwrap();
+        if expected.iter().all(|name| text.contains(name)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("not all of {expected:?} are in {text}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn tool_reports_burn_of_ended_jobs() {
     let platform = Platform::start(1, 1).await;
