--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -21,7 +21,7 @@
 
 /// Urgent jobs from which an arrival together is a burst. For fewer, runs can be stopped without delay; those of a burst
 /// compete for the same runs.
-const MIN_JOBS_OF_BURST: usize = 3;
+const MIN_JOBS_OF_BURST: usize = 4;
 
 /// Recent urgent jobs of a service.
 #[derive(Clone, Debug, Default)]
