--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -67,9 +67,7 @@
             latest_start: self.latest_start,
         }
     }
-}
 
-impl Candidate {
     /// Returns whether a quarter of the time in which it has to start is over. Estimates are off, so a unit that
     /// waits for longer may end too late.
     fn has_waited_long(&self, wall: u64) -> bool {
--- a/crates/fleet/src/preempt.rs
+++ b/crates/fleet/src/preempt.rs
@@ -82,6 +82,7 @@
     if candidate.must_start || queue.is_none_or(|queue| planner.speed_classes_of(queue).is_none()) {
         return;
     }
+    // Runs end anywhere between the order to stop and the bound of a stop.
     let age_ms = candidate.timing.age_ms + planner.timing.stop_ms / 2;
     let timing = JobTiming { age_ms, ..candidate.timing };
     if let Some(required) = timing.required_speed(candidate.timeliness) {
