Let wide units use the reserve while half of a service is idle

Cause: the reserve for urgent work is kept for 30 s after the last urgent job, with up to 40% of the accelerators of workers that suit urgent work. A unit that has waited for 1.5 s now uses the reserve while half of the accelerators are idle.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -30,6 +30,10 @@
 /// Time before its latest start from which a unit that is not urgent may use the reserve.
 const RESERVE_ACCESS_LEAD_MS: u64 = 1_000;
 
+/// Time after which a unit may use the reserve while half of its service's accelerators are idle, in milliseconds. A wide
+/// unit would otherwise wait beside idle workers for as long as single urgent jobs arrive.
+const IDLE_RESERVE_WAIT_MS: u64 = 1_500;
+
 /// A waiting unit with the values that determine its rank.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -428,6 +432,11 @@
         }
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
         let Some(arrivals) = self.urgent_arrivals.get(&queue.service) else { return false };
+        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
+        let has_waited = unit.is_some_and(|unit| pass.now >= unit.since + IDLE_RESERVE_WAIT_MS);
+        if has_waited && pass.pool.is_half_idle(&queue.service) {
+            return false;
+        }
         let classes = self.speed_classes_of(queue);
         let suits = |worker: &&PoolWorker| {
             worker.service == queue.service
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -130,6 +130,15 @@
         Self { workers: workers.values().map(pool_worker).collect(), racks, by_incarnation }
     }
 
+    /// Returns whether no run uses half or more of the accelerators of a service's usable workers.
+    pub fn is_half_idle(&self, service: &str) -> bool {
+        let workers = self.workers.iter().filter(|worker| worker.service == service && worker.is_usable);
+        let (free, all) = workers.fold((0, 0), |(free, all), worker| {
+            (free + worker.free.accelerators.max(0), all + worker.capacity.accelerators)
+        });
+        2 * free > all
+    }
+
     pub fn index_of(&self, incarnation: &str) -> Option<usize> {
         self.by_incarnation.get(incarnation).copied()
     }
