Write the last log lines of a process that stops

The lines after event=stopping were missing: the process ended before the writing thread had written them. A flush waits for them, for 200 ms at most.

--- a/crates/control/src/logging.rs
+++ b/crates/control/src/logging.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
 
 use derive_more::{Display, Error, From};
 use log::{LevelFilter, Record};
@@ -23,6 +24,16 @@
 /// Longest queue for standard output: one second of output of the busiest process.
 const MAX_QUEUED_LINES: usize = 2_000;
 
+/// Time that a process waits at its end until its last lines are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the writing thread receives.
+enum Message {
+    Line(Vec<u8>),
+    /// Receives a reply once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Why the logs could not be set up.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
@@ -39,7 +50,7 @@
 #[derive(Debug)]
 struct BoundedAppender {
     encoder: PatternEncoder,
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Message>,
     suppressed: AtomicU64,
 }
 
@@ -56,13 +67,19 @@
                 format!("level=WARN event=lines_suppressed count={suppressed}\n").as_bytes(),
             );
         }
-        if let Err(TrySendError::Full(_)) = self.tx.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(Message::Line(line)) {
             self.suppressed.fetch_add(suppressed + 1, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (tx, rx) = sync_channel(1);
+        if self.tx.try_send(Message::Flush(tx)).is_ok() {
+            // A reader that is too slow loses the lines.
+            let _ = rx.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
 /// Returns the value of `event=` in a line.
@@ -77,12 +94,16 @@
 ///
 /// Fails if the configuration is invalid, a logger is already set or the thread can't be started.
 pub fn init(level: LevelFilter) -> Result<()> {
-    let (tx, rx) = sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
+    let (tx, rx) = sync_channel::<Message>(MAX_QUEUED_LINES);
     std::thread::Builder::new().name("log".to_owned()).spawn(move || {
         let mut stdout = std::io::stdout();
-        for line in rx {
-            // Write errors can't be reported anywhere once standard output is closed.
-            let _ = stdout.write_all(&line).and_then(|()| stdout.flush());
+        for message in rx {
+            match message {
+                // Write errors can't be reported anywhere once standard output is closed.
+                Message::Line(line) => _ = stdout.write_all(&line).and_then(|()| stdout.flush()),
+                // The waiting thread may have given up.
+                Message::Flush(tx) => _ = tx.try_send(()),
+            }
         }
     })?;
     let appender =
