Hand the leadership over only to an entry that has claimed it

A small leader resigned for any entry with more processor that had pinged it, also for one that couldn't reach the store: nobody led for 0.5 s, another small entry claimed, and resigned again 2 s later. The leader now offers its role and goes on. The other entry shows that it reads the jobs, then claims; its claim in the store fences the old leader. It loads only what was appended since its first read. A hand-over that fails isn't tried again for 5 s, then 10 s and so on. Entries say in their pings whether they can lead: others defer only to those. A leader that stops offers its role before it resigns.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -20,7 +20,9 @@
 use crate::election::{MAX_STORE_OUTAGE_MS, RENEWAL_INTERVAL, renew};
 use crate::planner_load::PlannerLoad;
 use crate::store_failures::StoreFailures;
-use crate::stored::{APPEND_RETRY_DELAY, JOBS, PRODUCER, append_outcome, load_jobs, split_into_appends};
+use crate::stored::{
+    APPEND_RETRY_DELAY, JOBS, PRODUCER, Snapshot, append_outcome, load_jobs, split_into_appends,
+};
 use crate::{lock, metrics};
 
 /// Time between two planning passes when nothing else triggers one; an occurrence of a scheduled job starts at most
@@ -75,16 +77,18 @@
 }
 
 impl ActivePlanner {
-    /// Fences every earlier writer, reads the jobs and spawns the tasks of the planner.
+    /// Fences every earlier writer, reads the jobs and spawns the tasks of the planner. Of the jobs it reads only what is
+    /// newer than `earlier`, if there is one.
     pub async fn start(
         store: &Store,
         policy: Option<PolicyClient>,
         leader: Leader,
         timing: Timing,
         desired: Arc<Desired>,
+        earlier: Option<Snapshot>,
     ) -> Option<Arc<Self>> {
         let mut writer = Writer { producer: PRODUCER.to_owned(), epoch: leader.epoch, sequence: 0 };
-        let jobs = load_jobs(store, &mut writer).await?;
+        let jobs = load_jobs(store, &mut writer, earlier).await?;
         let planner = Planner::new(timing, desired, jobs, now_ms());
         let active = Arc::new(Self {
             leader,
--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -200,6 +200,7 @@
                 millicores: 0,
                 leader: self.leadership.leader(),
                 version: u64::MAX,
+                can_lead: false,
             };
             call(&self.pool, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await
         });
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -103,6 +103,8 @@
     pub leader: Option<Leader>,
     /// Version of the sender's desired state.
     pub version: u64,
+    /// Whether the sender can lead.
+    pub can_lead: bool,
 }
 
 /// Reply to a ping.
@@ -119,6 +121,15 @@
     pub entries: Vec<Listed>,
 }
 
+/// Reply to a leader that offers the leadership.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OfferReply {
+    /// The called entry has claimed the leadership.
+    Claimed(Leader),
+    /// It hasn't, for the given reason; the leader goes on.
+    Declined(String),
+}
+
 /// Calls that an entry serves.
 #[tarpc::service]
 pub trait PlanRpc {
@@ -128,6 +139,8 @@
     async fn request(req: PlannerRequest, wait_ms: u64) -> PlannerReply;
     /// Exchanges the known leader, desired state and entries.
     async fn ping(ping: Ping) -> Pong;
+    /// Claims the leadership from the caller, who leads with `epoch` until the claim is stored.
+    async fn take_over(epoch: u64) -> OfferReply;
 }
 
 impl Connect for PlanRpcClient {
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -1,7 +1,6 @@
 //! An entry: answers callers, and plans while it is the leader.
 
 use std::collections::BTreeSet;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -13,20 +12,22 @@
 use sorrelland_fleet::planner::Timing;
 use sorrelland_platform::serve::{self, Handler, Response};
 use sorrelland_platform::store::LatestRecord;
-use sorrelland_platform::{PolicyClient, Settings, Store, desired};
+use sorrelland_platform::{Settings, Store, desired};
 use sorrelland_wire::connect::{self, CallError};
 use tarpc::context::Context;
 use tarpc::server::InFlightRequest;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::active_planner::ActivePlanner;
 use crate::calls::{
-    EntryPool, Leader, Ping, PlanRpc, PlannerReply as Reply, PlannerRequest, Pong, ReportReply, call,
+    EntryPool, Leader, OfferReply, Ping, PlanRpc, PlannerReply as Reply, PlannerRequest, Pong, ReportReply,
+    call,
 };
 use crate::clock::now_ms;
-use crate::election::{self, CLAIMS, Leadership, MAX_STORE_OUTAGE_MS};
-use crate::peers::{Listed, Peers};
+use crate::election::{CLAIMS, Leadership, MAX_STORE_OUTAGE_MS};
+use crate::handover::Offer;
+use crate::peers::{FailedHandovers, Listed, Peers};
 use crate::signals::{self, wait_for_stop};
 use crate::{Error, Result, follow, lock, metrics, reload};
 
@@ -55,24 +56,13 @@
 /// Time after the leader's last reply to a ping from which this entry is not ready for new callers, in milliseconds.
 const READINESS_TIMEOUT_MS: u64 = 2_500;
 
-/// Delay after which an entry that is stopping or lacks the desired state checks again whether it may claim.
-const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(60);
-
-/// Upper bound of the delays that spread the claims of the entries, in milliseconds.
-const MAX_CLAIM_DELAY_MS: u64 = 300;
-
-/// Minimum time between the start of a planner and its hand-over to an entry with more processor.
-const MIN_TENURE: Duration = Duration::from_secs(2);
-
-/// Time between two checks for an entry to hand over to.
-const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Maximum time for open calls and the step-down when the process stops.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(4_500);
 
 /// An entry's state.
 pub(crate) struct Entry {
-    settings: Settings,
+    pub(crate) settings: Settings,
+    pub(crate) store: Store,
     pub(crate) me: Leader,
     pub(crate) leadership: Leadership,
     pub(crate) pool: EntryPool,
@@ -80,11 +70,14 @@
     /// The desired state as stored, for entries that cannot reach the store.
     raw_desired: Mutex<Vec<u8>>,
     /// Failure domains that the operators evacuate.
-    evacuated: Mutex<BTreeSet<String>>,
-    active_planner: Mutex<Option<Arc<ActivePlanner>>>,
-    peers: Mutex<Peers>,
+    pub(crate) evacuated: Mutex<BTreeSet<String>>,
+    pub(crate) active_planner: Mutex<Option<Arc<ActivePlanner>>>,
+    pub(crate) peers: Mutex<Peers>,
+    /// Offers of the leadership by the leader.
+    pub(crate) offers: mpsc::Sender<Offer>,
+    pub(crate) failed_handovers: Mutex<FailedHandovers>,
     planner_replied_at: Mutex<u64>,
-    stopping: watch::Sender<bool>,
+    pub(crate) stopping: watch::Sender<bool>,
 }
 
 /// Runs an entry until it is asked to stop.
@@ -100,10 +93,12 @@
     let store = Store::new(&settings.store_address);
     let address = settings.peer_address();
     let listener = TcpListener::bind(&address).await?;
+    let (offers, offer_rx) = mpsc::channel(1);
     let me = Leader { epoch: 0, instance: settings.instance.clone(), address, incarnation: rand::random() };
     let entry = Arc::new(Entry {
         pool: EntryPool::new(&settings.store_address),
         settings,
+        store: store.clone(),
         me,
         leadership: Leadership::default(),
         desired: watch::Sender::new(Arc::default()),
@@ -111,6 +106,8 @@
         evacuated: Mutex::default(),
         active_planner: Mutex::default(),
         peers: Mutex::default(),
+        offers,
+        failed_handovers: Mutex::default(),
         planner_replied_at: Mutex::default(),
         stopping: watch::Sender::new(false),
     });
@@ -136,7 +133,7 @@
     tokio::spawn(entry.clone().follow_desired(store.clone()));
     tokio::spawn(entry.clone().follow_claims(store.clone()));
     tokio::spawn(entry.clone().run_pings());
-    tokio::spawn(entry.clone().run_leadership(store.clone()));
+    tokio::spawn(entry.clone().run_leadership(offer_rx));
     wait_for_stop(signal_state).await;
     log::info!("event=stopping role=entry instance={}", entry.me.instance);
     entry.stopping.send_replace(true);
@@ -144,7 +141,7 @@
         if let Err(e) = caller_server.close().await {
             log::warn!("event=server_failed cause=\"{e}\"");
         }
-        entry.release_leadership(&store).await;
+        entry.release_leadership().await;
         if let Err(e) = readiness_server.close().await {
             log::warn!("event=server_failed cause=\"{e}\"");
         }
@@ -153,6 +150,7 @@
         log::warn!("event=close_cut_short");
     }
     log::info!("event=stopped role=entry instance={}", entry.me.instance);
+    log::logger().flush();
     Ok(())
 }
 
@@ -203,7 +201,7 @@
         let entry = self.entry;
         entry.leadership.update_leader(ping.leader);
         if !ping.address.is_empty() {
-            lock(&entry.peers).record_ping(now_ms(), ping.address, ping.millicores);
+            lock(&entry.peers).record_ping(now_ms(), ping.address, ping.millicores, ping.can_lead);
         }
         let newer = entry.desired.borrow().version > ping.version;
         Pong {
@@ -213,6 +211,10 @@
             entries: entry.listed_entries(),
         }
     }
+
+    async fn take_over(self, _: Context, epoch: u64) -> OfferReply {
+        self.entry.consider_offer(epoch).await
+    }
 }
 
 impl Entry {
@@ -234,7 +236,12 @@
 
     /// Returns the live entries, this one among them.
     fn listed_entries(&self) -> Vec<Listed> {
-        let me = Listed { address: self.me.address.clone(), millicores: self.settings.millicores, age_ms: 0 };
+        let me = Listed {
+            address: self.me.address.clone(),
+            millicores: self.settings.millicores,
+            age_ms: 0,
+            can_lead: self.can_lead(),
+        };
         let mut listed = lock(&self.peers).live(now_ms());
         listed.push(me);
         listed
@@ -338,13 +345,14 @@
 
     /// Exchanges the known leader, desired state and entries with another entry; `planner` is its epoch if it leads.
     /// Returns whether it replied.
-    async fn ping(&self, address: &str, planner: Option<u64>) -> bool {
+    pub(crate) async fn ping(&self, address: &str, planner: Option<u64>) -> bool {
         let version = self.desired.borrow().version;
         let ping = Ping {
             address: self.me.address.clone(),
             millicores: self.settings.millicores,
             leader: self.leadership.leader(),
             version,
+            can_lead: self.can_lead(),
         };
         let pong = call(&self.pool, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await;
         match pong {
@@ -381,103 +389,7 @@
         }
     }
 
-    /// Claims the leadership whenever it may be claimed, and runs the planner until the leadership ends.
-    async fn run_leadership(self: Arc<Self>, store: Store) {
-        let mut hasher = DefaultHasher::new();
-        self.me.instance.hash(&mut hasher);
-        let claim_delay_ms = hasher.finish() % MAX_CLAIM_DELAY_MS;
-        let mut last_epoch = 0;
-        loop {
-            let own_claim = self
-                .leadership
-                .leader()
-                .filter(|leader| leader.incarnation == self.me.incarnation && leader.epoch > last_epoch);
-            let leader = match own_claim {
-                Some(leader) => Some(leader),
-                None => {
-                    let expired_epoch =
-                        election::wait_until_claimable(&store, &self.leadership, &self.me, claim_delay_ms)
-                            .await;
-                    if *self.stopping.borrow() || self.desired.borrow().version == 0 {
-                        tokio::time::sleep(CLAIM_RETRY_DELAY).await;
-                        continue;
-                    }
-                    election::claim(&store, &self.leadership, &self.me, expired_epoch).await
-                }
-            };
-            let Some(leader) = leader else { continue };
-            last_epoch = leader.epoch;
-            let desired = self.desired.borrow().clone();
-            let policy = self.settings.policy_address.as_deref().map(PolicyClient::new);
-            let Some(active) = ActivePlanner::start(&store, policy, leader, self.timing(), desired).await
-            else {
-                continue;
-            };
-            *lock(&self.active_planner) = Some(active.clone());
-            // A newer version may have arrived while the jobs were read.
-            active.set_desired(self.desired.borrow().clone());
-            active.set_evacuated(lock(&self.evacuated).clone());
-            self.notify_entries().await;
-            while !active.has_stepped_down() {
-                tokio::select! {
-                    () = self.wait_for_end_of_leadership(&active) => (),
-                    () = self.wait_for_successor() => self.hand_over(&store, &active).await,
-                }
-            }
-            *lock(&self.active_planner) = None;
-        }
-    }
-
-    /// Waits until an entry with much more processor may take over.
-    async fn wait_for_successor(&self) {
-        tokio::time::sleep(MIN_TENURE).await;
-        loop {
-            let successor =
-                lock(&self.peers).successor(now_ms(), self.settings.millicores).map(str::to_owned);
-            if let Some(address) = successor {
-                log::info!("event=handing_over to={address} millicores={}", self.settings.millicores);
-                return;
-            }
-            tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
-        }
-    }
-
-    /// Ends the leadership so that an entry with more processor takes over.
-    async fn hand_over(&self, store: &Store, active: &ActivePlanner) {
-        if let Err(e) = election::renew(store, active.leader.epoch, false).await {
-            // Without the store nobody could take over.
-            return log::warn!("event=renewal_failed epoch={} cause=\"{e}\"", active.leader.epoch);
-        }
-        // Others may claim from the moment that the store has the notice, so this planner ends before that.
-        self.leadership.set_deferring(true);
-        active.step_down("an entry with more processor takes over");
-        if let Err(e) = election::renew(store, active.leader.epoch, true).await {
-            log::warn!("event=resign_failed cause=\"{e}\"");
-        }
-    }
-
-    /// Pings the other entries, so that those that cannot reach the store learn of the new leader as well.
-    async fn notify_entries(&self) {
-        let peers = lock(&self.peers).live(now_ms());
-        futures::future::join_all(peers.iter().map(|peer| self.ping(&peer.address, None))).await;
-    }
-
-    /// Waits until the planner steps down, and makes it step down once a leader with a higher epoch is known.
-    async fn wait_for_end_of_leadership(&self, active: &ActivePlanner) {
-        let mut leader_changes = self.leadership.subscribe();
-        let epoch = active.leader.epoch;
-        let newer =
-            leader_changes.wait_for(|leader| leader.as_ref().is_some_and(|leader| leader.epoch > epoch));
-        let superseded = tokio::select! {
-            superseded = newer => superseded.is_ok(),
-            () = active.wait_for_step_down() => false,
-        };
-        if superseded {
-            active.step_down("superseded");
-        }
-    }
-
-    fn timing(&self) -> Timing {
+    pub(crate) fn timing(&self) -> Timing {
         let bounds = self.settings.bounds;
         let grant_ms = (bounds.max_lease_ms * GRANT_PERCENT / 100).min(MAX_GRANT_MS);
         Timing {
@@ -488,12 +400,4 @@
             reclaim_ms: bounds.reclaim_ms,
         }
     }
-
-    async fn release_leadership(&self, store: &Store) {
-        let Some(active) = self.planner() else { return };
-        active.step_down("the process is stopping");
-        if let Err(e) = election::renew(store, active.leader.epoch, true).await {
-            log::warn!("event=resign_failed cause=\"{e}\"");
-        }
-    }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod election;
 pub mod entry;
 pub mod follow;
+mod handover;
 pub mod lease;
 pub mod logging;
 pub mod metrics;
@@ -20,7 +21,7 @@
 pub mod reload;
 pub mod signals;
 pub mod store_failures;
-mod stored;
+pub mod stored;
 
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,4 +1,4 @@
-//! The other entries that an entry knows, and their shares of a processor.
+//! The other entries that an entry knows: their shares of a processor, and whether they can lead.
 //!
 //! Designed for fleets whose entries differ in size: the planner's passes and reports need most of a small entry's
 //! processor, so the entries with the most lead.
@@ -13,8 +13,15 @@
 /// Time after its last ping to the leader within which an entry may take over from it, in milliseconds: two pings.
 const SUCCESSOR_AGE_MS: u64 = 1_000;
 
-/// Ratio of processor shares from which a hand-over is worth the time without a planner that it costs.
-const HANDOVER_RATIO: u64 = 2;
+/// Ratio of processor shares from which a hand-over is worth its cost.
+pub const HANDOVER_RATIO: u64 = 2;
+
+/// Time after a failed hand-over to an entry in which it isn't tried again, in milliseconds; it doubles with each further
+/// failure.
+const MIN_HANDOVER_DELAY_MS: u64 = 5_000;
+
+/// Longest such time, in milliseconds.
+const MAX_HANDOVER_DELAY_MS: u64 = 60_000;
 
 /// An entry as another one lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,11 +31,14 @@
     pub millicores: u64,
     /// Time since its last ping to any entry, in milliseconds.
     pub age_ms: u64,
+    /// Whether it said then that it can lead.
+    pub can_lead: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     millicores: u64,
+    can_lead: bool,
     /// When it last pinged any entry, on the monotonic clock.
     seen_at: u64,
     /// When it last pinged this entry; `None` if it never did.
@@ -43,17 +53,18 @@
 
 impl Peers {
     /// Records a ping of another entry.
-    pub fn record_ping(&mut self, now: u64, address: String, millicores: u64) {
-        self.by_address.insert(address, Peer { millicores, seen_at: now, pinged_at: Some(now) });
+    pub fn record_ping(&mut self, now: u64, address: String, millicores: u64, can_lead: bool) {
+        self.by_address.insert(address, Peer { millicores, can_lead, seen_at: now, pinged_at: Some(now) });
     }
 
     /// Records that another entry lists a third one.
     pub fn record_listed(&mut self, now: u64, listed: Listed) {
-        let Listed { address, millicores, age_ms } = listed;
+        let Listed { address, millicores, age_ms, can_lead } = listed;
         let seen_at = now.saturating_sub(age_ms);
-        let peer = self.by_address.entry(address).or_insert(Peer { millicores, seen_at, pinged_at: None });
+        let new = Peer { millicores, can_lead, seen_at, pinged_at: None };
+        let peer = self.by_address.entry(address).or_insert(new);
         if seen_at >= peer.seen_at {
-            (peer.millicores, peer.seen_at) = (millicores, seen_at);
+            *peer = Peer { pinged_at: peer.pinged_at, ..new };
         }
     }
 
@@ -69,23 +80,51 @@
             address: address.clone(),
             millicores: peer.millicores,
             age_ms: now.saturating_sub(peer.seen_at),
+            can_lead: peer.can_lead,
         };
         live.map(listed).collect()
     }
 
-    /// Returns whether a live entry has a larger share of a processor than `millicores`.
+    /// Returns whether a live entry that can lead has a larger share of a processor than `millicores`.
     pub fn has_larger(&self, now: u64, millicores: u64) -> bool {
-        self.by_address.values().any(|peer| peer.seen_at + EXPIRY_MS >= now && peer.millicores > millicores)
+        let is_live = |peer: &Peer| peer.seen_at + EXPIRY_MS >= now && peer.can_lead;
+        self.by_address.values().any(|peer| is_live(peer) && peer.millicores > millicores)
+    }
+
+    /// Returns the addresses of the entries that may take over from this one, largest first: those with at least
+    /// `min_millicores` that have just pinged this entry and can lead.
+    pub fn successors(&self, now: u64, min_millicores: u64) -> Vec<String> {
+        let may_succeed = |peer: &Peer| {
+            peer.can_lead
+                && peer.millicores >= min_millicores
+                && peer.pinged_at.is_some_and(|at| at + SUCCESSOR_AGE_MS >= now)
+        };
+        let mut successors: Vec<_> = self.by_address.iter().filter(|(_, peer)| may_succeed(peer)).collect();
+        successors.sort_by_key(|(_, peer)| std::cmp::Reverse(peer.millicores));
+        successors.into_iter().map(|(address, _)| address.clone()).collect()
+    }
+}
+
+/// Failed hand-overs by address of the other entry, so that they aren't repeated at once.
+#[derive(Clone, Debug, Default)]
+pub struct FailedHandovers {
+    /// When each may be tried again, on the monotonic clock, and the delay before that, both in milliseconds.
+    by_address: BTreeMap<String, (u64, u64)>,
+}
+
+impl FailedHandovers {
+    pub fn record(&mut self, now: u64, address: &str) {
+        // Entries that have long been replaced need no memory.
+        self.by_address.retain(|_, (until, _)| *until + MAX_HANDOVER_DELAY_MS >= now);
+        let delay_ms = match self.by_address.get(address) {
+            Some((_, delay_ms)) => (delay_ms * 2).min(MAX_HANDOVER_DELAY_MS),
+            None => MIN_HANDOVER_DELAY_MS,
+        };
+        self.by_address.insert(address.to_owned(), (now + delay_ms, delay_ms));
     }
 
-    /// Returns the address of an entry that a leader with `millicores` should hand over to: it has just pinged this entry
-    /// and has a much larger share of a processor.
-    pub fn successor(&self, now: u64, millicores: u64) -> Option<&str> {
-        let is_live = |peer: &Peer| peer.pinged_at.is_some_and(|at| at + SUCCESSOR_AGE_MS >= now);
-        let mut larger = self
-            .by_address
-            .iter()
-            .filter(|(_, peer)| is_live(peer) && peer.millicores >= millicores.max(1) * HANDOVER_RATIO);
-        larger.next().map(|(address, _)| address.as_str())
+    /// Returns whether a hand-over to an entry may be tried.
+    pub fn may_try(&self, now: u64, address: &str) -> bool {
+        self.by_address.get(address).is_none_or(|(until, _)| now >= *until)
     }
 }
--- a/crates/control/src/stored.rs
+++ b/crates/control/src/stored.rs
@@ -1,10 +1,11 @@
 //! Jobs in the store: their topic, the limits of appends, and loading them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sorrelland_fleet::{Job, record};
 use sorrelland_platform::Store;
-use sorrelland_platform::store::{CALL_TIMEOUT, Error, Result, Writer};
+use sorrelland_platform::store::{CALL_TIMEOUT, Error, Result, Writer, decode_keyed};
 
 /// Topic of the jobs.
 pub(crate) const JOBS: &str = "keyed.jobs";
@@ -48,8 +49,68 @@
     parts
 }
 
-/// Sets the epoch of the jobs' topic, which fences every earlier writer, and loads the jobs.
-pub(crate) async fn load_jobs(store: &Store, writer: &mut Writer) -> Option<Vec<Job>> {
+/// The newest record of each key, as of an offset of the topic.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    by_key: BTreeMap<String, Vec<u8>>,
+    end: u64,
+}
+
+impl Snapshot {
+    /// Reads the records of the jobs.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store did not answer.
+    pub async fn read(store: &Store) -> Result<Self> {
+        let (items, end) = store.read_latest(JOBS).await?;
+        Ok(Self { by_key: items.into_iter().map(|item| (item.key, item.value)).collect(), end })
+    }
+
+    /// Applies the records that were appended since.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store did not answer, or that records in between have been compacted.
+    pub async fn update(&mut self, store: &Store) -> Result<()> {
+        loop {
+            let batch = store.read(JOBS, self.end, Duration::ZERO).await?;
+            for (key, value) in batch.records.iter().filter_map(|raw| decode_keyed(raw)) {
+                match value.is_empty() {
+                    true => _ = self.by_key.remove(key),
+                    false => _ = self.by_key.insert(key.to_owned(), value.to_vec()),
+                }
+            }
+            let is_last = batch.next >= batch.end || batch.records.is_empty();
+            self.end = batch.next;
+            if is_last {
+                return Ok(());
+            }
+        }
+    }
+
+    fn records(&self) -> impl Iterator<Item = (&str, &[u8])> + Clone {
+        self.by_key.iter().map(|(key, value)| (key.as_str(), value.as_slice()))
+    }
+}
+
+/// Brings a snapshot up to date, or reads a new one.
+async fn refresh(store: &Store, earlier: Option<Snapshot>) -> Result<Snapshot> {
+    let Some(mut snapshot) = earlier else { return Snapshot::read(store).await };
+    match snapshot.update(store).await {
+        Ok(()) => Ok(snapshot),
+        Err(Error::Compacted { .. }) => Snapshot::read(store).await,
+        Err(e) => Err(e),
+    }
+}
+
+/// Sets the epoch of the jobs' topic, which fences every earlier writer, and loads the jobs. Reads only what was appended
+/// since `earlier` if there is one.
+pub(crate) async fn load_jobs(
+    store: &Store,
+    writer: &mut Writer,
+    mut earlier: Option<Snapshot>,
+) -> Option<Vec<Job>> {
     let mut fenced = false;
     for _ in 0..MAX_LOAD_ATTEMPTS {
         if !fenced {
@@ -63,11 +124,10 @@
             }
         }
         if fenced {
-            match store.read_latest(JOBS).await {
-                Ok((items, _)) => {
+            match refresh(store, earlier.take()).await {
+                Ok(snapshot) => {
                     writer.sequence = 1;
-                    let records = items.iter().map(|item| (item.key.as_str(), item.value.as_slice()));
-                    let (jobs, findings) = record::read(records);
+                    let (jobs, findings) = record::read(snapshot.records());
                     for finding in findings {
                         log::error!("event=record_skipped topic={JOBS} cause=\"{finding}\"");
                     }
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -1,13 +1,13 @@
-use sorrelland_control::peers::{Listed, Peers};
+use sorrelland_control::peers::{FailedHandovers, Listed, Peers};
 
 fn listed(address: &str, millicores: u64, age_ms: u64) -> Listed {
-    Listed { address: address.to_owned(), millicores, age_ms }
+    Listed { address: address.to_owned(), millicores, age_ms, can_lead: true }
 }
 
 #[test]
 fn live_ages_listed_entries_by_their_last_ping() {
     let mut peers = Peers::default();
-    peers.record_ping(10_000, "a".to_owned(), 500);
+    peers.record_ping(10_000, "a".to_owned(), 500, true);
     peers.record_listed(10_000, listed("b", 120, 4_000));
     assert_eq!(peers.live(11_000), [listed("a", 500, 1_000), listed("b", 120, 5_000)]);
     assert_eq!(peers.live(11_001), [listed("a", 500, 1_001)], "an entry that only others list ends as well");
@@ -21,8 +21,8 @@
 #[test]
 fn prune_keeps_live_entries() {
     let mut peers = Peers::default();
-    peers.record_ping(1_000, "a".to_owned(), 500);
-    peers.record_ping(9_000, "b".to_owned(), 500);
+    peers.record_ping(1_000, "a".to_owned(), 500, true);
+    peers.record_ping(9_000, "b".to_owned(), 500, true);
     peers.prune(10_000);
     assert_eq!(peers.live(5_000), [listed("b", 500, 0)]);
 }
@@ -30,20 +30,53 @@
 #[test]
 fn has_larger_counts_live_entries_only() {
     let mut peers = Peers::default();
-    peers.record_ping(1_000, "a".to_owned(), 500);
+    peers.record_ping(1_000, "a".to_owned(), 500, true);
     assert!(peers.has_larger(2_000, 120));
     assert!(!peers.has_larger(2_000, 500));
     assert!(!peers.has_larger(7_000, 120));
 }
 
 #[test]
-fn successor_has_pinged_just_now_and_is_much_larger() {
+fn has_larger_counts_only_entries_that_can_lead() {
+    let mut peers = Peers::default();
+    peers.record_ping(1_000, "a".to_owned(), 500, false);
+    assert!(!peers.has_larger(1_500, 120), "it would never claim");
+    // News of the entry replaces what was known, also by way of a third one.
+    peers.record_listed(2_000, listed("a", 500, 0));
+    assert!(peers.has_larger(2_000, 120));
+}
+
+#[test]
+fn successors_have_pinged_just_now_and_are_large_enough() {
     let mut peers = Peers::default();
     peers.record_listed(1_000, listed("a", 900, 0));
-    assert_eq!(peers.successor(1_000, 120), None, "it may not reach this entry");
-    peers.record_ping(1_000, "b".to_owned(), 239);
-    assert_eq!(peers.successor(1_000, 120), None);
-    peers.record_ping(1_000, "c".to_owned(), 240);
-    assert_eq!(peers.successor(1_000, 120), Some("c"));
-    assert_eq!(peers.successor(2_001, 120), None);
+    assert!(peers.successors(1_000, 240).is_empty(), "it may not reach this entry");
+    peers.record_ping(1_000, "b".to_owned(), 239, true);
+    assert!(peers.successors(1_000, 240).is_empty());
+    peers.record_ping(1_000, "c".to_owned(), 240, true);
+    peers.record_ping(1_000, "d".to_owned(), 500, true);
+    assert_eq!(peers.successors(1_000, 240), ["d", "c"]);
+    assert!(peers.successors(2_001, 240).is_empty());
+}
+
+#[test]
+fn successors_leave_out_entries_that_cannot_lead() {
+    let mut peers = Peers::default();
+    peers.record_ping(1_000, "a".to_owned(), 500, false);
+    assert!(peers.successors(1_000, 240).is_empty(), "it doesn't reach the store");
+    peers.record_ping(1_500, "a".to_owned(), 500, true);
+    assert_eq!(peers.successors(1_500, 240), ["a"]);
+}
+
+#[test]
+fn may_try_waits_longer_after_each_failure() {
+    let mut failed = FailedHandovers::default();
+    assert!(failed.may_try(1_000, "a"));
+    failed.record(1_000, "a");
+    assert!(!failed.may_try(5_999, "a"));
+    assert!(failed.may_try(6_000, "a"));
+    assert!(failed.may_try(1_000, "b"), "another entry");
+    failed.record(6_000, "a");
+    assert!(!failed.may_try(15_999, "a"));
+    assert!(failed.may_try(16_000, "a"));
 }
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -64,7 +64,7 @@
 #[tokio::test]
 async fn submit_returns_unresolved_if_the_job_may_be_stored() {
     let (address, store) = start_store().await;
-    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired()).await.unwrap();
+    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
     set_faults(&address, r#"{"lose_every": 1}"#).await;
     let reply = {
         let planner = planner.clone();
@@ -84,7 +84,7 @@
     store.append_as("keyed.jobs", &next, &[], CALL_TIMEOUT).await.unwrap();
     assert_eq!(reply.await.unwrap(), PlannerReply::Unresolved);
     assert!(planner.has_stepped_down());
-    let successor = ActivePlanner::start(&store, None, leader(3, 2), TIMING, desired()).await.unwrap();
+    let successor = ActivePlanner::start(&store, None, leader(3, 2), TIMING, desired(), None).await.unwrap();
     let reply = successor
         .handle_request(PlannerRequest::State("00000000000000a1".to_owned()), Duration::from_secs(1))
         .await;
@@ -105,8 +105,8 @@
 #[tokio::test]
 async fn start_fences_the_previous_writer() {
     let (_, store) = start_store().await;
-    let old = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired()).await.unwrap();
-    let _new = ActivePlanner::start(&store, None, leader(2, 2), TIMING, desired()).await.unwrap();
+    let old = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
+    let _new = ActivePlanner::start(&store, None, leader(2, 2), TIMING, desired(), None).await.unwrap();
     let reply = old
         .handle_request(PlannerRequest::Submit(submission("00000000000000a1")), Duration::from_secs(2))
         .await;
@@ -216,7 +216,7 @@
 #[tokio::test]
 async fn report_of_earlier_agent_process_gets_no_reply_before_it_reconnects() {
     let (_, store) = start_store().await;
-    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired()).await.unwrap();
+    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
     let report = |agent_incarnation: u64| Report {
         agent: "agent".to_owned(),
         agent_incarnation,
