Answer submissions that the store can't take with a true 'not run'

During an outage of the store the leader went on taking submissions: each waited 2.9 s and got 504, although no append contained it; callers can't repeat work that isn't idempotent after a 504. - A job that no append contains yet is withdrawn and answered with 503 and a Retry-After once appends have failed for 1 s, and later ones at once, until a renewal or an append is stored. Only what an unanswered append contains stays unknown; the append's repeat settles it. - Appends that the store certainly rejected go back to the planner, so their jobs can be withdrawn too. - The attempts of one call have a number: once one is answered with 'not run' or a refusal, a late copy is, too. - A leader whose calls the store rejects offers its role to any entry that can lead. - An entry that reaches no leader holds callers only while a takeover is expected within their wait, and says when to come back, spread over a second, urgent queues first.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -14,6 +14,7 @@
 use sorrelland_platform::{PolicyClient, Store};
 use tokio::sync::{Notify, watch};
 
+use crate::absence::{AnsweredCalls, outage_rest_ms, spread_retry_ms};
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest};
 use crate::clock::{now_ms, wall_ms};
@@ -39,6 +40,10 @@
 /// Maximum time for which an agent's report waits for new assignments.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(500);
 
+/// Time for which appends have to fail before submissions are answered with "not run", in milliseconds: longer than a slow
+/// store or a few lost replies take.
+const STORE_PATIENCE_MS: u64 = 1_000;
+
 /// Failed tries of an append per log line: about one line a second.
 const TRIES_PER_LOG_LINE: u32 = 10;
 
@@ -56,6 +61,11 @@
     urgent_pass: Notify,
     load: Mutex<PlannerLoad>,
     store_failures: Mutex<StoreFailures>,
+    /// When the first of the failed tries of the append in progress began, on the monotonic clock.
+    append_failing_since: Mutex<Option<u64>>,
+    /// Whether appends have failed for [`STORE_PATIENCE_MS`].
+    store_unavailable: watch::Sender<bool>,
+    answered_calls: Mutex<AnsweredCalls>,
     /// Triggers an append of the changes.
     append: Notify,
     /// Triggers requests to the policy service.
@@ -66,6 +76,15 @@
     agents: Mutex<BTreeMap<String, AgentSlot>>,
 }
 
+/// Result of an append.
+enum Appended {
+    Stored,
+    /// Nothing of it is or will be stored.
+    Rejected,
+    /// The leadership has ended; the append may be stored.
+    Ended,
+}
+
 /// Newest report number and last assignments of an agent, and how to wake its waiting call.
 #[derive(Default)]
 struct AgentSlot {
@@ -97,6 +116,9 @@
             urgent_pass: Notify::new(),
             load: Mutex::new(PlannerLoad::new(Instant::now())),
             store_failures: Mutex::default(),
+            append_failing_since: Mutex::default(),
+            store_unavailable: watch::Sender::new(false),
+            answered_calls: Mutex::default(),
             append: Notify::new(),
             approval_requests: Notify::new(),
             stored: watch::Sender::new(0),
@@ -239,11 +261,22 @@
             loop {
                 let Some((records, change)) = lock(&self.planner).take_changes() else { break };
                 let raw: Vec<Vec<u8>> = records.iter().map(encode_keyed).collect();
-                for part in split_into_appends(raw) {
-                    if !self.append_part(&store, &mut writer, &mut append_timeout, &part).await {
-                        return;
+                let parts = split_into_appends(raw);
+                let mut is_rejected = false;
+                for part in &parts {
+                    // A rejected append changes nothing, but an earlier part may be stored.
+                    let may_return = parts.len() == 1;
+                    match self.append_part(&store, &mut writer, &mut append_timeout, part, may_return).await {
+                        Appended::Stored => (),
+                        Appended::Rejected => is_rejected = true,
+                        Appended::Ended => return,
                     }
                 }
+                if is_rejected {
+                    lock(&self.planner).return_changes();
+                    tokio::time::sleep(APPEND_RETRY_DELAY).await;
+                    continue;
+                }
                 let to_wake = {
                     let mut planner = lock(&self.planner);
                     planner.record_stored(change);
@@ -255,22 +288,24 @@
         }
     }
 
-    /// Repeats an append until it is stored; returns `false` if the leadership ended instead.
+    /// Repeats an append until it is stored, or if `may_return` until it is certain that it is not.
     async fn append_part(
         &self,
         store: &Store,
         writer: &mut Writer,
         append_timeout: &mut AdaptiveTimeout,
         part: &[Vec<u8>],
-    ) -> bool {
+        may_return: bool,
+    ) -> Appended {
         // Set once an append without an answer may have been carried out.
         let mut unanswered = false;
         let mut tries = 0_u32;
         while !self.has_stepped_down() {
-            let began = Instant::now();
+            let (began, began_ms) = (Instant::now(), now_ms());
             let appended = store.append_as(JOBS, writer, part, append_timeout.wait()).await;
             metrics::record_append(append_outcome(&appended), began);
             lock(&self.store_failures).record(now_ms(), &appended);
+            self.record_append(began_ms, appended.is_ok());
             match &appended {
                 Err(e) if !e.not_applied() => append_timeout.record_timeout(),
                 _ => append_timeout.record_reply(began.elapsed()),
@@ -278,11 +313,11 @@
             match appended {
                 Ok(_) => {
                     writer.sequence += 1;
-                    return true;
+                    return Appended::Stored;
                 }
                 Err(Error::Fenced) => {
                     self.step_down("a writer with a higher epoch has taken over");
-                    return false;
+                    return Appended::Ended;
                 }
                 Err(Error::Sequence { expected: Some(next) }) if !unanswered && next != writer.sequence => {
                     log::warn!("event=sequence_set from={} to={next}", writer.sequence);
@@ -290,7 +325,7 @@
                 }
                 Err(e @ Error::Sequence { .. }) => {
                     self.step_down(&format!("append sequence lost: {e}"));
-                    return false;
+                    return Appended::Ended;
                 }
                 Err(e) => {
                     unanswered |= !e.not_applied();
@@ -299,11 +334,29 @@
                         let sequence = writer.sequence;
                         log::warn!("event=append_retried sequence={sequence} tries={tries} cause=\"{e}\"");
                     }
+                    if may_return && !unanswered {
+                        return Appended::Rejected;
+                    }
                     tokio::time::sleep(APPEND_RETRY_DELAY).await;
                 }
             }
         }
-        false
+        Appended::Ended
+    }
+
+    /// Records whether a try of an append that began at `began` succeeded, and whether appends fail for so long that nothing
+    /// more is accepted.
+    fn record_append(&self, began: u64, is_stored: bool) {
+        let mut since = lock(&self.append_failing_since);
+        *since = if is_stored { None } else { since.or(Some(began)) };
+        let failing_ms = since.map_or(0, |since| now_ms().saturating_sub(since));
+        let unavailable = failing_ms >= STORE_PATIENCE_MS;
+        if self.store_unavailable.send_replace(unavailable) != unavailable {
+            let epoch = self.leader.epoch;
+            log::warn!(
+                "event=store_unavailable epoch={epoch} unavailable={unavailable} failing_ms={failing_ms}"
+            );
+        }
     }
 
     /// Returns how long the store has rejected the planner's calls, in milliseconds; 0 if it answers.
@@ -317,7 +370,11 @@
             let renewal = renew(&store, self.leader.epoch, false).await;
             lock(&self.store_failures).record(now_ms(), &renewal);
             match renewal {
-                Ok(()) => renewed_at = now_ms(),
+                Ok(()) => {
+                    renewed_at = now_ms();
+                    // Without an append in progress nothing else would show that the store is back.
+                    self.record_append(renewed_at, true);
+                }
                 Err(e) => log::warn!("event=renewal_failed epoch={} cause=\"{e}\"", self.leader.epoch),
             }
             if now_ms() > renewed_at + MAX_STORE_OUTAGE_MS {
@@ -355,6 +412,78 @@
         }
     }
 
+    /// Submits a job of a call and waits at most `wait` until it is stored. A job that can't be stored is withdrawn if no
+    /// append contains it yet.
+    async fn submit(&self, sub: &Submission, call: u64, wait: Duration) -> Reply {
+        let priority = lock(&self.planner).priority(&sub.queue);
+        let not_run = || {
+            lock(&self.answered_calls).record(now_ms(), call);
+            let failing_ms =
+                lock(&self.append_failing_since).map_or(0, |since| now_ms().saturating_sub(since));
+            let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, priority);
+            log::info!(
+                "event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}",
+                sub.job
+            );
+            Reply::NotRun { retry_after_ms }
+        };
+        if lock(&self.answered_calls).contains(call) {
+            return not_run();
+        }
+        if *self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job) {
+            return not_run();
+        }
+        let (admission, value) = {
+            let mut planner = lock(&self.planner);
+            (planner.submit(now_ms(), wall_ms(), sub), planner.value_in_time(sub))
+        };
+        let change = match admission {
+            Admission::Refused { reason: why, retry_after_ms } => {
+                lock(&self.answered_calls).record(now_ms(), call);
+                log::info!(
+                    "event=refused job={} queue={} account={} priority={priority} value={value:.2} epoch={} \
+                     retry_after_ms={retry_after_ms} why=\"{why}\"",
+                    sub.job,
+                    sub.queue,
+                    sub.account,
+                    self.leader.epoch
+                );
+                return Reply::Refused { why, retry_after_ms };
+            }
+            Admission::Accepted { change } => change,
+        };
+        // The pass places the job, so that one append stores both the job and its placement.
+        self.request_pass(change);
+        let deadline = tokio::time::Instant::now() + wait;
+        let mut unavailable = self.store_unavailable.subscribe();
+        let is_stored = tokio::select! {
+            is_stored = self.wait_stored(change, wait) => is_stored,
+            // The sender exists as long as this planner.
+            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => false,
+        };
+        // Another attempt of the caller may have withdrawn the job.
+        if is_stored && lock(&self.planner).knows(&sub.job) {
+            log::info!(
+                "event=accepted job={} queue={} account={} priority={priority} {}",
+                sub.job,
+                sub.queue,
+                sub.account,
+                shape(sub)
+            );
+            return Reply::Accepted;
+        }
+        if is_stored || lock(&self.planner).withdraw(&sub.job) {
+            // The next leader may accept it at once.
+            return if self.has_stepped_down() { Reply::NotPlanner(None) } else { not_run() };
+        }
+        let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+        match !self.has_stepped_down() && self.wait_stored(change, left).await {
+            true => Reply::Accepted,
+            // The append may have been carried out even if the leadership has ended.
+            false => Reply::Unresolved,
+        }
+    }
+
     /// Waits at most `wait` until a change is stored; returns whether it is.
     async fn wait_stored(&self, change: u64, wait: Duration) -> bool {
         let mut stored = self.stored.subscribe();
@@ -377,45 +506,7 @@
             return Reply::NotPlanner(None);
         }
         match request {
-            PlannerRequest::Submit(sub) => {
-                let (admission, priority, value) = {
-                    let mut planner = lock(&self.planner);
-                    let admission = planner.submit(now_ms(), wall_ms(), &sub);
-                    (admission, planner.priority(&sub.queue), planner.value_in_time(&sub))
-                };
-                match admission {
-                    Admission::Refused { reason: why, retry_after_ms } => {
-                        let Self { leader, .. } = self;
-                        log::info!(
-                            "event=refused job={} queue={} account={} priority={priority} value={value:.2} epoch={} \
-                             retry_after_ms={retry_after_ms} why=\"{why}\"",
-                            sub.job,
-                            sub.queue,
-                            sub.account,
-                            leader.epoch
-                        );
-                        Reply::Refused { why, retry_after_ms }
-                    }
-                    Admission::Accepted { change } => {
-                        // The pass places the job, so that one append stores both the job and its placement.
-                        self.request_pass(change);
-                        match self.wait_stored(change, wait).await {
-                            true => {
-                                log::info!(
-                                    "event=accepted job={} queue={} account={} priority={priority} {}",
-                                    sub.job,
-                                    sub.queue,
-                                    sub.account,
-                                    shape(&sub)
-                                );
-                                Reply::Accepted
-                            }
-                            // The append may have been carried out even if the leadership has ended.
-                            false => Reply::Unresolved,
-                        }
-                    }
-                }
-            }
+            PlannerRequest::Submit { sub, call } => self.submit(&sub, call, wait).await,
             PlannerRequest::State(job) => Reply::State(lock(&self.planner).state(&job)),
             PlannerRequest::Pending(queue) => Reply::Pending(lock(&self.planner).pending(&queue) as u64),
             PlannerRequest::View(query) => {
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -11,9 +11,11 @@
 use sorrelland_platform::serve::{Request, Response};
 use sorrelland_wire::connect::CallError;
 
+use crate::absence::{Absence, TAKEOVER_MS, spread_retry_ms};
 use crate::calls::{PlannerReply as Reply, PlannerRequest, call};
+use crate::clock::now_ms;
 use crate::entry::Entry;
-use crate::metrics;
+use crate::{lock, metrics};
 
 /// Time-out of one attempt: long enough for a slow store, and short enough for a second attempt within the caller's
 /// wait.
@@ -30,9 +32,6 @@
 /// Minimum wait for the planner, in milliseconds: an append to the store and a round trip to the planner.
 const MIN_PLANNER_WAIT_MS: u64 = 60;
 
-/// Time after which callers should retry while there is no planner, in milliseconds: the duration of a takeover.
-const TAKEOVER_RETRY_AFTER_MS: u64 = 2_000;
-
 impl Entry {
     /// Responds to a caller and records the latency.
     pub(crate) async fn answer(self: Arc<Self>, http_request: Request) -> Response {
@@ -50,8 +49,7 @@
     async fn route(&self, http_request: &Request) -> Response {
         let desired = self.desired.borrow().clone();
         if desired.version == 0 {
-            return Response::new(StatusCode::SERVICE_UNAVAILABLE)
-                .with_retry_after_ms(TAKEOVER_RETRY_AFTER_MS);
+            return Response::new(StatusCode::SERVICE_UNAVAILABLE).with_retry_after_ms(TAKEOVER_MS);
         }
         let Some(queue) = desired.queue_for(&http_request.host, &http_request.path) else {
             return refuse(StatusCode::NOT_FOUND, "no such queue");
@@ -85,11 +83,23 @@
             }
         };
         let began = Instant::now();
-        let response = match self.request_planner(PlannerRequest::Submit(sub), http_request).await {
+        let response = match self
+            .request_planner(PlannerRequest::Submit { sub, call: rand::random() }, http_request)
+            .await
+        {
             RequestResult::Reply(Reply::Accepted) => Response::new(StatusCode::OK).json(&json!({})),
             RequestResult::Reply(Reply::Refused { why, retry_after_ms }) => {
                 refuse(StatusCode::TOO_MANY_REQUESTS, &why).with_retry_after_ms(retry_after_ms)
             }
+            RequestResult::Reply(Reply::NotRun { retry_after_ms }) => {
+                refuse(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer; the job has not run")
+                    .with_retry_after_ms(retry_after_ms)
+            }
+            RequestResult::NeverSent { retry_after_ms } => {
+                let retry_after_ms = spread_retry_ms(retry_after_ms, job, queue.priority);
+                let response = refuse(StatusCode::SERVICE_UNAVAILABLE, "no planner is in reach");
+                response.with_retry_after_ms(retry_after_ms)
+            }
             other => unanswered("submit", job, &other),
         };
         let (status, took_ms) = (response.status.as_u16(), began.elapsed().as_millis());
@@ -131,7 +141,8 @@
         }
     }
 
-    /// Retries a request until the planner replies or the caller's wait, less the margin for the reply, has passed.
+    /// Retries a request until the planner replies, none is expected in time, or the caller's wait, less the margin for the
+    /// reply, has passed.
     pub(crate) async fn request_planner(
         &self,
         request: PlannerRequest,
@@ -143,18 +154,38 @@
         loop {
             let remaining = deadline.saturating_duration_since(tokio::time::Instant::now());
             if remaining.is_zero() {
-                return if unresolved { RequestResult::Unresolved } else { RequestResult::NeverSent };
+                return if unresolved {
+                    RequestResult::Unresolved
+                } else {
+                    RequestResult::NeverSent { retry_after_ms: TAKEOVER_MS }
+                };
             }
             match self.request_once(request.clone(), remaining.min(ATTEMPT_TIMEOUT)).await {
                 RequestResult::Reply(Reply::NotPlanner(leader)) => self.leadership.update_leader(leader),
                 RequestResult::Reply(Reply::Unresolved) | RequestResult::Unresolved => unresolved = true,
-                RequestResult::NeverSent => (),
+                RequestResult::NeverSent { .. } if !unresolved => {
+                    let left_ms = deadline.saturating_duration_since(tokio::time::Instant::now()).as_millis();
+                    if let Some(retry_after_ms) = self.absence(left_ms as u64).retry_after_ms() {
+                        return RequestResult::NeverSent { retry_after_ms };
+                    }
+                }
+                RequestResult::NeverSent { .. } => (),
                 reply => return reply,
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
+    /// Returns what this entry knows while no planner is in reach; `left_ms` is what is left of a caller's wait.
+    fn absence(&self, left_ms: u64) -> Absence {
+        let health = self.store.health();
+        Absence {
+            leaderless_ms: now_ms().saturating_sub(*lock(&self.led_at)),
+            store_failing_ms: health.failing_since.map(|since| since.elapsed().as_millis() as u64),
+            left_ms,
+        }
+    }
+
     async fn request_once(&self, req: PlannerRequest, wait: Duration) -> RequestResult {
         if let Some(active) = self.planner() {
             return RequestResult::Reply(active.handle_request(req, wait).await);
@@ -162,7 +193,7 @@
         let Some(leader) =
             self.leadership.leader().filter(|leader| leader.incarnation != self.me.incarnation)
         else {
-            return RequestResult::NeverSent;
+            return RequestResult::NeverSent { retry_after_ms: TAKEOVER_MS };
         };
         let wait_ms = wait.as_millis() as u64;
         let reply =
@@ -171,7 +202,7 @@
             Ok(reply) => RequestResult::Reply(reply),
             Err(CallError::Connect(e)) => {
                 log::debug!("event=planner_unreachable address={} cause=\"{e}\"", leader.address);
-                RequestResult::NeverSent
+                RequestResult::NeverSent { retry_after_ms: TAKEOVER_MS }
             }
             Err(e) => {
                 log::debug!("event=planner_unanswered address={} cause=\"{e}\"", leader.address);
@@ -194,7 +225,10 @@
     /// The planner has replied.
     Reply(Reply),
     /// The request never reached a planner, so it was not carried out.
-    NeverSent,
+    NeverSent {
+        /// Time after which the caller should retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The request may have been carried out.
     Unresolved,
 }
@@ -211,8 +245,10 @@
 fn unanswered(operation: &str, name: &str, result: &RequestResult) -> Response {
     log::warn!("event=unanswered what={operation} job={name} asked={result:?}");
     match result {
-        RequestResult::NeverSent => refuse(StatusCode::SERVICE_UNAVAILABLE, "no planner is in reach")
-            .with_retry_after_ms(TAKEOVER_RETRY_AFTER_MS),
+        RequestResult::NeverSent { retry_after_ms } => {
+            refuse(StatusCode::SERVICE_UNAVAILABLE, "no planner is in reach")
+                .with_retry_after_ms(*retry_after_ms)
+        }
         _ => refuse(StatusCode::GATEWAY_TIMEOUT, "not known yet; ask again with the same name"),
     }
 }
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -32,7 +32,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PlannerRequest {
     /// Submits a job.
-    Submit(Submission),
+    Submit {
+        sub: Submission,
+        /// Number that all attempts of one call have in common. Once one of them is answered with "not run", a copy that
+        /// arrives later is, too.
+        call: u64,
+    },
     /// Reads the state of a job.
     State(String),
     /// Cancels a job.
@@ -60,6 +65,11 @@
         /// Time after which the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// Nothing of the job is stored or will be: the store doesn't answer. It has not run.
+    NotRun {
+        /// Time after which the caller should retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// State of the job; `None` if no such job exists.
     State(Option<JobState>),
     /// Whether such a job exists; if so, its cancellation is stored.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -42,7 +42,7 @@
 
 /// Time for which the store has to reject a leader's calls before others may claim early, in milliseconds: a few
 /// tries.
-const MIN_REJECTED_MS: u64 = 200;
+pub const MIN_REJECTED_MS: u64 = 200;
 
 /// Maximum time for which a planner goes on while the store is unreachable, in milliseconds. A new planner waits until
 /// the grants that such a planner may have given have ended.
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -77,6 +77,8 @@
     pub(crate) offers: mpsc::Sender<Offer>,
     pub(crate) failed_handovers: Mutex<FailedHandovers>,
     planner_replied_at: Mutex<u64>,
+    /// When this entry started, last led, or last heard of a leader, on the monotonic clock.
+    pub(crate) led_at: Mutex<u64>,
     pub(crate) stopping: watch::Sender<bool>,
 }
 
@@ -109,6 +111,7 @@
         offers,
         failed_handovers: Mutex::default(),
         planner_replied_at: Mutex::default(),
+        led_at: Mutex::new(now_ms()),
         stopping: watch::Sender::new(false),
     });
     let operator_entry = entry.clone();
@@ -361,6 +364,7 @@
                     self.leadership.record_answered(epoch);
                     self.leadership.record_store_failing(epoch, pong.store_failing_ms);
                     *lock(&self.planner_replied_at) = now_ms();
+                    *lock(&self.led_at) = now_ms();
                 }
                 let now = now_ms();
                 let others = pong.entries.into_iter().filter(|entry| entry.address != self.me.address);
--- a/crates/control/src/handover.rs
+++ b/crates/control/src/handover.rs
@@ -13,7 +13,7 @@
 use crate::active_planner::ActivePlanner;
 use crate::calls::{Leader, OfferReply, call};
 use crate::clock::now_ms;
-use crate::election;
+use crate::election::{self, MIN_REJECTED_MS};
 use crate::entry::Entry;
 use crate::lock;
 use crate::peers::HANDOVER_RATIO;
@@ -29,7 +29,7 @@
 const MIN_TENURE: Duration = Duration::from_secs(2);
 
 /// Time between two checks for an entry to hand over to.
-const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time since the store's last answer within which an entry can lead. Reads that wait for records end sooner.
 const MAX_STORE_AGE: Duration = Duration::from_millis(1_500);
@@ -94,6 +94,7 @@
                 () = self.run_handovers(&active) => (),
             }
             *lock(&self.active_planner) = None;
+            *lock(&self.led_at) = now_ms();
         }
     }
 
@@ -150,20 +151,26 @@
         }
     }
 
-    /// Offers the leadership to an entry with much more processor whenever one can lead, until one has claimed.
+    /// Offers the leadership to an entry with much more processor whenever one can lead, and to any entry that can lead if
+    /// the store rejects this one. Returns once one has claimed.
     async fn run_handovers(&self, active: &ActivePlanner) {
-        tokio::time::sleep(MIN_TENURE).await;
-        let min_millicores = self.settings.millicores.max(1) * HANDOVER_RATIO;
+        let began = Instant::now();
+        let larger = self.settings.millicores.max(1) * HANDOVER_RATIO;
         loop {
+            tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
+            let (min_millicores, why) = match active.store_failing_ms() {
+                ms if ms >= MIN_REJECTED_MS => (0, "the store rejects this entry"),
+                _ if began.elapsed() >= MIN_TENURE => (larger, "it has more processor"),
+                _ => continue,
+            };
             let now = now_ms();
             let successors = lock(&self.peers).successors(now, min_millicores);
             let may_try = |address: &String| lock(&self.failed_handovers).may_try(now, address);
             if let Some(address) = successors.into_iter().find(may_try)
-                && self.offer_leadership(active, &address, "it has more processor").await
+                && self.offer_leadership(active, &address, why).await
             {
                 return;
             }
-            tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The processes of the scheduler on a platform: entries, one of which is the leader and plans, and an agent beside
 //! each worker.
 
+pub mod absence;
 pub mod active_planner;
 pub mod adaptive_timeout;
 pub mod agent;
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -71,7 +71,7 @@
         tokio::spawn(async move {
             planner
                 .handle_request(
-                    PlannerRequest::Submit(submission("00000000000000a1")),
+                    PlannerRequest::Submit { sub: submission("00000000000000a1"), call: 1 },
                     Duration::from_secs(3),
                 )
                 .await
@@ -91,6 +91,59 @@
     assert!(matches!(reply, PlannerReply::State(Some(_))), "{reply:?}");
 }
 
+/// Guards against callers who are told "unknown" of a job that no append contained.
+#[tokio::test]
+async fn submit_during_an_outage_is_not_run() {
+    let (address, store) = start_store().await;
+    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
+    let submit = |job: &str, call: u64, wait_ms: u64| {
+        let (planner, sub) = (planner.clone(), submission(job));
+        tokio::spawn(async move {
+            let req = PlannerRequest::Submit { sub, call };
+            planner.handle_request(req, Duration::from_millis(wait_ms)).await
+        })
+    };
+    let [appended, waiting, later] = ["00000000000000a1", "00000000000000a2", "00000000000000a3"];
+    set_faults(&address, r#"{"silent": true}"#).await;
+    let first = submit(appended, 1, 2_500);
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let began = std::time::Instant::now();
+    let second = submit(waiting, 2, 2_500).await.unwrap();
+    assert!(matches!(second, PlannerReply::NotRun { .. }), "{second:?}");
+    assert!(began.elapsed() < Duration::from_millis(2_000), "{:?}", began.elapsed());
+    let began = std::time::Instant::now();
+    assert!(matches!(submit(later, 3, 2_500).await.unwrap(), PlannerReply::NotRun { .. }));
+    assert!(began.elapsed() < Duration::from_millis(100), "held although the outage is known");
+    assert_eq!(first.await.unwrap(), PlannerReply::Unresolved, "the append may still be carried out");
+    set_faults(&address, "{}").await;
+    // The store's return settles the unknown job, and a caller who comes back is accepted.
+    assert_eq!(submit(appended, 4, 3_000).await.unwrap(), PlannerReply::Accepted);
+    let copy = submit(waiting, 2, 1_000).await.unwrap();
+    assert!(matches!(copy, PlannerReply::NotRun { .. }), "a late copy of an answered call: {copy:?}");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(submit(later, 5, 1_000).await.unwrap(), PlannerReply::Accepted);
+    let successor = ActivePlanner::start(&store, None, leader(2, 2), TIMING, desired(), None).await.unwrap();
+    let state = async |job: &str| {
+        successor.handle_request(PlannerRequest::State(job.to_owned()), Duration::from_secs(1)).await
+    };
+    assert!(matches!(state(appended).await, PlannerReply::State(Some(_))));
+    assert_eq!(state(waiting).await, PlannerReply::State(None), "\"not run\" was followed by a record");
+}
+
+/// Guards against callers who are told "unknown" while the store rejects every append.
+#[tokio::test]
+async fn submit_to_a_rejecting_store_is_not_run() {
+    let (address, store) = start_store().await;
+    let planner = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
+    set_faults(&address, r#"{"down": true}"#).await;
+    let req = |call: u64| PlannerRequest::Submit { sub: submission("00000000000000a1"), call };
+    let reply = planner.handle_request(req(1), Duration::from_secs(3)).await;
+    assert!(matches!(reply, PlannerReply::NotRun { .. }), "{reply:?}");
+    set_faults(&address, "{}").await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(planner.handle_request(req(2), Duration::from_secs(1)).await, PlannerReply::Accepted);
+}
+
 #[tokio::test]
 async fn claim_yields_to_an_earlier_claim() {
     let (_, store) = start_store().await;
@@ -108,7 +161,10 @@
     let old = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
     let _new = ActivePlanner::start(&store, None, leader(2, 2), TIMING, desired(), None).await.unwrap();
     let reply = old
-        .handle_request(PlannerRequest::Submit(submission("00000000000000a1")), Duration::from_secs(2))
+        .handle_request(
+            PlannerRequest::Submit { sub: submission("00000000000000a1"), call: 1 },
+            Duration::from_secs(2),
+        )
         .await;
     assert_ne!(reply, PlannerReply::Accepted);
     assert!(old.has_stepped_down());
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -78,6 +78,20 @@
     pub(crate) knows_worker: bool,
 }
 
+/// What has to be stored.
+#[derive(Clone, Debug, Default)]
+struct Changes {
+    new_jobs: BTreeSet<String>,
+    changed_jobs: BTreeSet<String>,
+    removals: Vec<Record>,
+}
+
+impl Changes {
+    fn is_empty(&self) -> bool {
+        self.new_jobs.is_empty() && self.changed_jobs.is_empty() && self.removals.is_empty()
+    }
+}
+
 /// In-memory state of the planner.
 #[derive(Clone, Debug)]
 pub struct Planner {
@@ -119,9 +133,9 @@
     pub(crate) change: u64,
     /// Number of the newest stored change.
     pub(crate) stored: u64,
-    new_jobs: BTreeSet<String>,
-    changed_jobs: BTreeSet<String>,
-    removals: Vec<Record>,
+    untaken: Changes,
+    /// Changes that are being stored.
+    taken: Changes,
     pub(crate) assignments_number: u64,
     /// Agents whose assignments changed, independent of pending writes.
     pub(crate) agents_to_wake: BTreeSet<String>,
@@ -179,9 +193,8 @@
             urgent_arrivals: BTreeMap::new(),
             change: 1,
             stored: 0,
-            new_jobs: BTreeSet::new(),
-            changed_jobs: BTreeSet::new(),
-            removals: Vec::new(),
+            untaken: Changes::default(),
+            taken: Changes::default(),
             assignments_number: 0,
             agents_to_wake: BTreeSet::new(),
             agents_to_wake_by_change: BTreeSet::new(),
@@ -247,17 +260,17 @@
 
     /// Drains the records that must be stored, together with their change number.
     pub fn take_changes(&mut self) -> Option<(Vec<Record>, u64)> {
-        if self.changed_jobs.is_empty() && self.new_jobs.is_empty() && self.removals.is_empty() {
+        if self.untaken.is_empty() {
             return None;
         }
-        let mut records = std::mem::take(&mut self.removals);
-        let submitted = std::mem::take(&mut self.new_jobs);
-        let changed = std::mem::take(&mut self.changed_jobs);
+        self.taken = std::mem::take(&mut self.untaken);
+        let Changes { new_jobs: submitted, changed_jobs: changed, removals } = &self.taken;
+        let mut records = removals.clone();
         let jobs = |names: &BTreeSet<String>| {
             names.iter().filter_map(|name| self.jobs.get(name)).collect::<Vec<_>>()
         };
-        let encoded = jobs(&submitted).into_iter().map(record::submission);
-        let encoded = encoded.chain(jobs(&changed).into_iter().map(record::progress)).collect::<Vec<_>>();
+        let encoded = jobs(submitted).into_iter().map(record::submission);
+        let encoded = encoded.chain(jobs(changed).into_iter().map(record::progress)).collect::<Vec<_>>();
         for record in encoded {
             match record {
                 Ok(record) => records.push(record),
@@ -273,6 +286,42 @@
     /// Records that all changes up to `change` are stored.
     pub fn record_stored(&mut self, change: u64) {
         self.stored = self.stored.max(change);
+        self.taken = Changes::default();
+    }
+
+    /// Takes back the changes that were taken last, none of which is or will be stored. The next ones contain them.
+    pub fn return_changes(&mut self) {
+        let Changes { mut new_jobs, mut changed_jobs, mut removals } = std::mem::take(&mut self.taken);
+        new_jobs.append(&mut self.untaken.new_jobs);
+        changed_jobs.append(&mut self.untaken.changed_jobs);
+        removals.append(&mut self.untaken.removals);
+        self.untaken = Changes { new_jobs, changed_jobs, removals };
+    }
+
+    /// Forgets a job that was submitted if nothing of it is stored or being stored; returns whether it did. Nothing of such
+    /// a job has run, since its placement takes effect only once it is stored.
+    pub fn withdraw(&mut self, name: &str) -> bool {
+        if !self.untaken.new_jobs.contains(name) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { return false };
+        for (key, unit) in &job.units {
+            let reserved = job.sub.steps.get(key.step as usize).map(Step::reserved).unwrap_or_default();
+            for (offset, member) in unit.members.iter().enumerate().filter(|(_, member)| !member.released) {
+                if let Some(worker) = self.workers.get_mut(&member.worker)
+                    && worker.placed.remove(&(key.task(name, offset), unit.run))
+                {
+                    worker.used -= reserved;
+                }
+            }
+        }
+        self.jobs.remove(name);
+        self.live.remove(name);
+        self.untaken.new_jobs.remove(name);
+        self.untaken.changed_jobs.remove(name);
+        self.approvals.remove_job(name);
+        self.log_line(format!("event=withdrawn job={name}"));
+        true
     }
 
     /// Returns the number of the newest stored change.
@@ -281,7 +330,7 @@
     }
 
     pub(crate) fn mark_changed(&mut self, name: &str) {
-        self.changed_jobs.insert(name.to_owned());
+        self.untaken.changed_jobs.insert(name.to_owned());
     }
 
     /// Accepts or refuses a job. Submitting a known job again is idempotent.
@@ -309,10 +358,15 @@
         job.accepted_in = self.change;
         self.jobs.insert(sub.job.clone(), job);
         self.live.insert(sub.job.clone());
-        self.new_jobs.insert(sub.job.clone());
+        self.untaken.new_jobs.insert(sub.job.clone());
         Admission::Accepted { change: self.change }
     }
 
+    /// Returns whether a job is known, stored or not.
+    pub fn knows(&self, name: &str) -> bool {
+        self.jobs.contains_key(name)
+    }
+
     /// Cancels a job and returns the change that must be stored; `None` if the job is unknown.
     pub fn cancel(&mut self, now: u64, wall: u64, name: &str) -> Option<u64> {
         let job = self.jobs.get(name)?;
@@ -508,7 +562,7 @@
                 }
             }
         }
-        self.changed_jobs.extend(changed);
+        self.untaken.changed_jobs.extend(changed);
     }
 
     fn remove_old_jobs(&mut self, wall: u64) {
@@ -517,8 +571,8 @@
         let old: Vec<String> = self.jobs.values().filter(old).map(|job| job.sub.job.clone()).collect();
         for name in old.into_iter().filter(|name| !self.live.contains(name)) {
             self.jobs.remove(&name);
-            self.changed_jobs.remove(&name);
-            self.removals.extend(record::deletions(&name));
+            self.untaken.changed_jobs.remove(&name);
+            self.untaken.removals.extend(record::deletions(&name));
         }
         self.given_up.retain(|_, runs| {
             runs.retain(|(task, _)| self.jobs.contains_key(&task.job));
