Tell a new planner how old its runs are and log the end of a job once

After a takeover run_ended said ran_ms=0, remaining times were unknown until the progress had grown, and the measured target of a job fell back to the declared one, so jobs with wrong estimates counted as late or in time wrongly. Agents keep when they first saw each run, its progress then and whether they had just started it, and send that until the planner has replied. The measured work of ended runs is stored with the job. job_ended is logged once its change is stored, so that no second planner logs it with other figures.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -3,6 +3,7 @@
 mod announcements;
 
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -62,6 +63,8 @@
     worker: WorkerClient,
     worker_state: Mutex<WorkerState>,
     entries: Mutex<Vec<String>>,
+    /// Epoch of the planner that replied to the last report.
+    replied_epoch: AtomicU64,
     /// Announcements that the worker has to confirm.
     unconfirmed: mpsc::Sender<Received>,
     /// Limits lines on messages that have no effect.
@@ -95,6 +98,7 @@
         worker: WorkerClient::new(&worker.to_string()),
         worker_state: Mutex::new(WorkerState::new(settings.bounds.max_lease_ms, settings.bounds.stop_ms)),
         entries: Mutex::default(),
+        replied_epoch: AtomicU64::default(),
         unconfirmed,
         line_limit: Mutex::default(),
         report_due: Notify::new(),
@@ -158,12 +162,20 @@
             tokio::time::sleep(REPORT_RETRY_DELAY).await;
             return;
         };
-        let report = lock(&self.worker_state).build_report(&self.settings.instance, self.incarnation, seq);
         let sent = now_ms();
+        let report = {
+            let state = lock(&self.worker_state);
+            let mut report = state.build_report(&self.settings.instance, self.incarnation, seq);
+            if self.replied_epoch.load(Ordering::Relaxed) != leader.epoch {
+                report.first_marks = state.first_marks(sent);
+            }
+            report
+        };
         let reply =
             call(&self.pool, &leader.address, REPORT_TIMEOUT, async |rpc, cx| rpc.report(cx, report).await);
         match reply.await {
             Ok(ReportReply::Assignments { epoch, assignments, entries }) => {
+                self.replied_epoch.store(epoch, Ordering::Relaxed);
                 if !entries.is_empty() {
                     *lock(&self.entries) = entries;
                 }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
-use sorrelland_fleet::report::{End, NotStarted, Report, Running, WORKER_CRASHED, WorkerInfo};
+use sorrelland_fleet::report::{End, FirstMark, NotStarted, Report, Running, WORKER_CRASHED, WorkerInfo};
 use sorrelland_fleet::{Task, incarnation};
 use sorrelland_platform::worker::{Announcement, Listing};
 
@@ -29,6 +29,16 @@
 
 type RunKey = (Task, u64);
 
+/// What an agent first saw of a run.
+#[derive(Clone, Copy, Debug)]
+struct FirstSeen {
+    /// On the monotonic clock, in milliseconds.
+    at: u64,
+    percent: u64,
+    /// Whether the agent had just started it.
+    is_start: bool,
+}
+
 /// State of one worker as its agent knows it. All times are in milliseconds.
 #[derive(Debug, Default)]
 pub struct WorkerState {
@@ -55,6 +65,8 @@
     /// The worker's clock, and when it was read.
     clock_reading: Option<(u64, u64)>,
     running: BTreeMap<RunKey, Running>,
+    /// What was first seen of the listed runs.
+    first_seen: BTreeMap<RunKey, FirstSeen>,
     /// Runs whose start was confirmed, with the worker's clock at the confirmation.
     started: BTreeMap<RunKey, u64>,
     /// Runs for which a start was sent and no final answer has arrived.
@@ -229,6 +241,7 @@
             self.not_started.insert(run, why.to_owned());
         }
         self.running.clear();
+        self.first_seen.clear();
         self.started.clear();
         self.start_attempts.clear();
         self.refused.clear();
@@ -480,7 +493,13 @@
         let running: BTreeMap<RunKey, Running> =
             listing.running.iter().map(|run| (key(run), run.clone())).collect();
         let updated = listing.ended != self.ended || !running.keys().eq(self.running.keys());
+        for (run, listed) in running.iter().filter(|(run, _)| !self.running.contains_key(run)) {
+            let is_start = self.started.contains_key(run) || self.start_attempts.contains(run);
+            let seen = FirstSeen { at: now, percent: listed.percent, is_start };
+            self.first_seen.insert(run.clone(), seen);
+        }
         self.running = running;
+        self.first_seen.retain(|run, _| self.running.contains_key(run));
         self.ended = listing.ended;
         self.started.retain(|run, at| *at >= listing.clock_ms && !self.running.contains_key(run));
         self.confirmed_paces.retain(|run, _| self.running.contains_key(run));
@@ -570,6 +589,18 @@
         !self.absence_checks.is_empty()
     }
 
+    /// Returns what was first seen of the runs, for a planner that doesn't know them.
+    pub fn first_marks(&self, now: u64) -> Vec<FirstMark> {
+        let mark = |((task, run), seen): (&RunKey, &FirstSeen)| FirstMark {
+            task: task.clone(),
+            run: *run,
+            age_ms: now.saturating_sub(seen.at),
+            percent: seen.percent,
+            is_start: seen.is_start,
+        };
+        self.first_seen.iter().map(mark).collect()
+    }
+
     /// Builds the report for the planner; `agent` is the name of the agent's instance.
     pub fn build_report(&self, agent: &str, agent_incarnation: u64, seq: u64) -> Report {
         let mut running: Vec<Running> = self.running.values().cloned().collect();
@@ -599,6 +630,7 @@
             running,
             ended: self.ended.clone(),
             not_started: self.not_started.iter().map(not_started).collect(),
+            first_marks: Vec::new(),
         }
     }
 }
--- a/crates/emul/src/cluster.rs
+++ b/crates/emul/src/cluster.rs
@@ -196,6 +196,7 @@
             running: running.collect(),
             ended: node.ended.clone(),
             not_started: rejected.collect(),
+            first_marks: Vec::new(),
         })
     }
 
--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -9,7 +9,7 @@
 use crate::job::{Job, Outcome, Step};
 use crate::leaving::Departure;
 use crate::planner::{Agent, Planner, mark_ending, set_state};
-use crate::report::{End, EndReason, NotStarted, Report, Running, WORKER_CRASHED};
+use crate::report::{End, EndReason, FirstMark, NotStarted, Report, Running, WORKER_CRASHED};
 use crate::resources::Resources;
 use crate::task::Task;
 use crate::unit::{Unit, UnitKey, UnitState};
@@ -18,6 +18,9 @@
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
+/// Age from which a run that an agent reports is an error, in milliseconds: one day.
+const MAX_RUN_AGE_MS: u64 = 24 * 3_600_000;
+
 /// Runs of a lost worker that its line in the logs names.
 const MAX_LOGGED_RUNS: usize = 16;
 
@@ -213,6 +216,9 @@
         worker.last_report_at = now;
         worker.running = running;
         let last_applied = worker.applied_end.0;
+        for mark in &report.first_marks {
+            self.apply_first_mark(now, &incarnation, mark);
+        }
         for run in &report.running {
             self.record_running(now, &incarnation, run);
             self.forecast_progress(now, &incarnation, run);
@@ -310,6 +316,33 @@
         (member.worker == incarnation && !member.released).then_some((job, key, offset))
     }
 
+    /// Takes over from an agent how old a run is that an earlier planner placed, and its first progress.
+    fn apply_first_mark(&mut self, now: u64, incarnation: &str, mark: &FirstMark) {
+        let FirstMark { task, run, age_ms, percent, is_start } = mark;
+        if *percent > 100 || *age_ms > MAX_RUN_AGE_MS {
+            if let Some(count) = self.line_limit.record(now, "absurd first mark") {
+                self.log_line(format!(
+                    "event=first_mark_ignored worker={incarnation} mark=\"{mark:?}\" count={count}"
+                ));
+            }
+            return;
+        }
+        let at = now.saturating_sub(*age_ms);
+        let Some((job, key, _)) = self.member_mut(incarnation, task, *run) else { return };
+        // The members of a gang start together: the first that is heard of speaks for all.
+        let is_unknown = |unit: &&mut Unit| unit.placed_at.is_none() && unit.state == UnitState::Placed;
+        let Some(unit) = job.units.get_mut(&key).filter(is_unknown) else { return };
+        if !is_start {
+            return;
+        }
+        unit.placed_at = Some(at);
+        unit.since = at.max(1);
+        let is_seeded = unit.seed_progress(at, *percent);
+        if is_seeded {
+            self.forecast_start(at, incarnation, mark);
+        }
+    }
+
     fn record_running(&mut self, now: u64, incarnation: &str, running: &Running) {
         let Running { task, run, saved, percent, .. } = running;
         let Some((job, key, offset)) = self.member_mut(incarnation, task, *run) else { return };
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -6,7 +6,7 @@
 use crate::forecast_errors::ForecastError;
 use crate::job::Step;
 use crate::planner::Planner;
-use crate::report::{End, EndReason, Running};
+use crate::report::{End, EndReason, FirstMark, Running};
 use crate::task::Task;
 use crate::timing::SpeedClasses;
 use crate::unit::{Unit, UnitKey, UnitState};
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Records the start that an agent saw of a run.
+    pub(crate) fn forecast_start(&mut self, at: u64, incarnation: &str, mark: &FirstMark) {
+        let step = self.jobs.get(&mark.task.job).and_then(|job| job.sub.steps.get(mark.task.step as usize));
+        let Some((step, worker)) = step.zip(self.workers.get(incarnation)) else { return };
+        if is_comparable(step, worker) {
+            self.forecasts.record_start(at, incarnation, &run_id(&mark.task, mark.run), mark.percent);
+        }
+    }
+
     /// Forgets a run that ended without its result.
     pub(crate) fn remove_forecast(&mut self, id: &RunId) {
         self.forecasts.remove_run(id);
@@ -99,6 +108,13 @@
         self.forecasts.remaining(&run_id(&key.task(job, 0), unit.run), now).or_else(|| unit.remaining(now))
     }
 
+    /// Returns the forecast remaining times of a job's runs, in milliseconds; those without a forecast are left out.
+    pub fn remaining_ms(&self, now: u64, job: &str) -> Vec<u64> {
+        let units = self.jobs.get(job).into_iter().flat_map(|job| &job.units);
+        let remaining = units.filter_map(|(key, unit)| self.remaining_of_unit(now, job, *key, unit));
+        remaining.map(|remaining| remaining.median_ms).collect()
+    }
+
     /// Records the end of a run that the planner had placed.
     pub(crate) fn forecast_end(&mut self, now: u64, incarnation: &str, end: &End) {
         let id = run_id(&end.task, end.run);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -1,6 +1,6 @@
 //! State of the planner and the operations that change it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use sorrelland_forecast::Forecasts;
@@ -142,6 +142,8 @@
     /// Agents whose assignments change once the given change is stored.
     pub(crate) agents_to_wake_by_change: BTreeSet<(u64, String)>,
     pub(crate) log: Vec<String>,
+    /// Lines on the ends of jobs, with the change that has to be stored before: another planner logs an end that isn't.
+    end_log: VecDeque<(u64, String)>,
     pub(crate) line_limit: LineLimit,
     /// Ignored reports since the last call of [`Self::take_ignored_reports`], by reason.
     pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
@@ -199,6 +201,7 @@
             agents_to_wake: BTreeSet::new(),
             agents_to_wake_by_change: BTreeSet::new(),
             log: Vec::new(),
+            end_log: VecDeque::new(),
             line_limit: LineLimit::default(),
             ignored_reports: BTreeMap::new(),
             refusals: Refusals::new(),
@@ -287,6 +290,9 @@
     pub fn record_stored(&mut self, change: u64) {
         self.stored = self.stored.max(change);
         self.taken = Changes::default();
+        while let Some((_, line)) = self.end_log.pop_front_if(|(change, _)| *change <= self.stored) {
+            self.log.push(line);
+        }
     }
 
     /// Takes back the changes that were taken last, none of which is or will be stored. The next ones contain them.
@@ -459,10 +465,11 @@
             Outcome::Completed | Outcome::Failed => 0.0,
         };
         let lost = value - kept;
-        self.log_line(format!(
+        let line = format!(
             "event=job_ended job={name} outcome={outcome:?} age_ms={age_ms} target_ms={target_ms} \
              measured_target_ms={measured_target_ms} late={late} value={value:.2} value_lost={lost:.2}"
-        ));
+        );
+        self.end_log.push_back((self.change, line));
     }
 
     /// Returns the value of a job that ends in time, in the unit of `MeanWork::value`.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -71,7 +71,6 @@
             crashed_at: 0,
             placed_in: 0,
             placed_at: None,
-            measured_work_ms: 0,
             waits: Waits::default(),
             progress: RunProgress::default(),
             ..unit.clone()
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -27,6 +27,23 @@
     /// Runs that will never occupy resources on the worker: refused, or stopped before they arrived.
     #[serde(rename = "gone")]
     pub not_started: Vec<NotStarted>,
+    /// What the agent first saw of the runs; only until the planner has replied to a report.
+    pub first_marks: Vec<FirstMark>,
+}
+
+/// What an agent first saw of a run, so that a new planner can tell how old and how fast it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FirstMark {
+    /// The subtask.
+    pub task: Task,
+    /// Number of its run.
+    pub run: u64,
+    /// Time since then, in milliseconds.
+    pub age_ms: u64,
+    /// Progress then, in percent.
+    pub percent: u64,
+    /// Whether the agent had just started the run.
+    pub is_start: bool,
 }
 
 /// A worker's announcement of itself.
--- a/crates/fleet/src/run_progress.rs
+++ b/crates/fleet/src/run_progress.rs
@@ -24,6 +24,18 @@
         self.run > 1 && !self.saved.is_empty()
     }
 
+    /// Begins the progress of a run that an earlier planner placed with the start that its agent saw; returns whether
+    /// nothing was known of it. The first progress of a run that continues from a checkpoint says nothing.
+    pub(crate) fn seed_progress(&mut self, at: u64, percent: u64) -> bool {
+        if self.progress.run == self.run || self.continues_from_checkpoint() {
+            return false;
+        }
+        let track = Some(Track::from_start("", Mark { at, percent }));
+        let saved = vec![self.saved.clone(); self.members.len()];
+        self.progress = RunProgress { run: self.run, track, saved, saved_at: None };
+        true
+    }
+
     /// Measures the progress of the newest run after a report of the member at `offset`, whose saved progress is `saved`.
     pub(crate) fn record_progress(&mut self, now: u64, offset: usize, saved: &str) {
         if self.progress.run != self.run {
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -90,12 +90,13 @@
     /// Number of the change that placed the newest run.
     #[serde(skip)]
     pub placed_in: u64,
-    /// When the newest run was placed, on the monotonic clock; `None` if an earlier planner placed it.
+    /// When the newest run was placed, on the monotonic clock; `None` if an earlier planner placed it and its agent has not
+    /// told its age.
     #[serde(skip)]
     pub placed_at: Option<u64>,
     /// Work of the run that ended with a result, as its duration in milliseconds on a worker of the fleet's mean speed; 0
     /// if it was not measured.
-    #[serde(skip)]
+    #[serde(default, skip_serializing_if = "is_zero_ms")]
     pub measured_work_ms: u64,
     /// Waiting times since the unit became ready.
     #[serde(skip)]
@@ -112,6 +113,10 @@
     }
 }
 
+fn is_zero_ms(ms: &u64) -> bool {
+    *ms == 0
+}
+
 fn is_zero(count: &u32) -> bool {
     *count == 0
 }
--- a/crates/forecast/src/forecasts.rs
+++ b/crates/forecast/src/forecasts.rs
@@ -135,6 +135,13 @@
         progress
     }
 
+    /// Records that a run was seen to start with a progress at a time in the past, if nothing is known of it.
+    pub fn record_start(&mut self, at: u64, worker: &str, run: &RunId, percent: u64) {
+        if percent <= 100 && !self.tracks.contains_key(run) {
+            self.add_track(run, Track::from_start(worker, Mark { at, percent }));
+        }
+    }
+
     fn add_track(&mut self, run: &RunId, track: Track) {
         let count = self.track_counts.entry(track.worker.clone()).or_default();
         *count += 1;
--- a/crates/forecast/src/progress.rs
+++ b/crates/forecast/src/progress.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Creates the track of a run that was seen to start with `mark`, whatever its next progress is.
+    pub fn from_start(worker: &str, mark: Mark) -> Self {
+        Self { next_first: Some(mark), ..Self::new(worker, mark) }
+    }
+
     /// Adds a mark.
     pub fn record(&mut self, mark: Mark) -> Progress {
         self.reported_at = self.reported_at.max(mark.at);
