Keep what a planner has learned across a takeover

A new planner relearned the workers' speeds, the ratios of work to estimate, the reserve's urgent arrivals, the mean work and the outcomes of preemptions. A record with these travels with other changes, at most once in 5 s, and the next planner reads it with the jobs: no call of its own. Earlier speeds count until the new ones follow from as many steps. Entries that can't be true are left out and logged; a record older than ten minutes is ignored. The counts of what accounts bore since the leader's start are not kept.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -107,8 +107,11 @@
         earlier: Option<Snapshot>,
     ) -> Option<Arc<Self>> {
         let mut writer = Writer { producer: PRODUCER.to_owned(), epoch: leader.epoch, sequence: 0 };
-        let jobs = load_jobs(store, &mut writer, earlier).await?;
-        let planner = Planner::new(timing, desired, jobs, now_ms());
+        let (jobs, digest) = load_jobs(store, &mut writer, earlier).await?;
+        let mut planner = Planner::new(timing, desired, jobs, now_ms());
+        if let Some(digest) = digest {
+            planner.restore(now_ms(), wall_ms(), digest);
+        }
         let active = Arc::new(Self {
             leader,
             planner: Mutex::new(planner),
--- a/crates/control/src/stored.rs
+++ b/crates/control/src/stored.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sorrelland_fleet::digest::Digest;
 use sorrelland_fleet::{Job, record};
 use sorrelland_platform::Store;
 use sorrelland_platform::store::{CALL_TIMEOUT, Error, Result, Writer, decode_keyed};
 
+use crate::clock::wall_ms;
+
 /// Topic of the jobs.
 pub(crate) const JOBS: &str = "keyed.jobs";
 
@@ -104,13 +107,14 @@
     }
 }
 
-/// Sets the epoch of the jobs' topic, which fences every earlier writer, and loads the jobs. Reads only what was appended
+/// Sets the epoch of the jobs' topic, which fences every earlier writer, and loads the jobs with what the last planner had
+/// learned. Reads only what was appended
 /// since `earlier` if there is one.
 pub(crate) async fn load_jobs(
     store: &Store,
     writer: &mut Writer,
     mut earlier: Option<Snapshot>,
-) -> Option<Vec<Job>> {
+) -> Option<(Vec<Job>, Option<Digest>)> {
     let mut fenced = false;
     for _ in 0..MAX_LOAD_ATTEMPTS {
         if !fenced {
@@ -128,11 +132,12 @@
                 Ok(snapshot) => {
                     writer.sequence = 1;
                     let (jobs, findings) = record::read(snapshot.records());
-                    for finding in findings {
+                    let (digest, finding) = Digest::read(snapshot.records(), wall_ms());
+                    for finding in findings.into_iter().chain(finding) {
                         log::error!("event=record_skipped topic={JOBS} cause=\"{finding}\"");
                     }
                     log::info!("event=jobs_loaded epoch={} jobs={}", writer.epoch, jobs.len());
-                    return Some(jobs);
+                    return Some((jobs, digest));
                 }
                 Err(e) => log::warn!("event=load_retried cause=\"{e}\""),
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod crash;
 pub mod desired;
+pub mod digest;
 pub mod forecast;
 pub mod forecast_errors;
 pub mod incarnation;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -133,6 +133,10 @@
     pub(crate) change: u64,
     /// Number of the newest stored change.
     pub(crate) stored: u64,
+    /// When a record of what was learned was last made, on the monotonic clock.
+    pub(crate) digest_at: Option<u64>,
+    /// The newest such record that is not stored yet.
+    pub(crate) digest_record: Option<Record>,
     untaken: Changes,
     /// Changes that are being stored.
     taken: Changes,
@@ -195,6 +199,8 @@
             urgent_arrivals: BTreeMap::new(),
             change: 1,
             stored: 0,
+            digest_at: None,
+            digest_record: None,
             untaken: Changes::default(),
             taken: Changes::default(),
             assignments_number: 0,
@@ -269,6 +275,7 @@
         self.taken = std::mem::take(&mut self.untaken);
         let Changes { new_jobs: submitted, changed_jobs: changed, removals } = &self.taken;
         let mut records = removals.clone();
+        records.extend(self.digest_record.take());
         let jobs = |names: &BTreeSet<String>| {
             names.iter().filter_map(|name| self.jobs.get(name)).collect::<Vec<_>>()
         };
@@ -507,6 +514,7 @@
         self.update_forecasts(now);
         self.stop_leaving_runs(now);
         self.place_waiting_units(now, wall);
+        self.update_digest(now, wall);
     }
 
     /// Takes a time in which this planner did not run off the age of the workers' reports: it may have heard none. The
--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -37,6 +37,12 @@
         self.recent.push_back((now, accelerators));
     }
 
+    /// Returns the recent jobs, oldest first: the time since each in milliseconds, and the accelerators that it needs.
+    pub fn ages(&self, now: u64) -> Vec<(u64, i64)> {
+        let age = |(at, accelerators): &(u64, i64)| (now.saturating_sub(*at), *accelerators);
+        self.recent.iter().map(age).filter(|(age_ms, _)| *age_ms <= RETENTION_MS).collect()
+    }
+
     fn forget_old(&mut self, now: u64) {
         while self.recent.front().is_some_and(|(at, _)| at + RETENTION_MS < now) {
             self.recent.pop_front();
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -41,6 +41,16 @@
 }
 
 impl MeanWork {
+    /// Returns the mean in core-seconds.
+    pub fn core_s(&self) -> f64 {
+        self.0
+    }
+
+    /// Creates the mean from core-seconds.
+    pub fn with_core_s(core_s: f64) -> Self {
+        Self(core_s)
+    }
+
     pub fn record(&mut self, core_s: f64) {
         self.0 += (core_s - self.0) * MEAN_WORK_WEIGHT;
     }
@@ -65,6 +75,16 @@
 }
 
 impl PreemptionOutcomes {
+    /// Creates the outcomes of `total` jobs.
+    pub fn new(total: u32, in_time: u32) -> Self {
+        Self { total, in_time }
+    }
+
+    /// Returns the number of jobs, and of those in time.
+    pub fn counts(&self) -> (u32, u32) {
+        (self.total, self.in_time)
+    }
+
     /// Counts an ended job for which runs were preempted.
     pub fn record(&mut self, in_time: bool) {
         self.total += 1;
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use common::{Fleet, TIMING, desired, step};
+use sorrelland_fleet::digest::Digest;
 use sorrelland_fleet::job::Step;
 use sorrelland_fleet::planner::Planner;
 use sorrelland_fleet::record;
@@ -153,3 +154,51 @@
     let task = sorrelland_fleet::Task { job: JOB.to_owned(), occurrence: 0, step: 0, index: 0 };
     FirstMark { task, run: 1, age_ms, percent: 0, is_start: true }
 }
+
+fn read_digest(value: &str) -> (Option<Digest>, Option<String>) {
+    Digest::read([("learned", value.as_bytes())].into_iter(), 1_000)
+}
+
+/// Guards against speeds, estimates and a reserve that are learned anew with each leader.
+#[test]
+fn digest_is_the_same_after_a_takeover() {
+    let mut fleet = Fleet::new(4);
+    for job in 0..6 {
+        let name = format!("{:016x}", 0xa0 + job);
+        fleet.submit(&name, "urgent", vec![step(4, 1)]);
+        let assignments = fleet.advance(50);
+        fleet.mark_running(&assignments);
+        let started_at = fleet.now;
+        for _ in 0..10 {
+            fleet.advance(100);
+            report_progress(&mut fleet, started_at);
+        }
+        fleet.end_runs(&name, EndReason::Done);
+        fleet.advance(50);
+    }
+    assert!(fleet.stored.contains_key("learned"), "it travels with other changes");
+    let before = fleet.planner.digest(fleet.now, fleet.now);
+    let value = serde_json::to_string(&before).unwrap();
+    let (digest, finding) = Digest::read([("learned", value.as_bytes())].into_iter(), fleet.now);
+    assert_eq!(finding, None);
+    take_over(&mut fleet);
+    fleet.planner.restore(fleet.now, fleet.now, digest.unwrap());
+    assert_eq!(fleet.planner.digest(fleet.now, fleet.now), before);
+    assert_ne!(before, Digest::default());
+}
+
+/// Guards against decisions that follow from a record of another version or a broken writer.
+#[test]
+fn read_leaves_out_what_cannot_be_true() {
+    assert_eq!(read_digest(r#"{"made_at": 1000, "new_field": 7}"#).1, None, "fields may be missing or new");
+    let (digest, finding) = read_digest("[1, 2");
+    assert!(digest.is_none() && finding.is_some());
+    let absurd = r#"{"made_at": 1000, "speeds": [["w0", 0, 3], ["w1", 900, 3]], "ratios": {"urgent": [99.0, 0.1]},
+        "mean_work": {"urgent": -4.0}, "preemptions": {"urgent": [1, 5]}, "arrivals": {"svc": [[10, -8]]}}"#;
+    let (digest, finding) = read_digest(absurd);
+    let rest = r#"{"made_at": 1000, "speeds": [["w1", 900, 3]], "ratios": {"urgent": [0.1]}, "arrivals": {"svc": []}}"#;
+    assert_eq!(digest, read_digest(rest).0);
+    assert!(finding.is_some_and(|finding| finding.contains("5 entries")));
+    let old = Digest::read([("learned", r#"{"made_at": 1000}"#.as_bytes())].into_iter(), 10_000_000);
+    assert_eq!(old, (None, None), "the work may have changed since");
+}
--- a/crates/forecast/src/forecasts.rs
+++ b/crates/forecast/src/forecasts.rs
@@ -77,6 +77,12 @@
     logs: VecDeque<f64>,
 }
 
+impl StepRatios {
+    fn median(&self) -> f64 {
+        median(&mut self.logs.iter().copied().collect::<Vec<f64>>())
+    }
+}
+
 /// Forecasts from the reported progress of all runs. Old evidence gives way to new.
 ///
 /// Its memory is bounded by [`Settings`] for each worker and queue, whether or not runs report an end. Workers are kept
@@ -93,6 +99,8 @@
     /// Workers that have reported progress; others may not report any.
     reporting: BTreeSet<String>,
     speeds: BTreeMap<String, Speed>,
+    /// Speeds that an earlier instance had computed.
+    inherited: BTreeMap<String, Speed>,
     /// Ratios of the newest steps of each queue, oldest first.
     ratios: BTreeMap<String, VecDeque<StepRatios>>,
     /// Queues in the order of their last ratio.
@@ -220,6 +228,7 @@
     pub fn remove_worker(&mut self, worker: &str) {
         self.changed |= self.observations.remove(worker).is_some();
         self.speeds.remove(worker);
+        self.inherited.remove(worker);
         self.reporting.remove(worker);
         self.track_counts.remove(worker);
         self.tracks.retain(|_, track| track.worker != worker);
@@ -242,7 +251,7 @@
         if !is_after(observations.div_ceil(OBSERVATIONS_PER_INTERVAL)) {
             return false;
         }
-        self.speeds = speeds::compute(&self.observations);
+        self.speeds = speeds::combine(&self.inherited, speeds::compute(&self.observations));
         (self.updated_at, self.changed) = (Some(now), false);
         true
     }
@@ -260,6 +269,31 @@
         overdue.iter().for_each(|run| self.remove_run(run));
     }
 
+    /// Returns the ratios of work to estimate of the newest steps of each queue, as natural logarithms, oldest first.
+    pub fn step_ratios(&self) -> BTreeMap<&str, Vec<f64>> {
+        let of_queue = |(queue, steps): (_, &VecDeque<StepRatios>)| {
+            (queue, steps.iter().map(StepRatios::median).collect())
+        };
+        self.ratios.iter().map(|(queue, steps)| (queue.as_str(), steps)).map(of_queue).collect()
+    }
+
+    /// Takes over what an earlier instance knew: the speeds of workers, which count until as much is known of them anew,
+    /// and the ratios of the newest steps by queue, as natural logarithms, oldest first.
+    pub fn inherit(&mut self, speeds: BTreeMap<String, Speed>, ratios: BTreeMap<String, Vec<f64>>) {
+        for (queue, logs) in ratios.into_iter().take(self.settings.queues.max(1)) {
+            let newest = logs.len().saturating_sub(self.settings.steps_per_queue.max(1));
+            let step = |(number, log): (u32, &f64)| StepRatios {
+                // Jobs have names, so no later step is taken for one of these.
+                step: (String::new(), 0, number),
+                logs: [*log].into(),
+            };
+            self.queue_order.push_back(queue.clone());
+            self.ratios.insert(queue, (0..).zip(&logs[newest..]).map(step).collect());
+        }
+        self.speeds.clone_from(&speeds);
+        self.inherited = speeds;
+    }
+
     /// Returns the number of runs in progress that are kept.
     pub fn runs(&self) -> usize {
         self.tracks.len()
@@ -271,8 +305,6 @@
     }
 
     /// Returns the speeds of the workers of which something is known.
-    ///
-    /// A new planner relearns them from the reports.
     pub fn speeds(&self) -> &BTreeMap<String, Speed> {
         &self.speeds
     }
@@ -292,8 +324,7 @@
         let Some(ratios) = self.ratios.get(queue).filter(|ratios| !ratios.is_empty()) else {
             return Correction::default();
         };
-        let of_step = |known: &StepRatios| median(&mut known.logs.iter().copied().collect::<Vec<f64>>());
-        let mut logs: Vec<f64> = ratios.iter().map(of_step).collect();
+        let mut logs: Vec<f64> = ratios.iter().map(StepRatios::median).collect();
         let mut milli = |rank: f64| (quantile(&mut logs, rank).exp() * 1_000.0).round() as u64;
         Correction {
             lower_quartile_milli: milli(0.25),
--- a/crates/forecast/src/speeds.rs
+++ b/crates/forecast/src/speeds.rs
@@ -53,6 +53,24 @@
     }
 }
 
+/// Combines earlier speeds of workers with new ones: by the number of steps that each follows from, until the new one
+/// follows from as many as the earlier one.
+pub fn combine(
+    earlier: &BTreeMap<String, Speed>,
+    mut new: BTreeMap<String, Speed>,
+) -> BTreeMap<String, Speed> {
+    for (worker, earlier) in earlier {
+        let speed = new.entry(worker.clone()).or_insert(*earlier);
+        if speed.steps < earlier.steps {
+            let (old, fresh) = (f64::from(earlier.steps - speed.steps), f64::from(speed.steps));
+            let log = |speed: &Speed| (speed.milli.max(1) as f64).ln();
+            let mean = (old * log(earlier) + fresh * log(speed)) / (old + fresh);
+            *speed = Speed { milli: mean.exp().round() as u64, steps: earlier.steps };
+        }
+    }
+    new
+}
+
 /// Rate of one run on a worker.
 #[derive(Clone, Debug)]
 pub struct Observation {
