Move appends, submissions and changes into files of their own

Appends and renewals are now in appends.rs, submissions in submissions.rs, the changes on their way to the store in changes.rs of the fleet crate. Behaviour is unchanged.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -4,26 +4,20 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use sorrelland_fleet::Resources;
 use sorrelland_fleet::assignments::Assignments;
 use sorrelland_fleet::desired::Desired;
-use sorrelland_fleet::job::{Step, Submission};
-use sorrelland_fleet::planner::{Admission, Planner, Timing};
+use sorrelland_fleet::planner::{Planner, Timing};
 use sorrelland_fleet::report::Report;
-use sorrelland_platform::store::{Error, Writer, encode_keyed};
+use sorrelland_platform::store::Writer;
 use sorrelland_platform::{PolicyClient, Store};
 use tokio::sync::{Notify, watch};
 
-use crate::absence::{AnsweredCalls, outage_rest_ms, spread_retry_ms};
-use crate::adaptive_timeout::AdaptiveTimeout;
+use crate::absence::AnsweredCalls;
 use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest};
 use crate::clock::{now_ms, wall_ms};
-use crate::election::{MAX_STORE_OUTAGE_MS, RENEWAL_INTERVAL, renew};
 use crate::planner_load::PlannerLoad;
 use crate::store_failures::StoreFailures;
-use crate::stored::{
-    APPEND_RETRY_DELAY, JOBS, PRODUCER, Snapshot, append_outcome, load_jobs, split_into_appends,
-};
+use crate::stored::{PRODUCER, Snapshot, load_jobs};
 use crate::{lock, metrics};
 
 /// Time between two planning passes when nothing else triggers one; an occurrence of a scheduled job starts at most
@@ -40,13 +34,6 @@
 /// Maximum time for which an agent's report waits for new assignments.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(500);
 
-/// Time for which appends have to fail before submissions are answered with "not run", in milliseconds: longer than a slow
-/// store or a few lost replies take.
-const STORE_PATIENCE_MS: u64 = 1_000;
-
-/// Failed tries of an append per log line: about one line a second.
-const TRIES_PER_LOG_LINE: u32 = 10;
-
 /// Maximum wait for an approval request before the leadership is checked again.
 const APPROVAL_REQUEST_WAIT: Duration = Duration::from_secs(2);
 
@@ -54,37 +41,28 @@
 pub struct ActivePlanner {
     /// This process as the leader, with the epoch of its claim.
     pub leader: Leader,
-    planner: Mutex<Planner>,
+    pub(crate) planner: Mutex<Planner>,
     /// Triggers a planning pass once the pause after the last one is over.
     pass: Notify,
     /// Triggers a planning pass at once, for a caller who waits for it.
     urgent_pass: Notify,
     load: Mutex<PlannerLoad>,
-    store_failures: Mutex<StoreFailures>,
+    pub(crate) store_failures: Mutex<StoreFailures>,
     /// When the first of the failed tries of the append in progress began, on the monotonic clock.
-    append_failing_since: Mutex<Option<u64>>,
-    /// Whether appends have failed for [`STORE_PATIENCE_MS`].
-    store_unavailable: watch::Sender<bool>,
-    answered_calls: Mutex<AnsweredCalls>,
+    pub(crate) append_failing_since: Mutex<Option<u64>>,
+    /// Whether appends have failed for so long that nothing more is accepted.
+    pub(crate) store_unavailable: watch::Sender<bool>,
+    pub(crate) answered_calls: Mutex<AnsweredCalls>,
     /// Triggers an append of the changes.
-    append: Notify,
+    pub(crate) append: Notify,
     /// Triggers requests to the policy service.
     approval_requests: Notify,
     /// Number of the newest stored change.
-    stored: watch::Sender<u64>,
+    pub(crate) stored: watch::Sender<u64>,
     stepped_down: watch::Sender<bool>,
     agents: Mutex<BTreeMap<String, AgentSlot>>,
 }
 
-/// Result of an append.
-enum Appended {
-    Stored,
-    /// Nothing of it is or will be stored.
-    Rejected,
-    /// The leadership has ended; the append may be stored.
-    Ended,
-}
-
 /// Newest report number and last assignments of an agent, and how to wake its waiting call.
 #[derive(Default)]
 struct AgentSlot {
@@ -185,7 +163,7 @@
     }
 
     /// Requests a pass at once for a caller who waits until `change` is stored.
-    fn request_pass(&self, change: u64) {
+    pub(crate) fn request_pass(&self, change: u64) {
         if *self.stored.borrow() < change {
             self.urgent_pass.notify_one();
         }
@@ -248,7 +226,7 @@
         pass
     }
 
-    fn wake_agents(&self, agents: Vec<String>) {
+    pub(crate) fn wake_agents(&self, agents: Vec<String>) {
         let slots = lock(&self.agents);
         for agent in agents {
             if let Some(slot) = slots.get(&agent) {
@@ -257,136 +235,6 @@
         }
     }
 
-    async fn run_appends(self: Arc<Self>, store: Store, mut writer: Writer) {
-        let mut append_timeout = AdaptiveTimeout::default();
-        while !self.has_stepped_down() {
-            self.append.notified().await;
-            loop {
-                let Some((records, change)) = lock(&self.planner).take_changes() else { break };
-                let raw: Vec<Vec<u8>> = records.iter().map(encode_keyed).collect();
-                let parts = split_into_appends(raw);
-                let mut is_rejected = false;
-                for part in &parts {
-                    // A rejected append changes nothing, but an earlier part may be stored.
-                    let may_return = parts.len() == 1;
-                    match self.append_part(&store, &mut writer, &mut append_timeout, part, may_return).await {
-                        Appended::Stored => (),
-                        Appended::Rejected => is_rejected = true,
-                        Appended::Ended => return,
-                    }
-                }
-                if is_rejected {
-                    lock(&self.planner).return_changes();
-                    tokio::time::sleep(APPEND_RETRY_DELAY).await;
-                    continue;
-                }
-                let to_wake = {
-                    let mut planner = lock(&self.planner);
-                    planner.record_stored(change);
-                    planner.take_agents_to_wake_after_store()
-                };
-                self.stored.send_replace(change);
-                self.wake_agents(to_wake);
-            }
-        }
-    }
-
-    /// Repeats an append until it is stored, or if `may_return` until it is certain that it is not.
-    async fn append_part(
-        &self,
-        store: &Store,
-        writer: &mut Writer,
-        append_timeout: &mut AdaptiveTimeout,
-        part: &[Vec<u8>],
-        may_return: bool,
-    ) -> Appended {
-        // Set once an append without an answer may have been carried out.
-        let mut unanswered = false;
-        let mut tries = 0_u32;
-        while !self.has_stepped_down() {
-            let (began, began_ms) = (Instant::now(), now_ms());
-            let appended = store.append_as(JOBS, writer, part, append_timeout.wait()).await;
-            metrics::record_append(append_outcome(&appended), began);
-            lock(&self.store_failures).record(now_ms(), &appended);
-            self.record_append(began_ms, appended.is_ok());
-            match &appended {
-                Err(e) if !e.not_applied() => append_timeout.record_timeout(),
-                _ => append_timeout.record_reply(began.elapsed()),
-            }
-            match appended {
-                Ok(_) => {
-                    writer.sequence += 1;
-                    return Appended::Stored;
-                }
-                Err(Error::Fenced) => {
-                    self.step_down("a writer with a higher epoch has taken over");
-                    return Appended::Ended;
-                }
-                Err(Error::Sequence { expected: Some(next) }) if !unanswered && next != writer.sequence => {
-                    log::warn!("event=sequence_set from={} to={next}", writer.sequence);
-                    writer.sequence = next;
-                }
-                Err(e @ Error::Sequence { .. }) => {
-                    self.step_down(&format!("append sequence lost: {e}"));
-                    return Appended::Ended;
-                }
-                Err(e) => {
-                    unanswered |= !e.not_applied();
-                    tries += 1;
-                    if tries == 1 || tries.is_multiple_of(TRIES_PER_LOG_LINE) {
-                        let sequence = writer.sequence;
-                        log::warn!("event=append_retried sequence={sequence} tries={tries} cause=\"{e}\"");
-                    }
-                    if may_return && !unanswered {
-                        return Appended::Rejected;
-                    }
-                    tokio::time::sleep(APPEND_RETRY_DELAY).await;
-                }
-            }
-        }
-        Appended::Ended
-    }
-
-    /// Records whether a try of an append that began at `began` succeeded, and whether appends fail for so long that nothing
-    /// more is accepted.
-    fn record_append(&self, began: u64, is_stored: bool) {
-        let mut since = lock(&self.append_failing_since);
-        *since = if is_stored { None } else { since.or(Some(began)) };
-        let failing_ms = since.map_or(0, |since| now_ms().saturating_sub(since));
-        let unavailable = failing_ms >= STORE_PATIENCE_MS;
-        if self.store_unavailable.send_replace(unavailable) != unavailable {
-            let epoch = self.leader.epoch;
-            log::warn!(
-                "event=store_unavailable epoch={epoch} unavailable={unavailable} failing_ms={failing_ms}"
-            );
-        }
-    }
-
-    /// Returns how long the store has rejected the planner's calls, in milliseconds; 0 if it answers.
-    pub fn store_failing_ms(&self) -> u64 {
-        lock(&self.store_failures).lasting_ms(now_ms())
-    }
-
-    async fn run_renewals(self: Arc<Self>, store: Store) {
-        let mut renewed_at = now_ms();
-        while !self.has_stepped_down() {
-            let renewal = renew(&store, self.leader.epoch, false).await;
-            lock(&self.store_failures).record(now_ms(), &renewal);
-            match renewal {
-                Ok(()) => {
-                    renewed_at = now_ms();
-                    // Without an append in progress nothing else would show that the store is back.
-                    self.record_append(renewed_at, true);
-                }
-                Err(e) => log::warn!("event=renewal_failed epoch={} cause=\"{e}\"", self.leader.epoch),
-            }
-            if now_ms() > renewed_at + MAX_STORE_OUTAGE_MS {
-                self.step_down("the store was unreachable for too long");
-            }
-            tokio::time::sleep(RENEWAL_INTERVAL).await;
-        }
-    }
-
     /// Sends approval requests one at a time, as the policy service processes them.
     async fn run_approval_requests(self: Arc<Self>, policy: PolicyClient) {
         while !self.has_stepped_down() {
@@ -415,80 +263,8 @@
         }
     }
 
-    /// Submits a job of a call and waits at most `wait` until it is stored. A job that can't be stored is withdrawn if no
-    /// append contains it yet.
-    async fn submit(&self, sub: &Submission, call: u64, wait: Duration) -> Reply {
-        let priority = lock(&self.planner).priority(&sub.queue);
-        let not_run = || {
-            lock(&self.answered_calls).record(now_ms(), call);
-            let failing_ms =
-                lock(&self.append_failing_since).map_or(0, |since| now_ms().saturating_sub(since));
-            let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, priority);
-            log::info!(
-                "event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}",
-                sub.job
-            );
-            Reply::NotRun { retry_after_ms }
-        };
-        if lock(&self.answered_calls).contains(call) {
-            return not_run();
-        }
-        if *self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job) {
-            return not_run();
-        }
-        let (admission, value) = {
-            let mut planner = lock(&self.planner);
-            (planner.submit(now_ms(), wall_ms(), sub), planner.value_in_time(sub))
-        };
-        let change = match admission {
-            Admission::Refused { reason: why, retry_after_ms } => {
-                lock(&self.answered_calls).record(now_ms(), call);
-                log::info!(
-                    "event=refused job={} queue={} account={} priority={priority} value={value:.2} epoch={} \
-                     retry_after_ms={retry_after_ms} why=\"{why}\"",
-                    sub.job,
-                    sub.queue,
-                    sub.account,
-                    self.leader.epoch
-                );
-                return Reply::Refused { why, retry_after_ms };
-            }
-            Admission::Accepted { change } => change,
-        };
-        // The pass places the job, so that one append stores both the job and its placement.
-        self.request_pass(change);
-        let deadline = tokio::time::Instant::now() + wait;
-        let mut unavailable = self.store_unavailable.subscribe();
-        let is_stored = tokio::select! {
-            is_stored = self.wait_stored(change, wait) => is_stored,
-            // The sender exists as long as this planner.
-            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => false,
-        };
-        // Another attempt of the caller may have withdrawn the job.
-        if is_stored && lock(&self.planner).knows(&sub.job) {
-            log::info!(
-                "event=accepted job={} queue={} account={} priority={priority} {}",
-                sub.job,
-                sub.queue,
-                sub.account,
-                shape(sub)
-            );
-            return Reply::Accepted;
-        }
-        if is_stored || lock(&self.planner).withdraw(&sub.job) {
-            // The next leader may accept it at once.
-            return if self.has_stepped_down() { Reply::NotPlanner(None) } else { not_run() };
-        }
-        let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-        match !self.has_stepped_down() && self.wait_stored(change, left).await {
-            true => Reply::Accepted,
-            // The append may have been carried out even if the leadership has ended.
-            false => Reply::Unresolved,
-        }
-    }
-
     /// Waits at most `wait` until a change is stored; returns whether it is.
-    async fn wait_stored(&self, change: u64, wait: Duration) -> bool {
+    pub(crate) async fn wait_stored(&self, change: u64, wait: Duration) -> bool {
         let mut stored = self.stored.subscribe();
         let mut stepped_down = self.stepped_down.subscribe();
         let stored = async {
@@ -605,32 +381,6 @@
     }
 }
 
-/// Formats the size and options of a job for the logs.
-fn shape(sub: &Submission) -> String {
-    let step = |step: &Step| {
-        let flags = [
-            (step.gang, "gang"),
-            (step.prefers_one_rack, "one_rack"),
-            (step.saves_progress, "saves"),
-            (step.speculative, "speculative"),
-            (step.long_running, "lasting"),
-            (step.uses_idle_cpu, "fills"),
-            (step.label.is_some(), "label"),
-            (step.preferred_rack.is_some(), "near"),
-            (step.max_per_worker.is_some(), "spread"),
-            (step.target_ms.is_some(), "target"),
-            (!step.depends_on.is_empty(), "after"),
-        ];
-        let flags: Vec<&str> = flags.iter().filter(|(on, _)| *on).map(|(_, name)| *name).collect();
-        let Resources { millicores, memory_mb, accelerators } = step.resources;
-        let (count, ms) = (step.count, step.estimate_ms);
-        format!("{count}x{millicores}m/{memory_mb}MB/{accelerators}acc~{ms}ms:{}", flags.join("+"))
-    };
-    let steps: Vec<String> = sub.steps.iter().map(step).collect();
-    let occurrences = sub.schedule.map_or(1, |schedule| schedule.occurrences);
-    format!("occurrences={occurrences} shape=\"{}\"", steps.join(","))
-}
-
 /// Compares assignments without their number and grant.
 fn same_assignments(one: &Assignments, other: &Assignments) -> bool {
     let plain = |assignments: &Assignments| Assignments { number: 0, grant_ms: 0, ..assignments.clone() };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod active_planner;
 pub mod adaptive_timeout;
 pub mod agent;
+mod appends;
 pub mod callers;
 pub mod calls;
 pub mod clock;
@@ -23,6 +24,7 @@
 pub mod signals;
 pub mod store_failures;
 pub mod stored;
+mod submissions;
 
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- /dev/null
+++ b/crates/control/src/submissions.rs
@@ -0,0 +1,120 @@
+//! Submits jobs to the planner and waits until they are stored, or answers with "not run" while the store is away.
+
+use std::time::Duration;
+
+use sorrelland_fleet::Resources;
+use sorrelland_fleet::job::{Step, Submission};
+use sorrelland_fleet::planner::Admission;
+
+use crate::absence::{outage_rest_ms, spread_retry_ms};
+use crate::active_planner::ActivePlanner;
+use crate::calls::PlannerReply as Reply;
+use crate::clock::{now_ms, wall_ms};
+use crate::lock;
+
+impl ActivePlanner {
+    /// Submits a job of a call and waits at most `wait` until it is stored. A job that can't be stored is withdrawn if no
+    /// append contains it yet.
+    pub(crate) async fn submit(&self, sub: &Submission, call: u64, wait: Duration) -> Reply {
+        let is_answered = lock(&self.answered_calls).contains(call);
+        if is_answered || (*self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job)) {
+            return self.not_run(sub, call);
+        }
+        let admission = lock(&self.planner).submit(now_ms(), wall_ms(), sub);
+        let change = match admission {
+            Admission::Refused { reason, retry_after_ms } => {
+                return self.refuse(sub, call, reason, retry_after_ms);
+            }
+            Admission::Accepted { change } => change,
+        };
+        // The pass places the job, so that one append stores both the job and its placement.
+        self.request_pass(change);
+        let deadline = tokio::time::Instant::now() + wait;
+        let mut unavailable = self.store_unavailable.subscribe();
+        let is_stored = tokio::select! {
+            is_stored = self.wait_stored(change, wait) => is_stored,
+            // The sender exists as long as this planner.
+            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => false,
+        };
+        // Another attempt of the caller may have withdrawn the job.
+        if is_stored && lock(&self.planner).knows(&sub.job) {
+            return self.accept(sub);
+        }
+        if is_stored || lock(&self.planner).withdraw(&sub.job) {
+            // The next leader may accept it at once.
+            return if self.has_stepped_down() { Reply::NotPlanner(None) } else { self.not_run(sub, call) };
+        }
+        let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+        match !self.has_stepped_down() && self.wait_stored(change, left).await {
+            true => self.accept(sub),
+            // The append may have been carried out even if the leadership has ended.
+            false => Reply::Unresolved,
+        }
+    }
+
+    fn accept(&self, sub: &Submission) -> Reply {
+        log::info!(
+            "event=accepted job={} queue={} account={} priority={} {}",
+            sub.job,
+            sub.queue,
+            sub.account,
+            self.priority(sub),
+            shape(sub)
+        );
+        Reply::Accepted
+    }
+
+    fn refuse(&self, sub: &Submission, call: u64, why: String, retry_after_ms: u64) -> Reply {
+        lock(&self.answered_calls).record(now_ms(), call);
+        let value = lock(&self.planner).value_in_time(sub);
+        log::info!(
+            "event=refused job={} queue={} account={} priority={} value={value:.2} epoch={} \
+             retry_after_ms={retry_after_ms} why=\"{why}\"",
+            sub.job,
+            sub.queue,
+            sub.account,
+            self.priority(sub),
+            self.leader.epoch
+        );
+        Reply::Refused { why, retry_after_ms }
+    }
+
+    /// Answers that a job has not run and will not, since the store doesn't answer.
+    fn not_run(&self, sub: &Submission, call: u64) -> Reply {
+        lock(&self.answered_calls).record(now_ms(), call);
+        let failing_ms = lock(&self.append_failing_since).map_or(0, |since| now_ms().saturating_sub(since));
+        let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, self.priority(sub));
+        log::info!("event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}", sub.job);
+        Reply::NotRun { retry_after_ms }
+    }
+
+    fn priority(&self, sub: &Submission) -> u32 {
+        lock(&self.planner).priority(&sub.queue)
+    }
+}
+
+/// Formats the size and options of a job for the logs.
+fn shape(sub: &Submission) -> String {
+    let step = |step: &Step| {
+        let flags = [
+            (step.gang, "gang"),
+            (step.prefers_one_rack, "one_rack"),
+            (step.saves_progress, "saves"),
+            (step.speculative, "speculative"),
+            (step.long_running, "lasting"),
+            (step.uses_idle_cpu, "fills"),
+            (step.label.is_some(), "label"),
+            (step.preferred_rack.is_some(), "near"),
+            (step.max_per_worker.is_some(), "spread"),
+            (step.target_ms.is_some(), "target"),
+            (!step.depends_on.is_empty(), "after"),
+        ];
+        let flags: Vec<&str> = flags.iter().filter(|(on, _)| *on).map(|(_, name)| *name).collect();
+        let Resources { millicores, memory_mb, accelerators } = step.resources;
+        let (count, ms) = (step.count, step.estimate_ms);
+        format!("{count}x{millicores}m/{memory_mb}MB/{accelerators}acc~{ms}ms:{}", flags.join("+"))
+    };
+    let steps: Vec<String> = sub.steps.iter().map(step).collect();
+    let occurrences = sub.schedule.map_or(1, |schedule| schedule.occurrences);
+    format!("occurrences={occurrences} shape=\"{}\"", steps.join(","))
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod approvals;
 pub mod assign;
 pub mod assignments;
+mod changes;
 pub mod claims;
 pub mod crash;
 pub mod desired;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -8,6 +8,7 @@
 use crate::account_counts::{AccountCounts, AccountEvent};
 use crate::admit;
 use crate::approvals::Approvals;
+use crate::changes::Changes;
 use crate::claims::Claims;
 use crate::crash::Crashes;
 use crate::desired::{Desired, Queue};
@@ -78,20 +79,6 @@
     pub(crate) knows_worker: bool,
 }
 
-/// What has to be stored.
-#[derive(Clone, Debug, Default)]
-struct Changes {
-    new_jobs: BTreeSet<String>,
-    changed_jobs: BTreeSet<String>,
-    removals: Vec<Record>,
-}
-
-impl Changes {
-    fn is_empty(&self) -> bool {
-        self.new_jobs.is_empty() && self.changed_jobs.is_empty() && self.removals.is_empty()
-    }
-}
-
 /// In-memory state of the planner.
 #[derive(Clone, Debug)]
 pub struct Planner {
@@ -137,9 +124,9 @@
     pub(crate) digest_at: Option<u64>,
     /// The newest such record that is not stored yet.
     pub(crate) digest_record: Option<Record>,
-    untaken: Changes,
+    pub(crate) untaken: Changes,
     /// Changes that are being stored.
-    taken: Changes,
+    pub(crate) taken: Changes,
     pub(crate) assignments_number: u64,
     /// Agents whose assignments changed, independent of pending writes.
     pub(crate) agents_to_wake: BTreeSet<String>,
@@ -147,7 +134,7 @@
     pub(crate) agents_to_wake_by_change: BTreeSet<(u64, String)>,
     pub(crate) log: Vec<String>,
     /// Lines on the ends of jobs, with the change that has to be stored before: another planner logs an end that isn't.
-    end_log: VecDeque<(u64, String)>,
+    pub(crate) end_log: VecDeque<(u64, String)>,
     pub(crate) line_limit: LineLimit,
     /// Ignored reports since the last call of [`Self::take_ignored_reports`], by reason.
     pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
@@ -267,85 +254,6 @@
         self.log.push(line);
     }
 
-    /// Drains the records that must be stored, together with their change number.
-    pub fn take_changes(&mut self) -> Option<(Vec<Record>, u64)> {
-        if self.untaken.is_empty() {
-            return None;
-        }
-        self.taken = std::mem::take(&mut self.untaken);
-        let Changes { new_jobs: submitted, changed_jobs: changed, removals } = &self.taken;
-        let mut records = removals.clone();
-        records.extend(self.digest_record.take());
-        let jobs = |names: &BTreeSet<String>| {
-            names.iter().filter_map(|name| self.jobs.get(name)).collect::<Vec<_>>()
-        };
-        let encoded = jobs(submitted).into_iter().map(record::submission);
-        let encoded = encoded.chain(jobs(changed).into_iter().map(record::progress)).collect::<Vec<_>>();
-        for record in encoded {
-            match record {
-                Ok(record) => records.push(record),
-                // Serializing plain structs to JSON does not fail; an error here is a bug.
-                Err(e) => self.log.push(format!("event=record_failed cause=\"{e}\"")),
-            }
-        }
-        let change = self.change;
-        self.change += 1;
-        Some((records, change))
-    }
-
-    /// Records that all changes up to `change` are stored.
-    pub fn record_stored(&mut self, change: u64) {
-        self.stored = self.stored.max(change);
-        self.taken = Changes::default();
-        while let Some((_, line)) = self.end_log.pop_front_if(|(change, _)| *change <= self.stored) {
-            self.log.push(line);
-        }
-    }
-
-    /// Takes back the changes that were taken last, none of which is or will be stored. The next ones contain them.
-    pub fn return_changes(&mut self) {
-        let Changes { mut new_jobs, mut changed_jobs, mut removals } = std::mem::take(&mut self.taken);
-        new_jobs.append(&mut self.untaken.new_jobs);
-        changed_jobs.append(&mut self.untaken.changed_jobs);
-        removals.append(&mut self.untaken.removals);
-        self.untaken = Changes { new_jobs, changed_jobs, removals };
-    }
-
-    /// Forgets a job that was submitted if nothing of it is stored or being stored; returns whether it did. Nothing of such
-    /// a job has run, since its placement takes effect only once it is stored.
-    pub fn withdraw(&mut self, name: &str) -> bool {
-        if !self.untaken.new_jobs.contains(name) {
-            return false;
-        }
-        let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { return false };
-        for (key, unit) in &job.units {
-            let reserved = job.sub.steps.get(key.step as usize).map(Step::reserved).unwrap_or_default();
-            for (offset, member) in unit.members.iter().enumerate().filter(|(_, member)| !member.released) {
-                if let Some(worker) = self.workers.get_mut(&member.worker)
-                    && worker.placed.remove(&(key.task(name, offset), unit.run))
-                {
-                    worker.used -= reserved;
-                }
-            }
-        }
-        self.jobs.remove(name);
-        self.live.remove(name);
-        self.untaken.new_jobs.remove(name);
-        self.untaken.changed_jobs.remove(name);
-        self.approvals.remove_job(name);
-        self.log_line(format!("event=withdrawn job={name}"));
-        true
-    }
-
-    /// Returns the number of the newest stored change.
-    pub fn stored(&self) -> u64 {
-        self.stored
-    }
-
-    pub(crate) fn mark_changed(&mut self, name: &str) {
-        self.untaken.changed_jobs.insert(name.to_owned());
-    }
-
     /// Accepts or refuses a job. Submitting a known job again is idempotent.
     pub fn submit(&mut self, now: u64, wall: u64, sub: &Submission) -> Admission {
         if let Some(job) = self.jobs.get(&sub.job) {
