Log what a long wait waits for, and gauge the longest one

`event=long_wait`, every two seconds from the third second on and at most four lines a pass, has the members that fit, the shares in use, the rack that is nearest to fitting, when it is due and the runs that hold it. The gauge `longest_wait_ms` shows a starving unit without the logs. No decision changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod job;
 pub mod leaving;
 pub mod line_limit;
+pub mod outlook;
 pub mod overload;
 pub mod pace;
 pub mod pass;
@@ -41,6 +42,7 @@
 pub mod victims;
 pub mod view;
 pub mod wait;
+mod wait_log;
 pub mod worker;
 
 pub use desired::Desired;
--- a/crates/fleet/src/pass.rs
+++ b/crates/fleet/src/pass.rs
@@ -3,9 +3,11 @@
 //! During a pass free resources only decrease and stopped runs keep theirs, so what doesn't fit for one subtask of a
 //! step doesn't fit for the others either.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::approvals::StepKey;
+use crate::outlook::Releases;
 use crate::place::Candidate;
 use crate::planner::Planner;
 use crate::pool::Pool;
@@ -23,6 +25,10 @@
     pub victims: Option<Vec<Victim>>,
     /// Accelerators held by the jobs of each priority, by service; filled on demand.
     held_accelerators: BTreeMap<String, String>,
+    /// Expected ends of what runs; filled on demand.
+    releases: OnceCell<Releases>,
+    /// Steps of which a long wait was logged in this pass.
+    pub logged_waits: BTreeSet<StepKey>,
     /// Steps whose subtasks fit on no worker.
     unplaceable: BTreeSet<StepKey>,
     /// Steps for whose waiting subtasks no preemption pays.
@@ -41,11 +47,18 @@
             pool,
             victims: None,
             held_accelerators: BTreeMap::new(),
+            releases: OnceCell::new(),
+            logged_waits: BTreeSet::new(),
             unplaceable: BTreeSet::new(),
             unpreemptable: BTreeSet::new(),
         }
     }
 
+    /// Returns the expected ends of what ran when they were first asked for.
+    pub fn releases(&self, planner: &Planner) -> &Releases {
+        self.releases.get_or_init(|| Releases::new(planner, &self.pool, self.now))
+    }
+
     pub fn mark_step_unplaceable(&mut self, candidate: &Candidate) {
         self.unplaceable.insert(step_key(candidate));
     }
@@ -73,7 +86,7 @@
     }
 }
 
-fn step_key(candidate: &Candidate) -> StepKey {
+pub(crate) fn step_key(candidate: &Candidate) -> StepKey {
     (candidate.job.clone(), candidate.key.occurrence, candidate.key.step)
 }
 
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -89,6 +89,7 @@
             let unit = jobs.get(name).filter(|job| job.outcome.is_none()).and_then(|job| job.units.get(&key));
             unit.is_some_and(|unit| unit.state == UnitState::Waiting)
         });
+        self.longest_wait_ms = 0;
         let candidates = self.candidates(now, wall);
         self.request_approvals(now, &candidates);
         if candidates.is_empty() {
@@ -129,7 +130,9 @@
         let is_freed = reason != WaitReason::Isolation && self.claims.contains(name, key);
         let reason = if is_freed { WaitReason::Stops } else { reason };
         let Some(unit) = self.jobs.get_mut(name).and_then(|job| job.units.get_mut(&key)) else { return };
+        self.longest_wait_ms = self.longest_wait_ms.max(pass.now.saturating_sub(unit.since));
         if !unit.waits.record(pass.now, reason) {
+            self.log_long_wait(pass, candidate, reason);
             return;
         }
         let Some(service) = self.queue_of(name).map(|queue| queue.service.clone()) else { return };
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -140,6 +140,8 @@
     pub(crate) ignored_reports: BTreeMap<&'static str, u64>,
     pub(crate) refusals: Refusals,
     pub(crate) account_counts: AccountCounts,
+    /// Longest wait of a unit that the last pass left waiting, in milliseconds.
+    pub(crate) longest_wait_ms: u64,
     /// Refusals since the last call of [`Self::take_refusals`], by cause.
     refusals_by_cause: BTreeMap<&'static str, u64>,
 }
@@ -199,6 +201,7 @@
             ignored_reports: BTreeMap::new(),
             refusals: Refusals::new(),
             account_counts: AccountCounts::default(),
+            longest_wait_ms: 0,
             refusals_by_cause: BTreeMap::new(),
         }
     }
@@ -319,6 +322,11 @@
         self.live.len()
     }
 
+    /// Returns the longest wait of a unit that the last pass left waiting, in milliseconds.
+    pub fn longest_wait_ms(&self) -> u64 {
+        self.longest_wait_ms
+    }
+
     /// Returns the number of workers whose agent reported within [`MAX_REPORT_AGE_MS`], and the number of all known
     /// workers.
     pub fn reporting_workers(&self, now: u64) -> (usize, usize) {
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -91,6 +91,13 @@
     }
 }
 
+/// Capacity of a service, and what runs use of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    pub capacity: Resources,
+    pub used: Resources,
+}
+
 /// All known workers during a pass, in the order of their incarnations' names.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -139,6 +146,17 @@
         2 * free > all
     }
 
+    /// Returns the capacity of a service's known workers and what their runs use of it.
+    pub fn usage(&self, service: &str) -> Usage {
+        let mut usage = Usage::default();
+        for worker in self.workers.iter().filter(|worker| worker.service == service) {
+            usage.capacity += worker.capacity;
+            usage.used += worker.capacity;
+            usage.used -= worker.free;
+        }
+        usage
+    }
+
     pub fn index_of(&self, incarnation: &str) -> Option<usize> {
         self.by_incarnation.get(incarnation).copied()
     }
@@ -235,6 +253,12 @@
         free.copies_of(&self.per_member).min(self.max_per_worker).min(self.members)
     }
 
+    /// Returns how many members fit, up to twice as many as there are.
+    pub fn fitting(&self, rooms: &[Room]) -> i64 {
+        let fitting: i64 = rooms.iter().map(|room| self.members_in(&room.free)).sum();
+        fitting.min(2 * self.members)
+    }
+
     /// Returns whether all members fit.
     pub fn fits(&self, rooms: &[Room]) -> bool {
         let mut missing = self.members;
--- a/crates/fleet/src/wait.rs
+++ b/crates/fleet/src/wait.rs
@@ -4,6 +4,12 @@
 
 use derive_more::{Display, FromStr};
 
+/// Wait from which it is logged with what the unit waits for, in milliseconds.
+const LONG_WAIT_MS: u64 = 3_000;
+
+/// Time between two such lines on one unit, in milliseconds.
+const LONG_WAIT_LINE_INTERVAL_MS: u64 = 2_000;
+
 /// Why a pass did not place a waiting unit; the logs have the name in lower case.
 #[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, PartialOrd, Ord)]
 #[display(rename_all = "lowercase")]
@@ -33,6 +39,8 @@
     /// Reason found by the last pass, and the time of that pass.
     current: Option<(WaitReason, u64)>,
     by_reason: BTreeMap<WaitReason, u64>,
+    /// When a long wait was last logged; `None` if it hasn't been.
+    logged_at: Option<u64>,
 }
 
 impl Waits {
@@ -55,6 +63,18 @@
         std::mem::take(self).by_reason
     }
 
+    /// Returns whether a line is due on a unit that waits since `since`.
+    pub fn is_line_due(&self, now: u64, since: u64) -> bool {
+        let due_at =
+            self.logged_at.map_or(since + LONG_WAIT_MS, |logged_at| logged_at + LONG_WAIT_LINE_INTERVAL_MS);
+        now >= due_at
+    }
+
+    /// Records that a long wait is logged.
+    pub fn record_line(&mut self, now: u64) {
+        self.logged_at = Some(now);
+    }
+
     /// Adds the time since the last pass to the reason found by that pass.
     fn close(&mut self, now: u64) {
         if let Some((reason, since)) = self.current.take() {
