--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -31,10 +31,11 @@
 }
 
 pub fn desired() -> Desired {
+    let patient = Queue { max_attempts: 10, ..queue("patient", 1) };
     let approved_only = Queue { needs_approval: true, ..queue("advised", 1) };
     Desired {
         version: 1,
-        queues: vec![queue("urgent", 0), queue("plain", 1), queue("low", 2), approved_only],
+        queues: vec![queue("urgent", 0), queue("plain", 1), queue("low", 2), patient, approved_only],
         services: [("svc".to_owned(), Service::default())].into(),
         accounts: [
             ("museum".to_owned(), Account { guaranteed_accelerators: 16 }),
