Start work beside free workers instead of waiting for a better placement

Cause: a preference was treated as a condition. A gang that prefers one rack waited for as long as any rack would have fitted it when empty, a subtask near data for its whole estimate, one that had failed for a worker on which it had not, and the reserve for urgent work counted accelerators only. None of these waits ended by time for work without a guarantee.

A unit that has waited 1.5 s, fits twice over and whose service has less than half of some resource in use now takes any workers; a subtask without an end does so however full the service is. While urgent jobs arrive, the reserve still goes by accelerators.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -11,8 +11,9 @@
 use crate::overload::{FairShares, Rank, Share};
 use crate::pass::Pass;
 use crate::planner::Planner;
-use crate::pool::{Need, Pool, PoolWorker, Room};
+use crate::pool::{Need, Pool, PoolWorker, Room, Usage};
 use crate::preempt;
+use crate::reserve::UrgentArrivals;
 use crate::resources::Resources;
 use crate::timing::JobTiming;
 use crate::unit::{Unit, UnitKey, UnitState};
@@ -30,9 +31,12 @@
 /// Time before its latest start from which a unit that is not urgent may use the reserve.
 const RESERVE_ACCESS_LEAD_MS: u64 = 1_000;
 
-/// Time after which a unit may use the reserve while half of its service's accelerators are idle, in milliseconds. A wide
-/// unit would otherwise wait beside idle workers for as long as single urgent jobs arrive.
-const IDLE_RESERVE_WAIT_MS: u64 = 1_500;
+/// Time for which a unit waits for a better placement while half of its service is idle, in milliseconds: half of the
+/// platform's bound for a start beside idle workers, which leaves the rest for storing and delivering the placement.
+const IDLE_WAIT_MS: u64 = 1_500;
+
+/// Time without urgent jobs after which the reserve waits no longer for more of the same burst, in milliseconds.
+const URGENT_PAUSE_MS: u64 = 5_000;
 
 /// A waiting unit with the values that determine its rank.
 #[derive(Clone, Debug)]
@@ -386,20 +390,39 @@
         if unit.must_run_alone() {
             rooms.retain(|room| pool.workers[room.worker].has_no_other_job(&candidate.job));
         }
-        if unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang) {
-            let has_failed = |room: &Room| unit.failed_on.contains(&pool.workers[room.worker].incarnation);
-            if rooms.iter().any(|room| !has_failed(room)) {
-                rooms.retain(|room| !has_failed(room));
-            }
-        }
         if rooms.is_empty() {
             let needs_approval = self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval);
             return Err(if needs_approval { WaitReason::Approval } else { WaitReason::Workers });
         }
+        let takes_any = self.takes_any_placement(pass, candidate, step, &rooms);
+        let has_failed = |room: &Room| unit.failed_on.contains(&pool.workers[room.worker].incarnation);
+        let avoids_failures = unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang);
+        if avoids_failures && !rooms.iter().all(has_failed) {
+            let others: Vec<Room> = rooms.iter().filter(|room| !has_failed(room)).copied().collect();
+            let found = self.choose_workers(pass, candidate, (step, unit), others, uses_reserve, takes_any);
+            if found.is_ok() || !takes_any {
+                return found;
+            }
+        }
+        self.choose_workers(pass, candidate, (step, unit), rooms, uses_reserve, takes_any)
+    }
+
+    /// Returns the index of a worker for each member of a unit, out of the given rooms.
+    fn choose_workers(
+        &self,
+        pass: &Pass,
+        candidate: &Candidate,
+        (step, unit): (&Step, &Unit),
+        mut rooms: Vec<Room>,
+        uses_reserve: bool,
+        takes_any: bool,
+    ) -> std::result::Result<Vec<usize>, WaitReason> {
+        let pool = &pass.pool;
         let locality_wait_ms = step.estimate_ms * LOCALITY_WAIT_MILLI / 1_000;
-        let wait_for_locality = pass.now < unit.since + locality_wait_ms;
+        let wait_for_locality = !takes_any && pass.now < unit.since + locality_wait_ms;
+        let is_spread = takes_any || candidate.must_start;
         let choose = |rooms: &[Room]| match step.gang {
-            true => find_workers_for_gang(pool, rooms, step, wait_for_locality, candidate.must_start),
+            true => find_workers_for_gang(pool, rooms, step, wait_for_locality, is_spread),
             false => find_worker_for_subtask(pool, rooms, step, wait_for_locality),
         };
         let Some(classes) = self.queue_of(&candidate.job).and_then(|queue| self.speed_classes_of(queue))
@@ -418,9 +441,8 @@
             if let Ok(workers) = choose(&sufficient) {
                 return Ok(workers);
             }
-            let may_wait = candidate.priority == 0
-                && candidate.timeliness == Timeliness::InTime
-                && !candidate.must_start;
+            let may_wait =
+                candidate.priority == 0 && candidate.timeliness == Timeliness::InTime && !is_spread;
             if may_wait && can_ever_fit(pool, &sufficient, step) {
                 return Err(WaitReason::Speed);
             }
@@ -435,9 +457,7 @@
         }
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
         let Some(arrivals) = self.urgent_arrivals.get(&queue.service) else { return false };
-        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
-        let has_waited = unit.is_some_and(|unit| pass.now >= unit.since + IDLE_RESERVE_WAIT_MS);
-        if has_waited && pass.pool.is_half_idle(&queue.service) {
+        if self.may_use_idle_reserve(pass, candidate, step, arrivals) {
             return false;
         }
         let classes = self.speed_classes_of(queue);
@@ -457,6 +477,43 @@
         free - step.reserved().accelerators * members < reserve
     }
 
+    /// Returns whether a unit has waited for long enough to use the reserve of an idle service. While urgent jobs arrive,
+    /// the accelerators that the reserve consists of have to be idle.
+    fn may_use_idle_reserve(
+        &self,
+        pass: &Pass,
+        candidate: &Candidate,
+        step: &Step,
+        arrivals: &UrgentArrivals,
+    ) -> bool {
+        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
+        let Some(queue) = self.queue_of(&candidate.job) else { return false };
+        let has_waited = unit.is_some_and(|unit| pass.now >= unit.since + IDLE_WAIT_MS);
+        let Usage { capacity, used } = pass.pool.usage(&queue.service);
+        if has_waited && 2 * used.accelerators < capacity.accelerators {
+            return true;
+        }
+        (step.long_running || !arrivals.is_any_within(pass.now, URGENT_PAUSE_MS)) && {
+            let rooms = self.available_rooms(&pass.pool, pass.now, candidate, step);
+            self.takes_any_placement(pass, candidate, step, &rooms)
+        }
+    }
+
+    /// Returns whether a unit has waited for so long beside free workers that no better placement is worth more waiting. A
+    /// subtask without an end serves from its start on, so it waits for nothing better however full the service is.
+    fn takes_any_placement(&self, pass: &Pass, candidate: &Candidate, step: &Step, rooms: &[Room]) -> bool {
+        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
+        if unit.is_none_or(|unit| pass.now < unit.since + IDLE_WAIT_MS) {
+            return false;
+        }
+        let need = Need::new(step, if step.gang { step.count } else { 1 });
+        let is_half_idle = || {
+            let queue = self.queue_of(&candidate.job);
+            queue.is_some_and(|queue| pass.pool.usage(&queue.service).is_half_idle())
+        };
+        (step.long_running || is_half_idle()) && need.fitting(rooms) >= 2 * need.members
+    }
+
     /// Removes the workers that already run as many subtasks of a step as its limit per worker allows.
     fn drop_workers_at_limit(&self, pool: &Pool, rooms: &mut Vec<Room>, candidate: &Candidate, step: &Step) {
         let Some(max_per_worker) = step.max_per_worker else { return };
@@ -537,7 +594,7 @@
     rooms: &[Room],
     step: &Step,
     wait_for_locality: bool,
-    must_start: bool,
+    is_spread: bool,
 ) -> std::result::Result<Vec<usize>, WaitReason> {
     let need = Need::new(step, step.count);
     if !need.fits(rooms) {
@@ -563,7 +620,7 @@
         let capacity = |room: &Room| Room { free: pool.workers[room.worker].capacity, ..*room };
         need.fits(&rooms.iter().map(capacity).collect::<Vec<_>>())
     };
-    if step.prefers_one_rack && !must_start && (wait_for_locality || racks.iter().any(fits_when_empty)) {
+    if step.prefers_one_rack && !is_spread && (wait_for_locality || racks.iter().any(fits_when_empty)) {
         return Err(WaitReason::Rack);
     }
     Ok(workers)
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -98,12 +98,25 @@
     pub used: Resources,
 }
 
+impl Usage {
+    /// Returns whether less than half of some resource is in use. Which one is short differs from unit to unit, and a unit
+    /// that is short of another resource fits nowhere in any case.
+    pub fn is_half_idle(&self) -> bool {
+        let is_half_idle = |used: i64, capacity: i64| used < capacity - used;
+        is_half_idle(self.used.millicores, self.capacity.millicores)
+            || is_half_idle(self.used.memory_mb, self.capacity.memory_mb)
+            || is_half_idle(self.used.accelerators, self.capacity.accelerators)
+    }
+}
+
 /// All known workers during a pass, in the order of their incarnations' names.
 #[derive(Clone, Debug)]
 pub struct Pool {
     pub workers: Vec<PoolWorker>,
     racks: Vec<String>,
     by_incarnation: BTreeMap<String, usize>,
+    /// By service.
+    usage: BTreeMap<String, Usage>,
 }
 
 impl Pool {
@@ -134,27 +147,18 @@
             claimed_by_guaranteed: Resources::default(),
         };
         let by_incarnation = workers.keys().cloned().zip(0..).collect();
-        Self { workers: workers.values().map(pool_worker).collect(), racks, by_incarnation }
-    }
-
-    /// Returns whether no run uses half or more of the accelerators of a service's usable workers.
-    pub fn is_half_idle(&self, service: &str) -> bool {
-        let workers = self.workers.iter().filter(|worker| worker.service == service && worker.is_usable);
-        let (free, all) = workers.fold((0, 0), |(free, all), worker| {
-            (free + worker.free.accelerators.max(0), all + worker.capacity.accelerators)
-        });
-        2 * free > all
+        let mut usage: BTreeMap<String, Usage> = BTreeMap::new();
+        for worker in workers.values() {
+            let usage = usage.entry(worker.info.service.clone()).or_default();
+            usage.capacity += worker.info.capacity;
+            usage.used += worker.used;
+        }
+        Self { workers: workers.values().map(pool_worker).collect(), racks, by_incarnation, usage }
     }
 
     /// Returns the capacity of a service's known workers and what their runs use of it.
     pub fn usage(&self, service: &str) -> Usage {
-        let mut usage = Usage::default();
-        for worker in self.workers.iter().filter(|worker| worker.service == service) {
-            usage.capacity += worker.capacity;
-            usage.used += worker.capacity;
-            usage.used -= worker.free;
-        }
-        usage
+        self.usage.get(service).copied().unwrap_or_default()
     }
 
     pub fn index_of(&self, incarnation: &str) -> Option<usize> {
@@ -179,6 +183,9 @@
         for worker in workers {
             let worker = &mut self.workers[*worker];
             worker.free -= per_member;
+            if let Some(usage) = self.usage.get_mut(&worker.service) {
+                usage.used += per_member;
+            }
             worker.is_idle = false;
             worker.occupants.add(job);
             if is_isolated {
--- a/crates/fleet/src/reserve.rs
+++ b/crates/fleet/src/reserve.rs
@@ -43,6 +43,11 @@
         self.recent.iter().map(age).filter(|(age_ms, _)| *age_ms <= RETENTION_MS).collect()
     }
 
+    /// Returns whether an urgent job arrived within the last `ms` milliseconds.
+    pub fn is_any_within(&self, now: u64, ms: u64) -> bool {
+        self.recent.back().is_some_and(|(at, _)| at + ms >= now)
+    }
+
     fn forget_old(&mut self, now: u64) {
         while self.recent.front().is_some_and(|(at, _)| at + RETENTION_MS < now) {
             self.recent.pop_front();
@@ -51,8 +56,7 @@
 
     /// Returns how many of `all` accelerators are kept free in any case; 0 without recent urgent jobs.
     pub fn min_reserve(&self, now: u64, all: i64) -> i64 {
-        let is_recent = self.recent.back().is_some_and(|(at, _)| at + RETENTION_MS >= now);
-        if is_recent { all * MIN_RESERVE_MILLI / 1_000 } else { 0 }
+        if self.is_any_within(now, RETENTION_MS) { all * MIN_RESERVE_MILLI / 1_000 } else { 0 }
     }
 
     /// Returns how many of `all` accelerators to keep free from work with enough slack; 0 without recent urgent jobs.
