Wait for one rack only while that is shorter than running on several

Callers saw gangs wait for up to 8 s for one rack alone on a service in use, and for tens of seconds in turn with other reasons, although all members fitted on several racks.

Cause: the wait for one rack didn't look at when a rack would have room: any rack that fitted when empty was reason enough.

The expected ends of what runs tell when the nearest rack has room. The gang waits while that is sooner than what it would take longer on several racks (`remote_factor` of the deployment), and never longer than that in all, since expected ends are often exceeded. The functions that choose workers out of rooms are in a file of their own.

--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -402,6 +402,7 @@
             unreported_ms: MAX_STORE_OUTAGE_MS + grant_ms + grant_ms / 50 + bounds.stop_ms,
             ended_retention_ms: 2 * bounds.ended_retention_ms,
             reclaim_ms: bounds.reclaim_ms,
+            remote_factor_milli: bounds.remote_factor_milli,
         }
     }
 }
--- a/crates/emul/src/run.rs
+++ b/crates/emul/src/run.rs
@@ -76,6 +76,7 @@
         unreported_ms: 6_000 + grant_ms + grant_ms / 50 + load.stop_ms,
         ended_retention_ms: 240_000,
         reclaim_ms: 2_900,
+        remote_factor_milli: 3_000,
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod assign;
 pub mod assignments;
 mod changes;
+pub mod choose;
 pub mod claims;
 pub mod crash;
 pub mod desired;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::admit;
+use crate::choose::{Result, can_ever_fit, find_worker_for_subtask, find_workers_for_gang};
 use crate::desired::Queue;
 use crate::job::{Job, Step, Submission};
 use crate::overload::{FairShares, Rank, Share};
@@ -347,11 +348,7 @@
     /// # Errors
     ///
     /// Returns why the unit has to wait: its members don't all fit, or should wait for a better placement.
-    fn find_workers(
-        &self,
-        pass: &mut Pass,
-        candidate: &Candidate,
-    ) -> std::result::Result<Vec<usize>, WaitReason> {
+    fn find_workers(&self, pass: &mut Pass, candidate: &Candidate) -> Result<Vec<usize>> {
         let job = self.jobs.get(&candidate.job);
         let step = job.and_then(|job| job.sub.steps.get(candidate.key.step as usize));
         let unit = job.and_then(|job| job.units.get(&candidate.key));
@@ -383,7 +380,7 @@
         step: &Step,
         unit: &Unit,
         uses_reserve: bool,
-    ) -> std::result::Result<Vec<usize>, WaitReason> {
+    ) -> Result<Vec<usize>> {
         let pool = &pass.pool;
         let mut rooms = self.available_rooms(pool, pass.now, candidate, step);
         self.drop_workers_at_limit(pool, &mut rooms, candidate, step);
@@ -416,13 +413,15 @@
         mut rooms: Vec<Room>,
         uses_reserve: bool,
         takes_any: bool,
-    ) -> std::result::Result<Vec<usize>, WaitReason> {
+    ) -> Result<Vec<usize>> {
         let pool = &pass.pool;
+        let is_patient = !takes_any && !candidate.must_start;
         let locality_wait_ms = step.estimate_ms * LOCALITY_WAIT_MILLI / 1_000;
         let wait_for_locality = !takes_any && pass.now < unit.since + locality_wait_ms;
-        let is_spread = takes_any || candidate.must_start;
+        let waits_for_rack =
+            |rooms: &[Room]| is_patient && self.is_rack_worth_waiting(pass, (step, unit), rooms);
         let choose = |rooms: &[Room]| match step.gang {
-            true => find_workers_for_gang(pool, rooms, step, wait_for_locality, is_spread),
+            true => find_workers_for_gang(pool, rooms, step, waits_for_rack),
             false => find_worker_for_subtask(pool, rooms, step, wait_for_locality),
         };
         let Some(classes) = self.queue_of(&candidate.job).and_then(|queue| self.speed_classes_of(queue))
@@ -442,7 +441,7 @@
                 return Ok(workers);
             }
             let may_wait =
-                candidate.priority == 0 && candidate.timeliness == Timeliness::InTime && !is_spread;
+                candidate.priority == 0 && candidate.timeliness == Timeliness::InTime && is_patient;
             if may_wait && can_ever_fit(pool, &sufficient, step) {
                 return Err(WaitReason::Speed);
             }
@@ -450,6 +449,18 @@
         choose(&rooms)
     }
 
+    /// Returns whether a gang that fits on several racks is done sooner on one that has room later. Expected ends are
+    /// often exceeded, so it never waits for longer than running on several racks costs.
+    fn is_rack_worth_waiting(&self, pass: &Pass, (step, unit): (&Step, &Unit), rooms: &[Room]) -> bool {
+        let spread_cost_ms = step.estimate_ms * self.timing.remote_factor_milli.saturating_sub(1_000) / 1_000;
+        let left_ms = spread_cost_ms.saturating_sub(pass.now.saturating_sub(unit.since));
+        if left_ms == 0 {
+            return false;
+        }
+        let nearest = pass.releases(self).earliest_rack(&pass.pool, rooms, &Need::new(step, step.count));
+        nearest.is_some_and(|(_, outlook)| outlook.due_ms < left_ms)
+    }
+
     /// Returns whether a unit that can still wait would use accelerators that are reserved for urgent jobs.
     pub(crate) fn would_use_reserve(&self, pass: &Pass, candidate: &Candidate, step: &Step) -> bool {
         if candidate.priority == 0 || pass.wall + RESERVE_ACCESS_LEAD_MS >= candidate.latest_start {
@@ -544,84 +555,3 @@
 pub fn peak_accelerators(sub: &Submission) -> i64 {
     sub.steps.iter().map(|step| step.resources.accelerators * i64::from(step.count)).max().unwrap_or(0)
 }
-
-/// Returns whether a step's unit would fit on the given workers if they were empty, within one rack if it prefers that.
-fn can_ever_fit(pool: &Pool, rooms: &[Room], step: &Step) -> bool {
-    let need = Need::new(step, if step.gang { step.count } else { 1 });
-    let mut by_rack: Vec<Vec<Room>> =
-        vec![Vec::new(); if step.prefers_one_rack { pool.rack_count() } else { 1 }];
-    for room in rooms {
-        let rack = if step.prefers_one_rack { pool.workers[room.worker].rack } else { 0 };
-        by_rack[rack].push(Room { free: pool.workers[room.worker].capacity, ..*room });
-    }
-    by_rack.iter().any(|rooms| need.fits(rooms))
-}
-
-fn find_worker_for_subtask(
-    pool: &Pool,
-    rooms: &[Room],
-    step: &Step,
-    wait_for_locality: bool,
-) -> std::result::Result<Vec<usize>, WaitReason> {
-    let need = step.reserved();
-    let near = |room: &Room| {
-        step.preferred_rack.as_deref().is_none_or(|rack| pool.workers[room.worker].has_label(rack))
-    };
-    let fits = rooms.iter().filter(|room| room.free.can_fit(&need));
-    let order =
-        |room: &&Room| (!near(room), room.rank, fit_order(room, &need, pool.workers[room.worker].is_idle));
-    let Some(best) = fits.min_by_key(order) else { return Err(WaitReason::Resources) };
-    // Waiting is pointless if no available worker is on the preferred rack.
-    if wait_for_locality && !near(best) && rooms.iter().any(near) {
-        return Err(WaitReason::Rack);
-    }
-    Ok(vec![best.worker])
-}
-
-/// Returns a sort key: the resources that would remain free, accelerators first. The tightest fit leaves whole workers
-/// free; a step without accelerators prefers workers that are in use.
-fn fit_order(room: &Room, need: &Resources, is_idle: bool) -> (i64, i64) {
-    let mut remaining = room.free;
-    remaining -= *need;
-    match need.accelerators {
-        0 => (remaining.accelerators + i64::from(is_idle), remaining.millicores),
-        _ => (remaining.accelerators, remaining.millicores),
-    }
-}
-
-fn find_workers_for_gang(
-    pool: &Pool,
-    rooms: &[Room],
-    step: &Step,
-    wait_for_locality: bool,
-    is_spread: bool,
-) -> std::result::Result<Vec<usize>, WaitReason> {
-    let need = Need::new(step, step.count);
-    if !need.fits(rooms) {
-        return Err(WaitReason::Resources);
-    }
-    let mut racks: Vec<Vec<Room>> = vec![Vec::new(); pool.rack_count()];
-    for room in rooms {
-        racks[pool.workers[room.worker].rack].push(*room);
-    }
-    let near = |rack: usize| {
-        step.preferred_rack.as_deref().is_none_or(|preferred| preferred == pool.rack_name(rack))
-    };
-    let fitting = racks.iter().enumerate().filter(|(_, rooms)| !rooms.is_empty() && need.fits(rooms));
-    let best = fitting.min_by_key(|(rack, rooms)| {
-        let rest: i64 = rooms.iter().map(|room| room.free.accelerators).sum();
-        (!near(*rack), need.rank_of_assigned(rooms), rest)
-    });
-    if let Some(workers) = best.and_then(|(_, rooms)| need.assign(rooms)) {
-        return Ok(workers);
-    }
-    let Some(workers) = need.assign(rooms) else { return Err(WaitReason::Resources) };
-    let fits_when_empty = |rooms: &Vec<Room>| {
-        let capacity = |room: &Room| Room { free: pool.workers[room.worker].capacity, ..*room };
-        need.fits(&rooms.iter().map(capacity).collect::<Vec<_>>())
-    };
-    if step.prefers_one_rack && !is_spread && (wait_for_locality || racks.iter().any(fits_when_empty)) {
-        return Err(WaitReason::Rack);
-    }
-    Ok(workers)
-}
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -34,7 +34,7 @@
 /// often.
 const DELAYED_AFTER_MS: u64 = 500;
 
-/// Deployment-specific durations, in milliseconds.
+/// Deployment-specific durations, in milliseconds, and factors.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
     /// Time for which an agent may renew its worker's lease after sending a report.
@@ -47,6 +47,8 @@
     pub ended_retention_ms: u64,
     /// Maximum time until an urgent job covered by a guarantee starts.
     pub reclaim_ms: u64,
+    /// Factor by which runs take longer on other racks than the preferred ones, in thousandths.
+    pub remote_factor_milli: u64,
 }
 
 /// Result of a submission.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -16,6 +16,7 @@
     unreported_ms: 11_000,
     ended_retention_ms: 240_000,
     reclaim_ms: 2_900,
+    remote_factor_milli: 3_000,
 };
 
 pub fn queue(name: &str, priority: u32) -> Queue {
--- a/crates/fleet/tests/starvation.rs
+++ b/crates/fleet/tests/starvation.rs
@@ -77,6 +77,42 @@
     assert!(waited_ms.is_some(), "waits for a rack although eight workers are idle");
 }
 
+/// Guards against a gang that waits for one rack for longer than running on several costs, on a service in use.
+#[yare::parameterized(
+    soon = { 3_000, true },
+    late = { 40_000, false },
+)]
+fn gang_waits_for_a_rack_only_while_that_pays(busy_ms: u64, waits: bool) {
+    // Four workers of each rack of six are occupied by most of their resources, so a gang of three fits on two racks.
+    let mut fleet = Fleet::new(12);
+    for (at, report) in fleet.reports.iter_mut().enumerate() {
+        report.worker.as_mut().unwrap().labels = vec!["a".to_owned(), format!("r{}", at / 6)];
+    }
+    for at in [0, 1, 2, 3, 6, 7, 8, 9] {
+        let resources = Resources::new(120_000, 250_000, 7);
+        let job = Step { resources, ..narrow(if at == 0 { busy_ms } else { 60_000 }) };
+        occupy(&mut fleet, at, job);
+    }
+    let began = fleet.now;
+    fleet.submit(GANG, "plain", vec![one_rack_gang(3)]);
+    let mut placed: Vec<usize> = Vec::new();
+    while placed.is_empty() && fleet.now < began + 30_000 {
+        if fleet.now >= began + busy_ms {
+            fleet.end_runs(&format!("{:016x}", 0), EndReason::Done);
+        }
+        let assignments = fleet.advance(100);
+        fleet.mark_running(&assignments);
+        let is_gang = |assigned: &&Assignments| assigned.starts.iter().any(|start| start.task.job == GANG);
+        let workers =
+            assignments.iter().filter(is_gang).map(|assigned| assigned.incarnation[1..].parse().unwrap());
+        placed = workers.collect();
+    }
+    let waited_ms = fleet.now - began;
+    assert_eq!(placed.len(), 3, "not started after {waited_ms} ms");
+    let is_on_one_rack = placed.iter().all(|at| at / 6 == placed[0] / 6);
+    assert_eq!((is_on_one_rack, waited_ms > 1_000), (waits, waits), "on {placed:?} after {waited_ms} ms");
+}
+
 /// Guards against a subtask that waits for its rack while other racks are idle.
 #[test]
 fn subtask_near_a_busy_rack_starts_beside_idle_workers() {
