Hold workers for the wide unit that has waited longest

Cause: nothing was kept together for a unit that needs much at the same time. What came free went to the next unit that fitted, and a claim lasts only while runs are being stopped. A job without value left ranks last for ever.

The wide unit of a service that has waited longest, for its own estimate within 3 to 60 s, gets workers and the time at which the runs there are expected to have ended. Until then work goes there only if it ends before or fits beside it; guaranteed work ignores the hold, and urgent work uses these workers last. Once it is due, the unit may use the urgent reserve. A hold ends with its start, or two seconds after it was due, and `event=workers_held` shows it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod digest;
 pub mod forecast;
 pub mod forecast_errors;
+pub mod hold;
 pub mod incarnation;
 pub mod job;
 pub mod leaving;
--- a/crates/fleet/src/outlook.rs
+++ b/crates/fleet/src/outlook.rs
@@ -47,6 +47,15 @@
         Self { by_worker: pool.workers.iter().map(releases).collect() }
     }
 
+    /// Returns what a worker's runs release within the next `ms` milliseconds.
+    pub fn released_within(&self, worker: usize, ms: u64) -> Resources {
+        let mut released = Resources::default();
+        for release in self.by_worker[worker].iter().filter(|release| release.in_ms <= ms) {
+            released += release.resources;
+        }
+        released
+    }
+
     /// Returns when a need is first met by the given workers; `None` if it isn't even once all runs there have ended that
     /// have an end.
     pub fn earliest_fit(&self, rooms: &[Room], need: &Need) -> Option<Outlook> {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -12,7 +12,7 @@
 use crate::overload::{FairShares, Rank, Share};
 use crate::pass::Pass;
 use crate::planner::Planner;
-use crate::pool::{Need, Pool, PoolWorker, Room, Usage};
+use crate::pool::{Held, Need, Pool, PoolWorker, Room, Usage};
 use crate::preempt;
 use crate::reserve::UrgentArrivals;
 use crate::resources::Resources;
@@ -39,6 +39,9 @@
 /// Time without urgent jobs after which the reserve waits no longer for more of the same burst, in milliseconds.
 const URGENT_PAUSE_MS: u64 = 5_000;
 
+/// Added to the rank of a worker that is held for another unit: urgent work uses it if no other has room.
+const HELD_RANK: u8 = 100;
+
 /// A waiting unit with the values that determine its rank.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -101,6 +104,7 @@
             return;
         }
         let mut pass = Pass::new(self, now, wall);
+        self.renew_holds(&mut pass, &candidates);
         for candidate in &candidates {
             let (name, key) = (&candidate.job, candidate.key);
             match self.find_workers(&mut pass, candidate) {
@@ -126,6 +130,9 @@
         let reserved = job.and_then(|job| job.sub.steps.get(key.step as usize)).map(Step::reserved);
         let is_isolated = job.and_then(|job| job.units.get(&key)).is_some_and(Unit::must_run_alone);
         pass.pool.place(workers, reserved.unwrap_or_default(), name, is_isolated);
+        if let Some(service) = self.queue_of(name).map(|queue| queue.service.clone()) {
+            self.holds.remove(&service, name, key);
+        }
         self.place_unit(pass.now, name, key, &pass.pool.incarnations(workers));
     }
 
@@ -323,10 +330,19 @@
         });
         let classes = self.speed_classes_of(queue);
         let is_urgent = candidate.priority == 0;
-        let room = |(at, worker): (usize, &PoolWorker)| Room {
-            worker: at,
-            free: worker.unclaimed(candidate.guaranteed),
-            rank: classes.map_or(0, |classes| classes.rank(worker.speed_milli, is_urgent)),
+        let is_kept_from_it = |held: &&Held| {
+            let ends_before = !step.long_running && now + step.estimate_ms <= held.due_at;
+            !candidate.guaranteed && !ends_before && (&held.job, held.key) != (&candidate.job, candidate.key)
+        };
+        let room = |(at, worker): (usize, &PoolWorker)| {
+            let mut free = worker.unclaimed(candidate.guaranteed);
+            let mut rank = classes.map_or(0, |classes| classes.rank(worker.speed_milli, is_urgent));
+            match worker.held.as_ref().filter(is_kept_from_it) {
+                Some(_) if is_urgent => rank += HELD_RANK,
+                Some(held) => free = free.min_each(&held.spare),
+                None => (),
+            }
+            Room { worker: at, free, rank }
         };
         let mut rooms: Vec<Room> = accepting.map(room).collect();
         // The unit's own claim doesn't count against it.
@@ -449,11 +465,15 @@
         choose(&rooms)
     }
 
+    /// Returns how much longer a gang that prefers one rack takes on several, in milliseconds.
+    pub(crate) fn spread_cost_ms(&self, step: &Step) -> u64 {
+        step.estimate_ms * self.timing.remote_factor_milli.saturating_sub(1_000) / 1_000
+    }
+
     /// Returns whether a gang that fits on several racks is done sooner on one that has room later. Expected ends are
     /// often exceeded, so it never waits for longer than running on several racks costs.
     fn is_rack_worth_waiting(&self, pass: &Pass, (step, unit): (&Step, &Unit), rooms: &[Room]) -> bool {
-        let spread_cost_ms = step.estimate_ms * self.timing.remote_factor_milli.saturating_sub(1_000) / 1_000;
-        let left_ms = spread_cost_ms.saturating_sub(pass.now.saturating_sub(unit.since));
+        let left_ms = self.spread_cost_ms(step).saturating_sub(pass.now.saturating_sub(unit.since));
         if left_ms == 0 {
             return false;
         }
@@ -468,6 +488,9 @@
         }
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
         let Some(arrivals) = self.urgent_arrivals.get(&queue.service) else { return false };
+        if self.holds.is_due(&queue.service, &candidate.job, candidate.key, pass.now) {
+            return false;
+        }
         if self.may_use_idle_reserve(pass, candidate, step, arrivals) {
             return false;
         }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -13,6 +13,7 @@
 use crate::crash::Crashes;
 use crate::desired::{Desired, Queue};
 use crate::forecast_errors::ForecastErrors;
+use crate::hold::Holds;
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
 use crate::place::peak_accelerators;
@@ -95,6 +96,7 @@
     pub(crate) jobs: BTreeMap<String, Job>,
     pub(crate) workers: BTreeMap<String, Worker>,
     pub(crate) claims: Claims,
+    pub(crate) holds: Holds,
     pub(crate) approvals: Approvals,
     pub(crate) mean_work: BTreeMap<String, MeanWork>,
     /// Outcomes of jobs that preempted others, by queue.
@@ -174,6 +176,7 @@
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             workers: BTreeMap::new(),
             claims: Claims::default(),
+            holds: Holds::default(),
             approvals: Approvals::default(),
             mean_work: BTreeMap::new(),
             preemption_outcomes: BTreeMap::new(),
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -8,6 +8,7 @@
 use crate::job::Step;
 use crate::planner::MAX_REPORT_AGE_MS;
 use crate::resources::Resources;
+use crate::unit::UnitKey;
 use crate::worker::Worker;
 
 /// Jobs with runs on a worker.
@@ -28,6 +29,17 @@
     }
 }
 
+/// Resources of a worker that are kept for a unit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    pub job: String,
+    pub key: UnitKey,
+    /// When the unit is expected to start, on the monotonic clock.
+    pub due_at: u64,
+    /// What is left for runs that end later; negative where runs that are there already end later.
+    pub spare: Resources,
+}
+
 /// A worker during a pass.
 #[derive(Clone, Debug)]
 pub struct PoolWorker {
@@ -48,6 +60,8 @@
     isolated_for: Option<String>,
     /// Whether runs may be placed on it.
     pub is_usable: bool,
+    /// What is kept for a wide unit.
+    pub held: Option<Held>,
     /// Resources that waiting units claim.
     claimed: Resources,
     /// The part of it that guaranteed units claim.
@@ -143,6 +157,7 @@
             occupants: occupants(worker),
             isolated_for: isolated.get(worker.info.incarnation.as_str()).map(|job| (*job).to_owned()),
             is_usable: is_usable(worker, now) && !evacuated.contains(&worker.info.domain),
+            held: None,
             claimed: Resources::default(),
             claimed_by_guaranteed: Resources::default(),
         };
@@ -186,6 +201,9 @@
             if let Some(usage) = self.usage.get_mut(&worker.service) {
                 usage.used += per_member;
             }
+            if let Some(held) = &mut worker.held {
+                held.spare -= per_member;
+            }
             worker.is_idle = false;
             worker.occupants.add(job);
             if is_isolated {
--- a/crates/fleet/src/resources.rs
+++ b/crates/fleet/src/resources.rs
@@ -43,6 +43,15 @@
             .min(each(self.accelerators, other.accelerators))
     }
 
+    /// Returns the smaller amount of each resource.
+    pub fn min_each(&self, other: &Self) -> Self {
+        Self::new(
+            self.millicores.min(other.millicores),
+            self.memory_mb.min(other.memory_mb),
+            self.accelerators.min(other.accelerators),
+        )
+    }
+
     /// Returns whether no resource is negative.
     pub fn is_non_negative(&self) -> bool {
         self.millicores >= 0 && self.memory_mb >= 0 && self.accelerators >= 0
