Check in the emulator that work starts beside idle workers and under narrow work

Callers saw a gang wait with nothing running while most of the workers' room was free.

The check: an accepted, not cancelled job with nothing running and a subtask whose turn has come has to start within 3 s while its unit fits twice on reachable workers that neither drain nor fail, and less than half of each of their resources is in use. It reads the workers' real runs; only what ended is taken from the state that callers see. The wait is counted anew after each fault, or its end where it lasts. The message has the planner's own explanation of the job.

Two loads: `wide` (gangs of 4 to 40 members of uneven memory that prefer one rack, beside urgent and narrow jobs, long and failing runs and workers that leave) and `steady` (one such gang at a time while single subtasks keep about four fifths of the memory in use). The table has the longest wait of each kind before its first start.

The bound under steady narrow work: what runs on the workers that a gang is given ends within the longest narrow run, a gang may try for as long as its own estimate whether it finds a better place, and it starts at most 3 s after there is room. It counts from when no earlier gang waits or runs, since those may go first. It doesn't follow from measurements.

--- a/crates/emul/src/args.rs
+++ b/crates/emul/src/args.rs
@@ -12,10 +12,10 @@
   sorrelland-emul [OPTIONS]
 
 Options:
-  --load NAME       hpms, cmsc, uneven or bursty (default hpms)
+  --load NAME       hpms, cmsc, uneven, bursty, wide or steady (default hpms)
   --seed N          first seed (default 1)
   --seeds N         number of seeds (default 20)
-  --workers N       workers (default 11; uneven 55, bursty 66)
+  --workers N       workers (default 11; uneven 55, bursty 66, wide and steady 48)
   --seconds N       time with arrivals (default 60)
   --rate X          multiple of the load's rates (default 1)
   --faults X        faults a minute (default 0)
--- a/crates/emul/src/cluster.rs
+++ b/crates/emul/src/cluster.rs
@@ -6,7 +6,7 @@
 use sorrelland_fleet::report::{End, EndReason, NotStarted, Report, Running, WorkerInfo};
 use sorrelland_fleet::{Resources, Task};
 
-use crate::check::History;
+use crate::check::{History, WorkerRoom};
 use crate::load::{HiddenProperties, JobGenerator, Load};
 
 /// Time after which a member of an incomplete gang ends.
@@ -55,6 +55,8 @@
     pub broken: bool,
     /// Whether the worker accepts no new runs.
     pub draining: bool,
+    /// Time at which the worker shuts down and a new incarnation starts, in milliseconds.
+    leaves_at_ms: Option<u64>,
     seq: u64,
     lease_end_ms: u64,
     runs: BTreeMap<RunKey, Run>,
@@ -70,6 +72,16 @@
     fn incarnation_name(&self) -> String {
         format!("w{}-{}", self.position, self.incarnation_number)
     }
+
+    /// Returns the resources of its runs.
+    fn used(&self, jobs: &JobTable<'_>) -> Resources {
+        self.runs.keys().fold(Resources::default(), |mut used, (task, _)| {
+            if let Some(step) = jobs.step(task) {
+                used += step.reserved();
+            }
+            used
+        })
+    }
 }
 
 /// All emulated workers.
@@ -125,6 +137,7 @@
             cut_off_until_ms: 0,
             broken: false,
             draining: false,
+            leaves_at_ms: None,
             seq: 0,
             lease_end_ms: 0,
             runs: BTreeMap::new(),
@@ -160,6 +173,40 @@
         node.last_end = 0;
     }
 
+    /// Lets a worker drain and shut down after `notice_ms`; a new incarnation follows at once.
+    pub fn announce_departure(&mut self, now_ms: u64, position: usize, notice_ms: u64) {
+        let node = &mut self.nodes[position];
+        node.draining = true;
+        node.leaves_at_ms.get_or_insert(now_ms + notice_ms);
+    }
+
+    /// Replaces the workers whose time to shut down has come.
+    pub fn replace_departed(&mut self, now_ms: u64, history: &mut History) {
+        for position in 0..self.nodes.len() {
+            if self.nodes[position].leaves_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                self.nodes[position].leaves_at_ms = None;
+                self.nodes[position].draining = false;
+                self.crash(now_ms, position, history);
+            }
+        }
+    }
+
+    /// Returns the resources of the workers that can run subtasks: reachable, not draining and not broken.
+    pub fn rooms(&self, now_ms: u64, jobs: &JobTable<'_>) -> Vec<WorkerRoom> {
+        let is_usable = |node: &&Node| node.cut_off_until_ms <= now_ms && !node.draining && !node.broken;
+        let room = |node: &Node| {
+            let mut free = node.capacity;
+            free -= node.used(jobs);
+            WorkerRoom { capacity: node.capacity, free }
+        };
+        self.nodes.iter().filter(is_usable).map(room).collect()
+    }
+
+    /// Returns the jobs with runs on any worker.
+    pub fn running_jobs(&self) -> BTreeSet<&str> {
+        self.nodes.iter().flat_map(|node| node.runs.keys()).map(|(task, _)| task.job.as_str()).collect()
+    }
+
     /// Returns the next report of an agent; `None` while it is cut off.
     pub fn report(&mut self, now_ms: u64, position: usize) -> Option<Report> {
         let node = &mut self.nodes[position];
@@ -191,7 +238,7 @@
                 labels: vec!["a".to_owned(), node.rack.clone()],
                 capacity: node.capacity,
                 draining: node.draining,
-                remaining_ms: None,
+                remaining_ms: node.leaves_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
             }),
             running: running.collect(),
             ended: node.ended.clone(),
@@ -267,12 +314,7 @@
             node.runs.insert(key, run);
             history.record_start(now_ms, &start.task, start.run);
         }
-        let used = node.runs.keys().fold(Resources::default(), |mut used, (task, _)| {
-            if let Some(step) = jobs.steps.get(&task.job).and_then(|steps| steps.get(task.step as usize)) {
-                used += step.reserved();
-            }
-            used
-        });
+        let used = node.used(jobs);
         history.check_capacity(now_ms, &node.incarnation_name(), &node.capacity, &used);
     }
 
--- a/crates/emul/src/load.rs
+++ b/crates/emul/src/load.rs
@@ -46,6 +46,10 @@
     pub memory_range_mb: Option<(i64, i64)>,
     /// Largest relative difference of a subtask's work from that of its step.
     pub work_spread: f64,
+    /// Range of the number of subtasks, the small ones more often; `None` for a number around `subtasks`.
+    pub subtask_range: Option<(u32, u32)>,
+    /// Share of the gangs that prefer one rack.
+    pub one_rack_share: f64,
 }
 
 /// Load of a deployment.
@@ -72,6 +76,8 @@
     pub long_runs: Option<LongRuns>,
     /// Periods with more arrivals; `None` for none.
     pub bursts: Option<Bursts>,
+    /// Workers that leave while jobs arrive; `None` for none.
+    pub departures: Option<Departures>,
     /// Number of client accounts.
     pub accounts: u32,
     /// Exponent of the accounts' shares of the jobs: the k-th account has a share proportional to k to the power of its
@@ -79,6 +85,17 @@
     pub account_skew: f64,
 }
 
+impl Load {
+    /// Returns the longest time that a run of a kind takes on the slowest worker, apart from long runs and from slowdowns
+    /// across racks, in milliseconds.
+    pub fn longest_run_ms(&self, kind: usize) -> u64 {
+        let slowest = self.speeds.iter().copied().fold(f64::INFINITY, f64::min);
+        let kind = &self.kinds[kind];
+        let work_ms = (kind.work_ms * (1.0 + WORK_SPREAD) * MAX_TAIL_FACTOR).min(MAX_WORK_MS);
+        (work_ms * (1.0 + kind.work_spread) / slowest) as u64
+    }
+}
+
 /// Runs that take a multiple of their subtask's work.
 #[derive(Clone, Copy, Debug)]
 pub struct LongRuns {
@@ -99,14 +116,34 @@
     pub factor: f64,
 }
 
+/// Workers that drain and shut down one after the other, each replaced by a new incarnation.
+#[derive(Clone, Copy, Debug)]
+pub struct Departures {
+    /// Time from one announcement to the next, in milliseconds.
+    pub period_ms: u64,
+    /// Time from the announcement until the worker shuts down, in milliseconds.
+    pub notice_ms: u64,
+}
+
 /// Share and multiple of long runs that the planning service and the member desk have seen.
 const LONG_RUNS: LongRuns = LongRuns { share: 1.0 / 30.0, factor: 7.0 };
 
+/// Longest work of a step's subtasks, in milliseconds at speed 1.
+const MAX_WORK_MS: f64 = 11_000.0;
+
+/// Largest relative difference of a job's work from its kind's mean, before the long tail.
+const WORK_SPREAD: f64 = 0.5;
+
+/// Largest factor of the long tail of drawn values.
+const MAX_TAIL_FACTOR: f64 = 1.4;
+
 /// Numbers of accelerators of a subtask; 8 is drawn twice as often as each of the others.
 const ACCELERATOR_COUNTS: &[i64] = &[1, 2, 4, 8, 8];
 
 /// Returns the load of the deployment `hpms` or `cmsc`, or a synthetic one: `uneven` has workers of three speeds and long
-/// runs, `bursty` has bursts of a few large accounts that exhaust the memory.
+/// runs, `bursty` has bursts of a few large accounts that exhaust the memory, `wide` and `steady` have gangs of up to 40
+/// members beside narrow work: `wide` with urgent work, failing runs and workers that leave, `steady` with one gang at a
+/// time.
 pub fn by_name(name: &str) -> Option<Load> {
     let reprice = JobKind {
         name: "reprice",
@@ -128,6 +165,8 @@
         max_attempts: 4,
         memory_range_mb: None,
         work_spread: 0.0,
+        subtask_range: None,
+        one_rack_share: 0.7,
     };
     let window = JobKind {
         name: "window",
@@ -148,6 +187,8 @@
         max_attempts: 2,
         memory_range_mb: None,
         work_spread: 0.0,
+        subtask_range: None,
+        one_rack_share: 0.7,
         accelerators: ACCELERATOR_COUNTS,
     };
     let spares = JobKind {
@@ -170,6 +211,8 @@
         max_attempts: 4,
         memory_range_mb: None,
         work_spread: 0.0,
+        subtask_range: None,
+        one_rack_share: 0.7,
     };
     let load = Load {
         name: "hpms",
@@ -183,6 +226,7 @@
         reports_progress: false,
         long_runs: None,
         bursts: None,
+        departures: None,
         accounts: 4,
         account_skew: 0.0,
     };
@@ -275,10 +319,71 @@
                 ..load
             })
         }
+        "wide" => {
+            let departures = Some(Departures { period_ms: 10_000, notice_ms: 3_000 });
+            Some(Load { name: "wide", departures, ..with_wide_gangs([reprice, window, spares], load) })
+        }
+        "steady" => {
+            let mut load = Load { name: "steady", ..with_wide_gangs([reprice, window, spares], load) };
+            for kind in &mut load.kinds {
+                (kind.failure_share, kind.always_failing_share, kind.cancelled_share) = (0.0, 0.0, 0.0);
+            }
+            load.kinds[0].arrivals_per_s = 1.0 / 40.0;
+            load.kinds[1].arrivals_per_s = 0.0;
+            load.kinds[2].arrivals_per_s = 2.0;
+            load.long_runs = None;
+            Some(load)
+        }
         _ => None,
     }
 }
 
+/// Returns a load of gangs that prefer one rack of six workers, of urgent narrow jobs and of single subtasks, which keep
+/// about two thirds of the memory in use. A member of the largest gangs needs over half of a worker's memory and few of
+/// its cores. The kinds derive from `kinds`.
+fn with_wide_gangs([gang, urgent, single]: [JobKind; 3], load: Load) -> Load {
+    let gang = JobKind {
+        name: "wide",
+        arrivals_per_s: 0.2,
+        cpu_memory: (6_000, 0),
+        memory_range_mb: Some((20_000, 72_000)),
+        accelerators: &[1],
+        gang_share: 1.0,
+        one_rack_share: 1.0,
+        subtask_range: Some((4, 40)),
+        ..gang
+    };
+    let urgent = JobKind {
+        name: "urgent",
+        arrivals_per_s: 0.3,
+        cpu_memory: (4_000, 24_000),
+        accelerators: &[1],
+        ..urgent
+    };
+    let narrow = JobKind {
+        name: "narrow",
+        arrivals_per_s: 1.6,
+        cpu_memory: (4_000, 0),
+        memory_range_mb: Some((15_000, 60_000)),
+        accelerators: &[0, 1],
+        work_spread: 0.3,
+        ..single
+    };
+    Load {
+        kinds: vec![gang, urgent, narrow],
+        workers: 48,
+        workers_per_rack: 6,
+        speeds: &[1.0, 1.3],
+        capacity: Resources::new(64_000, 131_072, 8),
+        gangs_at_slowest: true,
+        reports_progress: true,
+        long_runs: Some(LONG_RUNS),
+        accounts: 6,
+        account_skew: 1.2,
+        ..load
+    }
+}
+
 /// Properties of a job that are hidden from the planner.
 #[derive(Clone, Debug)]
 pub struct HiddenProperties {
@@ -350,10 +455,16 @@
     pub fn generate_job(&mut self, load: &Load, kind: usize) -> (Submission, HiddenProperties) {
         self.last_job += 1;
         let params = &load.kinds[kind];
-        let count = self.draw_around(params.subtasks, 0.8, params.subtasks * 6.0).round().max(1.0) as u32;
+        let count = match params.subtask_range {
+            Some((low, high)) => {
+                let (low, high) = (f64::from(low), f64::from(high));
+                (low * (high / low).powf(self.draw_uniform())).round() as u32
+            }
+            None => self.draw_around(params.subtasks, 0.8, params.subtasks * 6.0).round().max(1.0) as u32,
+        };
         let gang = self.draw_uniform() < params.gang_share && count > 1;
         let choice = self.rng.random_range(0..params.accelerators.len());
-        let work_ms = self.draw_around(params.work_ms, 0.5, 11_000.0).max(300.0);
+        let work_ms = self.draw_around(params.work_ms, WORK_SPREAD, MAX_WORK_MS).max(300.0);
         let estimate_ratio = 1.0 + params.estimate_error * (2.0 * self.draw_uniform() - 1.0);
         let memory_mb = match params.memory_range_mb {
             Some((low, high)) => self.rng.random_range(low..=high),
@@ -365,7 +476,7 @@
             estimate_ms: (work_ms * estimate_ratio).max(100.0) as u64,
             saves_progress: self.draw_uniform() < params.saving_share,
             gang,
-            prefers_one_rack: gang && self.draw_uniform() < 0.7,
+            prefers_one_rack: gang && self.draw_uniform() < params.one_rack_share,
             ..Step::default()
         };
         let has_second_step = params.priority == 2 && self.draw_uniform() < 0.3;
--- a/crates/emul/src/measure.rs
+++ b/crates/emul/src/measure.rs
@@ -13,6 +13,9 @@
     pub late: u32,
     /// Jobs that were refused until the caller gave up.
     pub refused: u32,
+    /// Longest time from the acceptance of a job to its first start, or to the end of the run if nothing of it started,
+    /// in milliseconds.
+    pub longest_wait_ms: u64,
     /// Value achieved, and value possible if every job ended in time.
     pub value: (f64, f64),
 }
@@ -41,8 +44,10 @@
 
 /// Returns a table of the outcomes of several runs of a load.
 pub fn table(load: &Load, measures: &[Measure]) -> String {
-    let mut text =
-        format!("{:<10}{:>8}{:>9}{:>7}{:>9}{:>8}\n", "kind", "owed", "in time", "late", "refused", "served");
+    let mut text = format!(
+        "{:<10}{:>8}{:>9}{:>7}{:>9}{:>8}{:>14}\n",
+        "kind", "owed", "in time", "late", "refused", "served", "longest wait"
+    );
     for (i, kind) in load.kinds.iter().enumerate() {
         let sum =
             measures.iter().map(|measure| measure.kinds[i]).fold(Totals::default(), |sum, kind| Totals {
@@ -50,12 +55,18 @@
                 in_time: sum.in_time + kind.in_time,
                 late: sum.late + kind.late,
                 refused: sum.refused + kind.refused,
+                longest_wait_ms: sum.longest_wait_ms.max(kind.longest_wait_ms),
                 value: (sum.value.0 + kind.value.0, sum.value.1 + kind.value.1),
             });
         let served = sum.value.0 / sum.value.1.max(1e-9);
         text += &format!(
-            "{:<10}{:>8}{:>9}{:>7}{:>9}{served:>8.3}\n",
-            kind.name, sum.uncancelled, sum.in_time, sum.late, sum.refused
+            "{:<10}{:>8}{:>9}{:>7}{:>9}{served:>8.3}{:>12.1} s\n",
+            kind.name,
+            sum.uncancelled,
+            sum.in_time,
+            sum.late,
+            sum.refused,
+            sum.longest_wait_ms as f64 / 1_000.0
         );
     }
     let mean = measures.iter().map(Measure::served_share).sum::<f64>() / measures.len().max(1) as f64;
--- a/crates/emul/src/run.rs
+++ b/crates/emul/src/run.rs
@@ -6,9 +6,10 @@
 use sorrelland_fleet::desired::{Account, Desired, Queue, Service};
 use sorrelland_fleet::job::{JobState, Outcome, Step};
 use sorrelland_fleet::planner::{Admission, Planner, Timing};
+use sorrelland_fleet::view::Query;
 use sorrelland_fleet::{Submission, Task};
 
-use crate::check::History;
+use crate::check::{History, StartBound};
 use crate::cluster::{Cluster, JobTable};
 use crate::forecast::{Errors, Observer};
 use crate::load::{HiddenProperties, JobGenerator, Load};
@@ -27,6 +28,15 @@
 /// Time after the last arrival in which jobs may still end.
 const DRAIN_MS: u64 = 60_000;
 
+/// Time from the loss of the planner until the next one works, in milliseconds.
+const TAKEOVER_MS: u64 = 2_000;
+
+/// Duration of a store outage, in milliseconds.
+const OUTAGE_MS: u64 = 4_000;
+
+/// Time for which an agent is cut off, in milliseconds.
+const CUT_MS: u64 = 5_500;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -52,10 +62,29 @@
     pub forecast_errors: Option<Errors>,
     /// Violated invariants.
     pub violations: Vec<String>,
+    /// Violations of the bound for the start of jobs beside ample free room.
+    pub late_starts: Vec<String>,
     /// Total number of starts of runs on workers.
     pub starts: u64,
     /// Accepted jobs that had not ended by the end of the run.
     pub unended: Vec<String>,
+    /// First starts of the gangs whose members don't all fit on one worker, in order of acceptance.
+    pub gang_starts: Vec<GangStart>,
+}
+
+/// When a gang was first started.
+#[derive(Clone, Debug)]
+pub struct GangStart {
+    pub job: String,
+    pub members: u32,
+    /// Time of the job's acceptance, in milliseconds.
+    pub accepted_ms: u64,
+    /// Time of its first start, in milliseconds; `None` if it was never started.
+    pub started_ms: Option<u64>,
+    /// Time of its end, in milliseconds; `None` if it had not ended by the end of the run.
+    pub ended_ms: Option<u64>,
+    /// Estimated duration of its members, in milliseconds.
+    pub estimate_ms: u64,
 }
 
 struct Caller {
@@ -64,8 +93,28 @@
     first_ms: u64,
     next_ms: u64,
     attempts: u32,
+    /// Whether the caller has learned that its job was accepted.
     accepted: bool,
+    /// Time at which the job was accepted, in milliseconds.
+    accepted_ms: Option<u64>,
     ended: bool,
+    /// Time at which the caller learned that the job had ended, in milliseconds.
+    ended_ms: u64,
+}
+
+impl Caller {
+    /// Returns whether the caller has cancelled its job by `now_ms`.
+    fn has_cancelled(&self, now_ms: u64) -> bool {
+        self.hidden.cancel_after_ms.is_some_and(|after| now_ms >= self.first_ms + after)
+    }
+}
+
+/// A fault that was injected.
+struct Fault {
+    /// Time until which it lasts, in milliseconds.
+    until_ms: u64,
+    /// Whether the planner has to be replaced.
+    planner_killed: bool,
 }
 
 fn timing(load: &Load) -> Timing {
@@ -118,21 +167,30 @@
     let failure_shares: Vec<f64> = load.kinds.iter().map(|kind| kind.failure_share).collect();
     let mut measure = Measure::new(load);
     let mut observer = load.reports_progress.then(Observer::default);
+    let mut start_bound = StartBound::default();
     let mut planner_start_ms = 0;
     let mut now_ms = STEP_MS;
     while now_ms < setup.length_ms + DRAIN_MS {
         if now_ms < setup.length_ms {
             let probability = setup.faults_per_min * STEP_MS as f64 / 60_000.0;
             if generator.draw_uniform() < probability {
-                let planner_killed =
-                    inject_fault(now_ms, &mut generator, &mut cluster, &mut store, &mut history);
-                if planner_killed {
+                let fault = inject_fault(now_ms, &mut generator, &mut cluster, &mut store, &mut history);
+                start_bound.record_fault(fault.until_ms);
+                if fault.planner_killed {
                     planner = Planner::new(timing(load), desired.clone(), store.fence_and_recover(), now_ms);
-                    planner_start_ms = now_ms + 2_000;
+                    planner_start_ms = fault.until_ms;
                     observer.iter_mut().for_each(Observer::restart);
                 }
             }
         }
+        if let Some(departures) = load.departures {
+            if now_ms < setup.length_ms && now_ms.is_multiple_of(departures.period_ms) {
+                let position = (generator.draw_uniform() * cluster.nodes.len() as f64) as usize;
+                cluster.announce_departure(now_ms, position, departures.notice_ms);
+                start_bound.record_fault(now_ms + departures.notice_ms);
+            }
+            cluster.replace_departed(now_ms, &mut history);
+        }
         cluster.step(now_ms, STEP_MS, &jobs, &mut generator, &mut history, &failure_shares);
         if now_ms >= planner_start_ms {
             for index in 0..cluster.nodes.len() {
@@ -154,6 +212,7 @@
             drop(planner.take_log());
             store.step(now_ms, &mut planner);
         }
+        check_start_bound(now_ms, &mut start_bound, &planner, &callers, &cluster, &jobs, &history);
         now_ms += STEP_MS;
         if now_ms == setup.length_ms {
             observer.iter_mut().for_each(|observer| observer.record_speeds(&cluster.speeds()));
@@ -162,10 +221,13 @@
     let unended = callers.iter().filter(|caller| caller.accepted && !caller.ended);
     let unended = unended.map(|caller| caller.submission.job.clone()).collect();
     record_unended(load, &callers, &mut measure);
+    record_waits(now_ms, &callers, &history, &mut measure);
     Outcomes {
+        gang_starts: gang_starts(load, &callers, &history),
         measure,
         forecast_errors: observer.map(|observer| observer.errors),
         violations: history.violations,
+        late_starts: start_bound.violations,
         starts: history.starts,
         unended,
     }
@@ -189,7 +251,9 @@
                 next_ms: first_ms,
                 attempts: 0,
                 accepted: false,
+                accepted_ms: None,
                 ended: false,
+                ended_ms: 0,
             });
             arrival_ms += generator.draw_gap_ms(rate_at(arrival_ms)).max(1);
         }
@@ -198,24 +262,60 @@
     callers
 }
 
-/// Injects a random fault; returns whether the planner has to be replaced.
+/// Injects a random fault.
 fn inject_fault(
     now_ms: u64,
     generator: &mut JobGenerator,
     cluster: &mut Cluster,
     store: &mut Store,
     history: &mut History,
-) -> bool {
+) -> Fault {
     let index = (generator.draw_uniform() * cluster.nodes.len() as f64) as usize % cluster.nodes.len();
     match (generator.draw_uniform() * 6.0) as u32 {
-        0 => return true,
-        1 => store.unavailable_until_ms = now_ms + 4_000,
-        2 => cluster.nodes[index].cut_off_until_ms = now_ms + 5_500,
+        0 => return Fault { until_ms: now_ms + TAKEOVER_MS, planner_killed: true },
+        1 => {
+            store.unavailable_until_ms = now_ms + OUTAGE_MS;
+            return Fault { until_ms: now_ms + OUTAGE_MS, planner_killed: false };
+        }
+        2 => {
+            cluster.nodes[index].cut_off_until_ms = now_ms + CUT_MS;
+            return Fault { until_ms: now_ms + CUT_MS, planner_killed: false };
+        }
         3 => cluster.crash(now_ms, index, history),
         4 => cluster.nodes[index].broken = !cluster.nodes[index].broken,
         _ => cluster.nodes[index].draining = !cluster.nodes[index].draining,
     }
-    false
+    Fault { until_ms: now_ms, planner_killed: false }
+}
+
+/// Checks the jobs that have nothing running against the bound for their start.
+fn check_start_bound(
+    now_ms: u64,
+    start_bound: &mut StartBound,
+    planner: &Planner,
+    callers: &[Caller],
+    cluster: &Cluster,
+    jobs: &JobTable<'_>,
+    history: &History,
+) {
+    let rooms = cluster.rooms(now_ms, jobs);
+    if !start_bound.is_due(now_ms, &rooms) {
+        return;
+    }
+    let running = cluster.running_jobs();
+    let idle = callers.iter().filter(|caller| {
+        let job = caller.submission.job.as_str();
+        caller.accepted_ms.is_some()
+            && !caller.has_cancelled(now_ms)
+            && !running.contains(job)
+            && !matches!(planner.state(job), Some(JobState::Ended(_)))
+    });
+    let startable = idle.filter_map(|caller| {
+        let Submission { job, steps, .. } = &caller.submission;
+        history.startable_step(job, steps).map(|(number, step)| (job.as_str(), number, step))
+    });
+    let explain = |job: &str| planner.view(&Query::Explain(job.to_owned()), now_ms, now_ms).to_string();
+    start_bound.check(now_ms, &rooms, startable, explain);
 }
 
 /// Lets callers submit their jobs, query them and cancel them.
@@ -228,6 +328,9 @@
 ) {
     for caller in callers.iter_mut().filter(|caller| !caller.ended && caller.first_ms <= now_ms) {
         let job = caller.submission.job.clone();
+        if caller.accepted_ms.is_none() && planner.state(&job).is_some() {
+            caller.accepted_ms = Some(now_ms);
+        }
         if !caller.accepted {
             if now_ms < caller.next_ms || caller.attempts > MAX_RETRIES {
                 continue;
@@ -240,11 +343,12 @@
         }
         let Some(state) = planner.state(&job) else { continue };
         caller.accepted = true;
-        if caller.hidden.cancel_after_ms.is_some_and(|after| now_ms >= caller.first_ms + after) {
+        if caller.has_cancelled(now_ms) {
             planner.cancel(now_ms, now_ms, &job);
         }
         let JobState::Ended(outcome) = state else { continue };
         caller.ended = true;
+        caller.ended_ms = now_ms;
         if outcome == Outcome::Completed {
             let steps = (0..).zip(&caller.submission.steps);
             let subtasks = steps.flat_map(|(step, params)| (0..params.count).map(move |index| (step, index)));
@@ -287,6 +391,38 @@
     }
 }
 
+/// Records the longest wait of each kind's accepted jobs before their first start.
+fn record_waits(end_ms: u64, callers: &[Caller], history: &History, measure: &mut Measure) {
+    for caller in callers {
+        let Some(accepted_ms) = caller.accepted_ms else { continue };
+        let started_ms = history.first_starts.get(&caller.submission.job).copied();
+        // A job that was cancelled or failed before a start has waited until then.
+        let until_ms = started_ms.unwrap_or(if caller.ended { caller.ended_ms } else { end_ms });
+        let totals = &mut measure.kinds[caller.hidden.kind];
+        totals.longest_wait_ms = totals.longest_wait_ms.max(until_ms.saturating_sub(accepted_ms));
+    }
+}
+
+/// Returns the first starts of the accepted gangs that need several workers.
+fn gang_starts(load: &Load, callers: &[Caller], history: &History) -> Vec<GangStart> {
+    let gang = callers.iter().filter_map(|caller| {
+        let accepted_ms = caller.accepted_ms?;
+        let step = caller.submission.steps.first()?;
+        let on_one_worker = load.capacity.copies_of(&step.reserved());
+        (step.gang && i64::from(step.count) > on_one_worker).then(|| GangStart {
+            job: caller.submission.job.clone(),
+            members: step.count,
+            accepted_ms,
+            started_ms: history.first_starts.get(&caller.submission.job).copied(),
+            ended_ms: caller.ended.then_some(caller.ended_ms),
+            estimate_ms: step.estimate_ms,
+        })
+    });
+    let mut gangs: Vec<GangStart> = gang.collect();
+    gangs.sort_by_key(|gang| gang.accepted_ms);
+    gangs
+}
+
 /// Counts the jobs that did not end or were not accepted.
 fn record_unended(load: &Load, callers: &[Caller], measure: &mut Measure) {
     debug_assert_eq!(measure.kinds.len(), load.kinds.len());
--- a/crates/sorrelland/src/bin/sorrelland-emul.rs
+++ b/crates/sorrelland/src/bin/sorrelland-emul.rs
@@ -31,7 +31,7 @@
             rate: options.rate,
             faults_per_min: options.faults,
         });
-        for violation in &outcomes.violations {
+        for violation in outcomes.violations.iter().chain(&outcomes.late_starts) {
             violated = true;
             println!("seed {seed}: {violation}");
         }
