Reserve only workers that the job may use once they are idle

Callers saw jobs wait beside idle workers of the project's own interface: a job that can't be preempted and doesn't fit the backing of its own account kept a reservation on workers that back other accounts. It may never use them, so the reservation had no end, and all but the accounts that the workers back were kept off them.

Cause: a reservation was chosen by the workers' whole capacity, not by what the job may hold on them while every guarantee stays reclaimable.

Evidence: tick_reserves_no_workers_that_back_other_accounts_for_lasting_work failed before (left: None, right: Some(0): a job of a third account didn't start on one of four idle workers).

The fix counts the tasks that a worker may hold for the job while nothing runs there, and drops a reservation that a new plan has made unusable. A job that fits nowhere under that count gets none.

The other tests show that this scheduler does not starve wide gangs otherwise, and passed before: a gang starts at once across fragmented racks of an idle fleet if its shape allows that (the span is a requirement here, not a preference); under steady narrow work it starts within reserve_after_ms and the longest narrow run; beside work that declares less than it takes, within preempt_after_ms and its grace period.

--- a/crates/core/src/pass.rs
+++ b/crates/core/src/pass.rs
@@ -401,13 +401,17 @@
         own_width > other_width || (own_width == other_width && waiting.since_ms < running.since_ms)
     }
 
-    /// Returns a reservation on the group of workers that is estimated to fit the shape earliest.
-    pub fn earliest_reservation(&self, shape: &Shape, reserved: &BTreeSet<&WorkerId>) -> Option<Reservation> {
+    /// Returns a reservation on the group of workers that is estimated to fit the job earliest.
+    pub fn earliest_reservation(
+        &self,
+        demand: &Demand,
+        reserved: &BTreeSet<&WorkerId>,
+    ) -> Option<Reservation> {
         let mut best: Option<Reservation> = None;
-        for group in self.view.groups(shape.span) {
+        for group in self.view.groups(demand.shape.span) {
             let rows: Vec<usize> =
                 group.clone().filter(|&row| !reserved.contains(&self.view.worker_rows[row].worker)).collect();
-            let Some(found) = self.earliest_in_rows(shape, &rows) else { continue };
+            let Some(found) = self.earliest_in_rows(demand, &rows) else { continue };
             if best.as_ref().is_none_or(|b| found.start_ms < b.start_ms) {
                 best = Some(found);
             }
@@ -421,17 +425,39 @@
         rows.map(|row| self.idle_at_ms(row)).max().unwrap_or(self.now_ms)
     }
 
-    fn earliest_in_rows(&self, shape: &Shape, rows: &[usize]) -> Option<Reservation> {
-        let per_task = shape.per_task();
+    /// Returns whether a job fits on workers once they are idle.
+    pub fn fits_idle(&self, demand: &Demand, workers: &BTreeSet<WorkerId>) -> bool {
+        let rows = workers.iter().filter_map(|worker| self.view.row(worker));
+        rows.map(|row| u64::from(self.tasks_on_idle(row, demand))).sum::<u64>()
+            >= u64::from(demand.shape.tasks)
+    }
+
+    /// Returns how many tasks of a job a row holds while nothing runs on it: work that can't be preempted may not use the
+    /// backing of other accounts.
+    fn tasks_on_idle(&self, row: usize, demand: &Demand) -> u32 {
+        let total = self.view.worker_rows[row].total;
+        let may_use = match demand.preemptible {
+            true => total,
+            false => BackingUse::new(self.backing_uses[row].backing.clone(), &[]).allocatable(
+                &demand.account,
+                false,
+                total,
+                total,
+            ),
+        };
+        may_use.tasks(demand.shape.per_task())
+    }
+
+    fn earliest_in_rows(&self, demand: &Demand, rows: &[usize]) -> Option<Reservation> {
         let mut capacity: Vec<(Millis, u32, usize)> = Vec::new();
         for &row in rows {
-            let tasks = self.view.worker_rows[row].total.tasks(per_task);
+            let tasks = self.tasks_on_idle(row, demand);
             if tasks > 0 {
                 capacity.push((self.idle_at_ms(row), tasks, row));
             }
         }
         capacity.sort_unstable();
-        let mut remaining = shape.tasks;
+        let mut remaining = demand.shape.tasks;
         let mut workers = BTreeSet::new();
         for (start_ms, tasks, row) in capacity {
             workers.insert(self.view.worker_rows[row].worker.clone());
--- a/crates/core/src/tick.rs
+++ b/crates/core/src/tick.rs
@@ -266,7 +266,10 @@
         if waited_ms < self.policy.reserve_after_ms {
             return;
         }
-        let shape = &waiting.demand.shape;
+        // Guarantees may have been bound to the reserved workers since.
+        self.reservations.retain(|other, reservation| {
+            other != job || pass.fits_idle(&waiting.demand, &reservation.workers)
+        });
         if let Some(reservation) = self.reservations.get_mut(job) {
             reservation.start_ms = pass.all_idle_at_ms(&reservation.workers);
             return;
@@ -276,7 +279,7 @@
         }
         let reserved: BTreeSet<&WorkerId> =
             self.reservations.values().flat_map(|reservation| &reservation.workers).collect();
-        if let Some(reservation) = pass.earliest_reservation(shape, &reserved) {
+        if let Some(reservation) = pass.earliest_reservation(&waiting.demand, &reserved) {
             self.reservations.insert(job.clone(), reservation);
         }
     }
