Let jobs leave their size area if it can't hold them or nobody else wants the rest

With separate parts of the fleet for small and large jobs (the policy `areas`, off by default), callers would have seen jobs wait beside an idle fleet: the areas apply from a load that counts requested accelerators too. Two gangs that are each wider than three quarters of the fleet made that load by themselves and blocked each other, a small gang wider than a quarter never fitted, and small jobs without any large one used a quarter of the fleet only. The end of such a wait was preempt_after_ms, an hour by default, for jobs that reach it.

Cause: the area is applied to every job, whether it can ever fit there or not, and whether jobs of the other size wait.

Evidence: tick_starts_gang_that_is_wider_than_its_size_area, tick_starts_small_gang_that_is_wider_than_its_size_area and tick_starts_small_jobs_outside_their_size_area_without_large_ones failed before (None against Some(0), no start, and 4 against 16 running).

A job that doesn't fit its empty area may use the whole fleet, and areas apply only while jobs of both sizes wait.

--- a/crates/core/src/pass.rs
+++ b/crates/core/src/pass.rs
@@ -9,7 +9,7 @@
 use crate::shape::{Amount, Shape};
 use crate::table::{Class, Demand, Placement, Running, Tables, Waiting};
 use crate::tick::{Action, CLAIM_MARGIN_MS, Cause, Claim, Reservation, URGENT_GRACE_MS};
-use crate::view::View;
+use crate::view::{View, WorkerRow};
 
 /// Estimated remaining run time below which a job is small for the separation of job sizes.
 const MAX_SMALL_JOB_MS: Millis = 20 * 60 * SECOND_MS;
@@ -75,7 +75,9 @@
             cancelled_starts: Vec::new(),
             backed_rows,
             yielding: yielding.clone(),
-            separates_sizes: policy.size_areas && accelerator_load(tables) >= MIN_SIZE_SEPARATION_LOAD,
+            separates_sizes: policy.size_areas
+                && accelerator_load(tables) >= MIN_SIZE_SEPARATION_LOAD
+                && both_sizes_wait(tables),
             actions: Vec::new(),
             view,
         }
@@ -165,7 +167,7 @@
 
     /// Returns whether job sizes are separated and this job counts as small.
     pub fn is_small(&self, waiting: &Waiting) -> bool {
-        self.separates_sizes && self.tables.remaining_ms(waiting) < MAX_SMALL_JOB_MS
+        self.separates_sizes && is_small(self.tables, waiting)
     }
 
     /// Finds free resources within the account's own backing, outside the reserved rows.
@@ -201,10 +203,10 @@
     pub fn find_anywhere(&self, waiting: &Waiting, reserved: &BTreeSet<usize>) -> Option<Placement> {
         let demand = &waiting.demand;
         let mut amounts = self.allocatable_amounts(waiting, reserved);
-        if !self.separates_sizes {
+        let small = self.is_small(waiting);
+        if !self.separates_sizes || !self.fits_size_area(&demand.shape, small) {
             return find(&self.view, &demand.shape, &amounts);
         }
-        let small = self.is_small(waiting);
         for (row, amount) in amounts.iter_mut().enumerate() {
             if !self.in_size_area(row, small) {
                 *amount = Amount::default();
@@ -252,6 +254,16 @@
         (rows, reservation_mask)
     }
 
+    /// Returns whether a shape would fit its part of the fleet if nothing ran there.
+    fn fits_size_area(&self, shape: &Shape, small: bool) -> bool {
+        let rows = self.view.worker_rows.iter().enumerate();
+        let total = |(row, worker_row): (usize, &WorkerRow)| match self.in_size_area(row, small) {
+            true => worker_row.total,
+            false => Amount::default(),
+        };
+        find(&self.view, shape, &rows.map(total).collect::<Vec<_>>()).is_some()
+    }
+
     fn in_size_area(&self, row: usize, small: bool) -> bool {
         let boundary = (self.view.worker_rows.len() as f64 * SMALL_JOB_ROW_FRACTION).ceil() as usize;
         (row < boundary) == small
@@ -476,6 +488,16 @@
     }
 }
 
+fn is_small(tables: &Tables, waiting: &Waiting) -> bool {
+    tables.remaining_ms(waiting) < MAX_SMALL_JOB_MS
+}
+
+/// Returns whether small and large jobs wait. A part of the fleet that is kept for a size of which none waits idles.
+fn both_sizes_wait(tables: &Tables) -> bool {
+    let mut waiting = tables.waiting.values().map(|waiting| is_small(tables, waiting));
+    waiting.next().is_some_and(|first| waiting.any(|small| small != first))
+}
+
 /// Returns the estimated end of a running gang.
 ///
 /// A gang past its estimate is assumed to run for another half of its elapsed time, plus one second.
--- a/crates/core/tests/starvation.rs
+++ b/crates/core/tests/starvation.rs
@@ -209,3 +209,40 @@
     let narrow = fleet.submit(Fleet::demand("c", whole, MINUTE_MS), MINUTE_MS);
     assert_eq!(fleet.wait_for(&narrow, 0, |_| ()), Some(0));
 }
+
+/// Guards against wide gangs that wait for each other in an idle fleet, each wider than the part for large jobs.
+#[test]
+fn tick_starts_gang_that_is_wider_than_its_size_area() {
+    let policy = Policy { size_areas: true, ..Policy::new() };
+    let mut fleet = Fleet::new(4, 4, policy, &[("a", &[])]);
+    let wide = Fleet::demand("a", Shape::new(14, 8, Span::Domain), 40 * MINUTE_MS);
+    let first = fleet.submit(wide.clone(), 40 * MINUTE_MS);
+    fleet.submit(wide, 40 * MINUTE_MS);
+    fleet.submit(Fleet::demand("a", Shape::new(1, 8, Span::Worker), MINUTE_MS), MINUTE_MS);
+    assert_eq!(fleet.wait_for(&first, 0, |_| ()), Some(0));
+}
+
+/// Guards against small gangs that are wider than the quarter of the fleet for small jobs.
+#[test]
+fn tick_starts_small_gang_that_is_wider_than_its_size_area() {
+    let policy = Policy { size_areas: true, ..Policy::new() };
+    let mut fleet = Fleet::new(4, 4, policy, &[("a", &[])]);
+    let small = Fleet::demand("a", Shape::new(6, 8, Span::Domain), MINUTE_MS);
+    let gangs: Vec<JobId> = (0..5).map(|_| fleet.submit(small.clone(), MINUTE_MS)).collect();
+    let large = Fleet::demand("a", Shape::new(14, 8, Span::Domain), 40 * MINUTE_MS);
+    fleet.submit(large, 40 * MINUTE_MS);
+    fleet.step();
+    assert!(gangs.iter().any(|job| fleet.tables.running.contains_key(job)));
+}
+
+/// Guards against small jobs that wait beside three idle quarters of the fleet while no large job wants them.
+#[test]
+fn tick_starts_small_jobs_outside_their_size_area_without_large_ones() {
+    let policy = Policy { size_areas: true, ..Policy::new() };
+    let mut fleet = Fleet::new(4, 4, policy, &[("a", &[])]);
+    for _ in 0..24 {
+        fleet.submit(Fleet::demand("a", Shape::new(1, 8, Span::Worker), MINUTE_MS), MINUTE_MS);
+    }
+    fleet.step();
+    assert_eq!(fleet.tables.running.len(), 16);
+}
