--- a/crates/core/src/pass.rs
+++ b/crates/core/src/pass.rs
@@ -9,7 +9,7 @@
 use crate::shape::{Amount, Shape};
 use crate::table::{Class, Demand, Placement, Running, Tables, Waiting};
 use crate::tick::{Action, CLAIM_MARGIN_MS, Cause, Claim, Reservation, URGENT_GRACE_MS};
-use crate::view::View;
+use crate::view::{View, WorkerRow};
 
 /// Estimated remaining run time below which a job is small for the separation of job sizes.
 const MAX_SMALL_JOB_MS: Millis = 20 * 60 * SECOND_MS;
@@ -75,7 +75,9 @@
             cancelled_starts: Vec::new(),
             backed_rows,
             yielding: yielding.clone(),
-            separates_sizes: policy.size_areas && accelerator_load(tables) >= MIN_SIZE_SEPARATION_LOAD,
+            separates_sizes: policy.size_areas
+                && accelerator_load(tables) >= MIN_SIZE_SEPARATION_LOAD
+                && both_sizes_wait(tables),
             actions: Vec::new(),
             view,
         }
@@ -165,7 +167,7 @@
 
     /// Returns whether job sizes are separated and this job counts as small.
     pub fn is_small(&self, waiting: &Waiting) -> bool {
-        self.separates_sizes && self.tables.remaining_ms(waiting) < MAX_SMALL_JOB_MS
+        self.separates_sizes && is_small(self.tables, waiting)
     }
 
     /// Finds free resources within the account's own backing, outside the reserved rows.
@@ -201,10 +203,10 @@
     pub fn find_anywhere(&self, waiting: &Waiting, reserved: &BTreeSet<usize>) -> Option<Placement> {
         let demand = &waiting.demand;
         let mut amounts = self.allocatable_amounts(waiting, reserved);
-        if !self.separates_sizes {
+        let small = self.is_small(waiting);
+        if !self.separates_sizes || !self.fits_size_area(&demand.shape, small) {
             return find(&self.view, &demand.shape, &amounts);
         }
-        let small = self.is_small(waiting);
         for (row, amount) in amounts.iter_mut().enumerate() {
             if !self.in_size_area(row, small) {
                 *amount = Amount::default();
@@ -252,6 +254,16 @@
         (rows, reservation_mask)
     }
 
+    /// Returns whether a shape would fit its part of the fleet if nothing ran there.
+    fn fits_size_area(&self, shape: &Shape, small: bool) -> bool {
+        let rows = self.view.worker_rows.iter().enumerate();
+        let total = |(row, worker_row): (usize, &WorkerRow)| match self.in_size_area(row, small) {
+            true => worker_row.total,
+            false => Amount::default(),
+        };
+        find(&self.view, shape, &rows.map(total).collect::<Vec<_>>()).is_some()
+    }
+
     fn in_size_area(&self, row: usize, small: bool) -> bool {
         let boundary = (self.view.worker_rows.len() as f64 * SMALL_JOB_ROW_FRACTION).ceil() as usize;
         (row < boundary) == small
@@ -401,13 +413,17 @@
         own_width > other_width || (own_width == other_width && waiting.since_ms < running.since_ms)
     }
 
-    /// Returns a reservation on the group of workers that is estimated to fit the shape earliest.
-    pub fn earliest_reservation(&self, shape: &Shape, reserved: &BTreeSet<&WorkerId>) -> Option<Reservation> {
+    /// Returns a reservation on the group of workers that is estimated to fit the job earliest.
+    pub fn earliest_reservation(
+        &self,
+        demand: &Demand,
+        reserved: &BTreeSet<&WorkerId>,
+    ) -> Option<Reservation> {
         let mut best: Option<Reservation> = None;
-        for group in self.view.groups(shape.span) {
+        for group in self.view.groups(demand.shape.span) {
             let rows: Vec<usize> =
                 group.clone().filter(|&row| !reserved.contains(&self.view.worker_rows[row].worker)).collect();
-            let Some(found) = self.earliest_in_rows(shape, &rows) else { continue };
+            let Some(found) = self.earliest_in_rows(demand, &rows) else { continue };
             if best.as_ref().is_none_or(|b| found.start_ms < b.start_ms) {
                 best = Some(found);
             }
@@ -421,17 +437,39 @@
         rows.map(|row| self.idle_at_ms(row)).max().unwrap_or(self.now_ms)
     }
 
-    fn earliest_in_rows(&self, shape: &Shape, rows: &[usize]) -> Option<Reservation> {
-        let per_task = shape.per_task();
+    /// Returns whether a job fits on workers once they are idle.
+    pub fn fits_idle(&self, demand: &Demand, workers: &BTreeSet<WorkerId>) -> bool {
+        let rows = workers.iter().filter_map(|worker| self.view.row(worker));
+        rows.map(|row| u64::from(self.tasks_on_idle(row, demand))).sum::<u64>()
+            >= u64::from(demand.shape.tasks)
+    }
+
+    /// Returns how many tasks of a job a row holds while nothing runs on it: work that can't be preempted may not use the
+    /// backing of other accounts.
+    fn tasks_on_idle(&self, row: usize, demand: &Demand) -> u32 {
+        let total = self.view.worker_rows[row].total;
+        let may_use = match demand.preemptible {
+            true => total,
+            false => BackingUse::new(self.backing_uses[row].backing.clone(), &[]).allocatable(
+                &demand.account,
+                false,
+                total,
+                total,
+            ),
+        };
+        may_use.tasks(demand.shape.per_task())
+    }
+
+    fn earliest_in_rows(&self, demand: &Demand, rows: &[usize]) -> Option<Reservation> {
         let mut capacity: Vec<(Millis, u32, usize)> = Vec::new();
         for &row in rows {
-            let tasks = self.view.worker_rows[row].total.tasks(per_task);
+            let tasks = self.tasks_on_idle(row, demand);
             if tasks > 0 {
                 capacity.push((self.idle_at_ms(row), tasks, row));
             }
         }
         capacity.sort_unstable();
-        let mut remaining = shape.tasks;
+        let mut remaining = demand.shape.tasks;
         let mut workers = BTreeSet::new();
         for (start_ms, tasks, row) in capacity {
             workers.insert(self.view.worker_rows[row].worker.clone());
@@ -450,6 +488,16 @@
     }
 }
 
+fn is_small(tables: &Tables, waiting: &Waiting) -> bool {
+    tables.remaining_ms(waiting) < MAX_SMALL_JOB_MS
+}
+
+/// Returns whether small and large jobs wait. A part of the fleet that is kept for a size of which none waits idles.
+fn both_sizes_wait(tables: &Tables) -> bool {
+    let mut waiting = tables.waiting.values().map(|waiting| is_small(tables, waiting));
+    waiting.next().is_some_and(|first| waiting.any(|small| small != first))
+}
+
 /// Returns the estimated end of a running gang.
 ///
 /// A gang past its estimate is assumed to run for another half of its elapsed time, plus one second.
