Withdraw starts from workers that begin to drain before they are sent

Cause: an agent sends no starts to a draining worker, and the planner left what it had placed there in place until the worker was gone.

Evidence: `start_on_a_worker_that_begins_to_drain_moves` (a subtask, a gang) moved nothing within 3 s before.

A placement that an agent has not reported 0.7 s after its worker began to drain is withdrawn, like one that no longer fits a worker whose capacity has shrunk. What runs there goes on. Both cases pass.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -18,6 +18,9 @@
 /// Reason of a start that was refused because its approval was not accepted.
 pub const APPROVAL_REFUSED: &str = "ticket";
 
+/// Time within which an agent reports a start that it had sent when its worker began to drain, in milliseconds.
+const START_REPORT_MS: u64 = 700;
+
 /// Age from which a run that an agent reports is an error, in milliseconds: one day.
 const MAX_RUN_AGE_MS: u64 = 24 * 3_600_000;
 
@@ -210,6 +213,7 @@
             let (from, to) = (worker.info.capacity, info.capacity);
             self.log.push(format!("event=capacity_changed worker={incarnation} from={from} to={to}"));
         }
+        worker.draining_since = info.draining.then(|| worker.draining_since.unwrap_or(now));
         worker.departure = Departure::update(worker.departure, now, info);
         worker.info = info.clone();
         worker.agent.clone_from(&report.agent);
@@ -247,17 +251,36 @@
         for entry in &report.not_started {
             self.record_not_started(now, wall, &incarnation, entry, &Source::new(report));
         }
-        self.withdraw_excess_starts(now, &incarnation);
+        self.withdraw_starts(now, &incarnation);
     }
 
-    /// Withdraws the newest placements on a worker that has not reported their starts until the others fit into its
-    /// capacity, which may have shrunk since they were made. What runs there goes on.
-    fn withdraw_excess_starts(&mut self, now: u64, incarnation: &str) {
+    /// Withdraws placements on a worker that has not reported their starts: the newest ones until the others fit into its
+    /// capacity, which may have shrunk since they were made, and all of them if it drains, since its agent sends it no
+    /// starts then. What runs there goes on.
+    fn withdraw_starts(&mut self, now: u64, incarnation: &str) {
         let Some(worker) = self.workers.get(incarnation) else { return };
+        let is_draining = worker.draining_since.is_some_and(|since| now >= since + START_REPORT_MS);
         let mut free = worker.free();
-        if free.is_non_negative() {
+        if free.is_non_negative() && !is_draining {
             return;
         }
+        let mut withdrawn = Vec::new();
+        for ((_, job, key), reserved) in self.unseen_starts(worker).into_iter().rev() {
+            if free.is_non_negative() && !is_draining {
+                break;
+            }
+            free += reserved;
+            withdrawn.push((job.to_owned(), key));
+        }
+        let reason = if is_draining { "its worker drains" } else { "the capacity of its worker has shrunk" };
+        for (job, key) in withdrawn {
+            self.evict(now, &job, key, reason);
+        }
+    }
+
+    /// Returns the units whose start on a worker has not been reported, by the change that placed them, with what they
+    /// reserve there.
+    fn unseen_starts(&self, worker: &Worker) -> BTreeMap<(u64, &str, UnitKey), Resources> {
         let mut unseen: BTreeMap<(u64, &str, UnitKey), Resources> = BTreeMap::new();
         for (task, run) in &worker.placed {
             let Some((key, offset)) = self.unit_of(task) else { continue };
@@ -268,20 +291,11 @@
             let is_seen = unit.members.get(offset).is_none_or(|member| member.seen);
             if unit.run == *run && !is_seen {
                 let reserved = job.sub.steps.get(key.step as usize).map(Step::reserved);
-                *unseen.entry((unit.placed_in, &task.job, key)).or_default() += reserved.unwrap_or_default();
+                *unseen.entry((unit.placed_in, &job.sub.job, key)).or_default() +=
+                    reserved.unwrap_or_default();
             }
         }
-        let mut withdrawn = Vec::new();
-        for ((_, job, key), reserved) in unseen.iter().rev() {
-            if free.is_non_negative() {
-                break;
-            }
-            free += *reserved;
-            withdrawn.push(((*job).to_owned(), *key));
-        }
-        for (job, key) in withdrawn {
-            self.evict(now, &job, key, "the capacity of its worker has shrunk");
-        }
+        unseen
     }
 
     /// Reserves resources for the members that stored jobs have on a newly reported worker.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -25,6 +25,8 @@
     pub agent: String,
     /// When it shuts down, if it has announced that.
     pub departure: Option<Departure>,
+    /// When it was first reported as draining, on the monotonic clock; `None` if it isn't.
+    pub draining_since: Option<u64>,
     /// When its agent last reported, on the monotonic clock.
     pub last_report_at: u64,
     /// When the newest grant to its agent ends, on the monotonic clock.
@@ -57,6 +59,7 @@
             info,
             agent,
             departure: None,
+            draining_since: None,
             last_report_at: now,
             granted_until: now,
             running: BTreeMap::new(),
--- a/crates/fleet/tests/starvation.rs
+++ b/crates/fleet/tests/starvation.rs
@@ -7,7 +7,7 @@
 use sorrelland_fleet::Resources;
 use sorrelland_fleet::assignments::Assignments;
 use sorrelland_fleet::job::{JobState, Step};
-use sorrelland_fleet::report::EndReason;
+use sorrelland_fleet::report::{EndReason, NotStarted};
 
 /// Time within which a unit has to start while it fits twice over and less than half of its service is in use, in
 /// milliseconds.
@@ -169,6 +169,43 @@
     }
 }
 
+/// Guards against a start that is placed for as long as its worker drains, and never sent.
+#[yare::parameterized(
+    single = { step(1, 8) },
+    gang = { Step { gang: true, ..step(2, 8) } },
+)]
+fn start_on_a_worker_that_begins_to_drain_moves(wide: Step) {
+    let members = if wide.gang { wide.count as usize } else { 1 };
+    let mut fleet = Fleet::new(4);
+    fleet.submit(GANG, "plain", vec![wide]);
+    let assignments = fleet.advance(10);
+    assert_eq!(starts_of(&assignments, GANG), members);
+    for report in &mut fleet.reports[0..2] {
+        report.worker.as_mut().unwrap().draining = true;
+    }
+    let is_sound = |assigned: &&Assignments| matches!(assigned.incarnation.as_str(), "w2" | "w3");
+    let mut waited_ms = 0;
+    loop {
+        // An agent stops what it is told to, and reports that it has not started it.
+        for assigned in fleet.advance(100) {
+            let at: usize = assigned.incarnation[1..].parse().unwrap();
+            let entries = assigned.stops.iter().map(|stop| NotStarted {
+                task: stop.task.clone(),
+                run: stop.run,
+                reason: "stopped".to_owned(),
+            });
+            fleet.reports[at].not_started = entries.collect();
+        }
+        waited_ms += 100;
+        let assignments = fleet.advance(10);
+        let started: usize = assignments.iter().filter(is_sound).map(|assigned| assigned.starts.len()).sum();
+        if started == members {
+            break;
+        }
+        assert!(waited_ms <= IDLE_START_MS, "{started} of {members} members moved");
+    }
+}
+
 fn starts_of(assignments: &[Assignments], job: &str) -> usize {
     let starts = assignments.iter().flat_map(|assigned| &assigned.starts);
     starts.filter(|start| start.task.job == job).count()
