Use ejected workers for work that waits beside them on an idle service

Cause: three failed runs in a row eject a worker whoever is at fault, and nothing limits how many are ejected at a time.

Evidence: `subtask_starts_on_ejected_workers_if_the_others_are_full` didn't start within 3 s before, with three of four workers ejected and the fourth full.

A unit that has waited 1.5 s, finds no room elsewhere and fits twice over with the ejected workers, while less than half of some resource of its service is in use, may start on them, if possible where it hasn't failed itself. The workers stay ejected for everything else.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -313,6 +313,18 @@
         now: u64,
         candidate: &Candidate,
         step: &Step,
+    ) -> Vec<Room> {
+        self.rooms_on(pool, now, candidate, step, |worker| worker.is_usable)
+    }
+
+    /// Returns the workers out of those that `may_use` names, with their resources that a unit of a step may use.
+    fn rooms_on(
+        &self,
+        pool: &Pool,
+        now: u64,
+        candidate: &Candidate,
+        step: &Step,
+        may_use: impl Fn(&PoolWorker) -> bool,
     ) -> Vec<Room> {
         let Some(queue) = self.queue_of(&candidate.job) else { return Vec::new() };
         let approved = queue.needs_approval.then(|| {
@@ -324,7 +336,8 @@
         };
         let accepting = pool.workers.iter().enumerate().filter(|(_, worker)| {
             worker.service == queue.service
-                && worker.accepts(step)
+                && may_use(worker)
+                && worker.suits(step)
                 && worker.admits(&candidate.job)
                 && is_approved(worker)
         });
@@ -383,7 +396,14 @@
             return Err(WaitReason::Resources);
         }
         let found = self.find_rooms(pass, candidate, step, unit, uses_reserve);
-        if found == Err(WaitReason::Resources) && !step.gang && !has_claim && unit.failed_on.is_empty() {
+        // Another subtask of the step may have waited long enough to take what this one doesn't.
+        let is_like_others = pass.now >= unit.since + IDLE_WAIT_MS;
+        if found == Err(WaitReason::Resources)
+            && !step.gang
+            && !has_claim
+            && unit.failed_on.is_empty()
+            && (is_like_others || !self.is_half_idle(pass, &candidate.job))
+        {
             pass.mark_step_unplaceable(candidate);
         }
         found
@@ -397,18 +417,53 @@
         unit: &Unit,
         uses_reserve: bool,
     ) -> Result<Vec<usize>> {
+        let rooms = self.rooms_for(pass, candidate, (step, unit), |worker| worker.is_usable);
+        if rooms.is_empty() && self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval) {
+            return Err(WaitReason::Approval);
+        }
+        let found = self.choose_unfailed(pass, candidate, (step, unit), &rooms, uses_reserve);
+        let lacks_room = matches!(found, Err(WaitReason::Resources | WaitReason::Workers));
+        if lacks_room {
+            let may_use = |worker: &PoolWorker| worker.is_usable || worker.is_ejected;
+            let all = self.rooms_for(pass, candidate, (step, unit), may_use);
+            if all.len() > rooms.len() && self.takes_any_placement(pass, candidate, step, &all) {
+                return self.choose_unfailed(pass, candidate, (step, unit), &all, uses_reserve);
+            }
+        }
+        found
+    }
+
+    /// Returns the workers out of those that `may_use` names on which a unit may start, with what it may use there.
+    fn rooms_for(
+        &self,
+        pass: &Pass,
+        candidate: &Candidate,
+        (step, unit): (&Step, &Unit),
+        may_use: impl Fn(&PoolWorker) -> bool,
+    ) -> Vec<Room> {
         let pool = &pass.pool;
-        let mut rooms = self.available_rooms(pool, pass.now, candidate, step);
+        let mut rooms = self.rooms_on(pool, pass.now, candidate, step, may_use);
         self.drop_workers_at_limit(pool, &mut rooms, candidate, step);
         if unit.must_run_alone() {
             rooms.retain(|room| pool.workers[room.worker].has_no_other_job(&candidate.job));
         }
+        rooms
+    }
+
+    /// Returns the index of a worker for each member of a unit, if possible without the workers on which it has failed.
+    fn choose_unfailed(
+        &self,
+        pass: &Pass,
+        candidate: &Candidate,
+        (step, unit): (&Step, &Unit),
+        rooms: &[Room],
+        uses_reserve: bool,
+    ) -> Result<Vec<usize>> {
         if rooms.is_empty() {
-            let needs_approval = self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval);
-            return Err(if needs_approval { WaitReason::Approval } else { WaitReason::Workers });
+            return Err(WaitReason::Workers);
         }
-        let takes_any = self.takes_any_placement(pass, candidate, step, &rooms);
-        let has_failed = |room: &Room| unit.failed_on.contains(&pool.workers[room.worker].incarnation);
+        let takes_any = self.takes_any_placement(pass, candidate, step, rooms);
+        let has_failed = |room: &Room| unit.failed_on.contains(&pass.pool.workers[room.worker].incarnation);
         let avoids_failures = unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang);
         if avoids_failures && !rooms.iter().all(has_failed) {
             let others: Vec<Room> = rooms.iter().filter(|room| !has_failed(room)).copied().collect();
@@ -417,7 +472,7 @@
                 return found;
             }
         }
-        self.choose_workers(pass, candidate, (step, unit), rooms, uses_reserve, takes_any)
+        self.choose_workers(pass, candidate, (step, unit), rooms.to_vec(), uses_reserve, takes_any)
     }
 
     /// Returns the index of a worker for each member of a unit, out of the given rooms.
@@ -541,11 +596,13 @@
             return false;
         }
         let need = Need::new(step, if step.gang { step.count } else { 1 });
-        let is_half_idle = || {
-            let queue = self.queue_of(&candidate.job);
-            queue.is_some_and(|queue| pass.pool.usage(&queue.service).is_half_idle())
-        };
-        (step.long_running || is_half_idle()) && need.fitting(rooms) >= 2 * need.members
+        (step.long_running || self.is_half_idle(pass, &candidate.job))
+            && need.fitting(rooms) >= 2 * need.members
+    }
+
+    /// Returns whether less than half of some resource of a job's service is in use.
+    fn is_half_idle(&self, pass: &Pass, job: &str) -> bool {
+        self.queue_of(job).is_some_and(|queue| pass.pool.usage(&queue.service).is_half_idle())
     }
 
     /// Removes the workers that already run as many subtasks of a step as its limit per worker allows.
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -60,6 +60,8 @@
     isolated_for: Option<String>,
     /// Whether runs may be placed on it.
     pub is_usable: bool,
+    /// Whether they may but for failed runs there.
+    pub is_ejected: bool,
     /// What is kept for a wide unit.
     pub held: Option<Held>,
     /// Resources that waiting units claim.
@@ -75,7 +77,12 @@
 
     /// Returns whether a step may be placed on it, apart from free resources.
     pub fn accepts(&self, step: &Step) -> bool {
-        self.is_usable && step.label.as_deref().is_none_or(|label| self.has_label(label))
+        self.is_usable && self.suits(step)
+    }
+
+    /// Returns whether it has the label that a step requires.
+    pub fn suits(&self, step: &Step) -> bool {
+        step.label.as_deref().is_none_or(|label| self.has_label(label))
     }
 
     /// Returns whether a job may run on it beside what runs there.
@@ -157,6 +164,7 @@
             occupants: occupants(worker),
             isolated_for: isolated.get(worker.info.incarnation.as_str()).map(|job| (*job).to_owned()),
             is_usable: is_usable(worker, now) && !evacuated.contains(&worker.info.domain),
+            is_ejected: is_ejected(worker, now) && !evacuated.contains(&worker.info.domain),
             held: None,
             claimed: Resources::default(),
             claimed_by_guaranteed: Resources::default(),
@@ -242,7 +250,16 @@
 
 /// Returns whether runs may be placed on a worker.
 pub fn is_usable(worker: &Worker, now: u64) -> bool {
-    !worker.info.draining && worker.ejected_until <= now && worker.last_report_at + MAX_REPORT_AGE_MS >= now
+    is_available(worker, now) && worker.ejected_until <= now
+}
+
+/// Returns whether only failed runs keep others from being placed on a worker.
+fn is_ejected(worker: &Worker, now: u64) -> bool {
+    is_available(worker, now) && worker.ejected_until > now
+}
+
+fn is_available(worker: &Worker, now: u64) -> bool {
+    !worker.info.draining && worker.last_report_at + MAX_REPORT_AGE_MS >= now
 }
 
 /// Resources that one unit may use on a worker.
--- a/crates/fleet/tests/starvation.rs
+++ b/crates/fleet/tests/starvation.rs
@@ -169,6 +169,30 @@
     }
 }
 
+/// Guards against work that waits for ejected workers to come back while the others are full and half of the fleet is idle.
+#[test]
+fn subtask_starts_on_ejected_workers_if_the_others_are_full() {
+    let mut fleet = Fleet::new(4);
+    occupy(&mut fleet, 0, narrow(60_000));
+    for (at, report) in fleet.reports.iter_mut().enumerate() {
+        report.worker.as_mut().unwrap().labels.insert(0, format!("w{at}"));
+    }
+    fleet.advance(10);
+    for job in 0..9 {
+        let name = format!("{:016x}", 0x200 + job);
+        fleet.submit(&name, "plain", vec![Step { label: Some(format!("w{}", 1 + job % 3)), ..step(1, 0) }]);
+    }
+    let assignments = fleet.advance(10);
+    fleet.mark_running(&assignments);
+    for job in 0..9 {
+        fleet.end_runs(&format!("{:016x}", 0x200 + job), EndReason::Failed);
+    }
+    fleet.advance(10);
+    fleet.submit(GANG, "plain", vec![Step { resources: Resources::new(2_000, 140_000, 1), ..step(1, 1) }]);
+    let waited_ms = await_start(&mut fleet, GANG, IDLE_START_MS);
+    assert!(waited_ms.is_some_and(|ms| ms > 500), "waited {waited_ms:?}");
+}
+
 /// Guards against a start that is placed for as long as its worker drains, and never sent.
 #[yare::parameterized(
     single = { step(1, 8) },
