Judge whether a service is idle by the weight of its CPU and accelerators

The weight that stops are judged by counts both. The tests of starvation, overload and the reserve pass as before.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -600,7 +600,7 @@
             && need.fitting(rooms) >= 2 * need.members
     }
 
-    /// Returns whether less than half of some resource of a job's service is in use.
+    /// Returns whether less than half of a job's service is in use.
     fn is_half_idle(&self, pass: &Pass, job: &str) -> bool {
         self.queue_of(job).is_some_and(|queue| pass.pool.usage(&queue.service).is_half_idle())
     }
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -120,13 +120,10 @@
 }
 
 impl Usage {
-    /// Returns whether less than half of some resource is in use. Which one is short differs from unit to unit, and a unit
-    /// that is short of another resource fits nowhere in any case.
+    /// Returns whether less than half of the CPU and accelerators is in use, by their weight in costs. Memory doesn't count:
+    /// a unit that is short of it fits nowhere in any case.
     pub fn is_half_idle(&self) -> bool {
-        let is_half_idle = |used: i64, capacity: i64| used < capacity - used;
-        is_half_idle(self.used.millicores, self.capacity.millicores)
-            || is_half_idle(self.used.memory_mb, self.capacity.memory_mb)
-            || is_half_idle(self.used.accelerators, self.capacity.accelerators)
+        self.used.weight() < self.capacity.weight() - self.used.weight()
     }
 }
 
