Check in the soak that accepted jobs start once faults and submissions are over

A gang that never started broke no promise that the soak knew until the bound for everything was over, tens of seconds after the last fault. None of its gangs preferred a rack.

The check: an uncancelled job with nothing running, whose unit fits twice into what the workers have free while less than half of each resource is in use, starts within 3 s. The platform counts such a wait where it and the 4 s before are calm; the check counts it only after the last fault has ended and callers submit no more, and a crash of a worker or its restart counts as a disturbance.

Tests: five in crates/soak/tests/checks.rs, with waits just within and just beyond the bound, before and after the last fault, beside an impairment, at half use, after the job's end, and with room for one gang or two.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -251,7 +251,7 @@
 }
 
 /// Returns what isn't done of a step at a time, if anything; the end of one member of a gang represents all.
-fn unfinished_step(number: usize, step: &Step, runs: &[&Run], at_ms: u64) -> Option<String> {
+pub(crate) fn unfinished_step(number: usize, step: &Step, runs: &[&Run], at_ms: u64) -> Option<String> {
     let done = runs.iter().filter(|run| run.step == number && run.ended("done") && run.end_ms() <= at_ms);
     let done: BTreeSet<u64> = done.map(|run| run.index).collect();
     let missing: Vec<u64> = (0..step.count).filter(|index| !done.contains(index)).collect();
@@ -260,7 +260,7 @@
 }
 
 /// Returns whether so many workers have crashed under a subtask that it may be given up.
-fn has_crashed(runs: &[&Run], at_ms: u64) -> bool {
+pub(crate) fn has_crashed(runs: &[&Run], at_ms: u64) -> bool {
     let mut crashes: BTreeMap<(usize, u64), usize> = BTreeMap::new();
     for run in runs.iter().filter(|run| run.ended(CRASHED) && run.end_ms() <= at_ms) {
         *crashes.entry((run.step, run.index)).or_default() += 1;
@@ -269,7 +269,7 @@
 }
 
 /// Returns whether a subtask, or a gang, has failed so often that the job may fail.
-fn has_failed(steps: &[Step], runs: &[&Run], at_ms: u64) -> bool {
+pub(crate) fn has_failed(steps: &[Step], runs: &[&Run], at_ms: u64) -> bool {
     let mut attempts: BTreeMap<(usize, u64), BTreeSet<u64>> = BTreeMap::new();
     for run in runs.iter().filter(|run| run.ended("failed") && run.end_ms() <= at_ms) {
         let gang = steps.get(run.step).is_some_and(|step| step.gang);
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -21,6 +21,9 @@
 /// Jobs for each one whose subtasks crash their workers.
 const JOBS_PER_CRASHING_JOB: u64 = 30;
 
+/// Jobs for each gang that prefers one rack.
+const JOBS_PER_RACK_GANG: u64 = 8;
+
 /// A step of a job.
 #[derive(Clone, Debug)]
 pub struct Step {
@@ -28,6 +31,8 @@
     pub needs: Needs,
     pub after: Vec<u64>,
     pub gang: bool,
+    /// Whether the subtasks should run on one rack.
+    pub one_rack: bool,
 }
 
 /// A job as submitted.
@@ -48,7 +53,13 @@
 impl Job {
     /// Draws a job; the number of accelerators of a worker limits the size of its subtasks.
     pub fn draw(rng: &mut StdRng, id: String, queues: &[&'static str]) -> Self {
-        let step = |count, gpu| Step { count, needs: (1_000, 1_024, gpu), after: Vec::new(), gang: false };
+        let step = |count, gpu| Step {
+            count,
+            needs: (1_000, 1_024, gpu),
+            after: Vec::new(),
+            gang: false,
+            one_rack: false,
+        };
         let mut run_ms = rng.random_range(100..1_500);
         let mut note = String::new();
         let steps = match rng.random_range(0..9) {
@@ -75,8 +86,15 @@
             }
         };
         // Drawn from the name, so that the other jobs of a seed stay the same.
-        let crashes = id.bytes().map(u64::from).sum::<u64>() % JOBS_PER_CRASHING_JOB == 0;
-        let (steps, note) = if crashes { (vec![step(2, 1)], CRASHES.to_owned()) } else { (steps, note) };
+        let number = id.bytes().map(u64::from).sum::<u64>();
+        let (steps, note) = match number {
+            _ if number.is_multiple_of(JOBS_PER_CRASHING_JOB) => (vec![step(2, 1)], CRASHES.to_owned()),
+            _ if number.is_multiple_of(JOBS_PER_RACK_GANG) => {
+                let count = 2 + number / JOBS_PER_RACK_GANG % 5;
+                (vec![Step { gang: true, one_rack: true, ..step(count, 1) }], format!(" gang={count}"))
+            }
+            _ => (steps, note),
+        };
         let queue = queues[rng.random_range(0..queues.len())];
         let cancelled_after_ms = rng.random_bool(0.15).then(|| rng.random_range(0..4_000));
         let (spec, label) = (format!("job={id} run_ms={run_ms}{note}"), String::new());
@@ -85,7 +103,8 @@
 
     /// Returns a short job that only the worker with this label can run.
     pub fn probe(id: String, queue: &'static str, label: String) -> Self {
-        let steps = vec![Step { count: 1, needs: (100, 10, 0), after: Vec::new(), gang: false }];
+        let steps =
+            vec![Step { count: 1, needs: (100, 10, 0), after: Vec::new(), gang: false, one_rack: false }];
         let spec = format!("job={id} run_ms={PROBE_MS}");
         Self { id, queue, steps, run_ms: PROBE_MS, spec, label, cancelled_after_ms: None }
     }
@@ -94,7 +113,7 @@
         let steps = self.steps.iter().map(|step| {
             let (cpu, memory_mb, gpu) = step.needs;
             json!({"count": step.count, "cpu": cpu, "memory_request_mb": memory_mb, "gpu": gpu,
-                "estimate_ms": self.run_ms, "after": step.after, "gang_scheduled": step.gang,
+                "estimate_ms": self.run_ms, "after": step.after, "gang_scheduled": step.gang, "same_rack": step.one_rack,
                 "requirements": self.label})
         });
         json!({"task_spec": self.spec, "steps": steps.collect::<Vec<_>>()})
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod processes;
 pub mod proxy;
 pub mod run;
+pub mod waits;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,6 +20,7 @@
 use crate::jobs::{Ledger, WORKER_GPUS};
 use crate::lock;
 use crate::play::Player;
+use crate::waits::late_starts;
 
 /// Time after the loss of everything within which the platform expects service again, in milliseconds.
 const RECOVERY_MS: u64 = 12_000;
@@ -122,6 +123,7 @@
     let capacity = WORKER_CAPACITY;
     let evidence = Evidence { history: &history, ledger: &ledger, impairments: &impairments, capacity };
     let mut broken = evidence.broken_promises();
+    broken.extend(late_starts(&evidence, mended_ms, cfg.workers));
     let open = ledger.values().filter(|record| record.accepted_ms().is_some() && !record.has_ended());
     broken.extend(open.map(|record| {
         let (id, state) = (&record.job.id, record.polls.last().map_or("", |call| &call.state));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -7,8 +7,10 @@
 use sorrelland_soak::checks::Evidence;
 use sorrelland_soak::deployment::Life;
 use sorrelland_soak::history::History;
-use sorrelland_soak::impairments::Impairments;
+use sorrelland_soak::impairments::{Impairments, STORE};
 use sorrelland_soak::jobs::{Call, Job, Record, Step};
+use sorrelland_soak::waits::late_starts;
+use sorrelland_standin::clock::wall_ms;
 
 const JOB: &str = "00000000000000a1";
 
@@ -20,7 +22,7 @@
 
 /// A job with two steps of one subtask each, the second after the first, accepted at 10,000 ms.
 fn record() -> Record {
-    let step = |after| Step { count: 1, needs: (1_000, 1_024, 2), after, gang: false };
+    let step = |after| Step { count: 1, needs: (1_000, 1_024, 2), after, gang: false, one_rack: false };
     let job = Job {
         id: JOB.to_owned(),
         queue: "/orders/",
@@ -41,8 +43,8 @@
     format!("at_ms={at_ms} worker=w event=ended task={task} run={run} n={n} how={how}\n")
 }
 
-/// Returns the names of the promises that are broken by what two workers printed and the callers of `record` saw.
-fn broken(first: &str, second: &str, record: Record) -> Vec<String> {
+/// Returns the history of what two workers printed.
+fn history(first: &str, second: &str) -> History {
     let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
     let dir = std::env::temp_dir().join(format!("sorrelland-checks-{}-{number}", std::process::id()));
     fs::create_dir_all(&dir).unwrap();
@@ -52,6 +54,16 @@
     });
     let history = History::read(&dir, &lives).unwrap();
     fs::remove_dir_all(&dir).unwrap();
+    history
+}
+
+fn names(lines: &[String]) -> Vec<String> {
+    lines.iter().map(|line| line.split(':').next().unwrap_or_default().to_owned()).collect()
+}
+
+/// Returns the names of the promises that are broken by what two workers printed and the callers of `record` saw.
+fn broken(first: &str, second: &str, record: Record) -> Vec<String> {
+    let history = history(first, second);
     let ledger = BTreeMap::from([(record.job.id.clone(), record)]);
     let impairments = Impairments::default();
     let evidence = Evidence {
@@ -60,8 +72,15 @@
         impairments: &impairments,
         capacity: (4_000, 4_096, 2),
     };
-    let lines = evidence.broken_promises();
-    lines.iter().map(|line| line.split(':').next().unwrap_or_default().to_owned()).collect()
+    names(&evidence.broken_promises())
+}
+
+/// Returns the names of the promises that are broken by waits from `quiet_ms` on.
+fn late(first: &str, records: &[Record], impairments: &Impairments, quiet_ms: u64) -> Vec<String> {
+    let history = history(first, "");
+    let ledger = records.iter().map(|record| (record.job.id.clone(), record.clone())).collect();
+    let evidence = Evidence { history: &history, ledger: &ledger, impairments, capacity: (4_000, 4_096, 2) };
+    names(&late_starts(&evidence, quiet_ms, 2))
 }
 
 fn subtask(step: u32) -> String {
@@ -215,3 +234,72 @@
         assert_eq!(broken(&log, "", record.clone()), expected, "run {run}");
     }
 }
+
+/// A job that waits or runs until its last poll at 30,000 ms.
+fn polled() -> Record {
+    Record { polls: vec![call(30_000, 200, "running")], ..record() }
+}
+
+fn both_steps(first_at_ms: u64, second_at_ms: u64) -> String {
+    started(first_at_ms, &subtask(0), 1)
+        + &ended(first_at_ms + 1_000, &subtask(0), 1, 1, "done")
+        + &started(second_at_ms, &subtask(1), 1)
+        + &ended(30_000, &subtask(1), 1, 2, "done")
+}
+
+#[test]
+fn job_must_not_wait_beside_idle_workers() {
+    let calm = Impairments::default();
+    assert_eq!(late("", &[polled()], &calm, 9_000), ["LOST"]);
+    assert!(late(&both_steps(13_000, 17_000), &[polled()], &calm, 9_000).is_empty());
+    assert_eq!(late(&both_steps(13_001, 17_000), &[polled()], &calm, 9_000), ["LOST"]);
+    assert_eq!(late(&both_steps(13_000, 17_001), &[polled()], &calm, 9_000), ["LOST"]);
+}
+
+#[test]
+fn wait_counts_only_after_the_last_fault() {
+    let calm = Impairments::default();
+    assert!(late(&both_steps(13_500, 17_400), &[polled()], &calm, 15_000).is_empty());
+    assert_eq!(late(&both_steps(13_500, 18_001), &[polled()], &calm, 15_000), ["LOST"]);
+}
+
+#[test]
+fn wait_counts_only_without_an_impairment_before() {
+    let impairments = Impairments::default();
+    impairments.end(impairments.begin(STORE));
+    let base_ms = wall_ms();
+    let accepted = |until_ms| Record {
+        submits: vec![call(base_ms, 200, "")],
+        polls: vec![call(until_ms, 200, "queued")],
+        ..record()
+    };
+    assert!(late("", &[accepted(base_ms + 6_900)], &impairments, base_ms).is_empty());
+    assert_eq!(late("", &[accepted(base_ms + 7_500)], &impairments, base_ms), ["LOST"]);
+}
+
+#[test]
+fn job_may_wait_while_half_is_in_use_or_after_its_end() {
+    let calm = Impairments::default();
+    let other_id = "00000000000000b2";
+    let mut other = polled();
+    other.job.id = other_id.to_owned();
+    let log = started(9_500, &format!("{other_id}.0.0.0"), 1);
+    assert!(late(&log, &[polled(), other], &calm, 9_000).is_empty());
+    let ended = Record { polls: vec![call(12_000, 200, "failed"), call(30_000, 200, "failed")], ..record() };
+    assert!(late("", &[ended], &calm, 9_000).is_empty());
+    let cancelled = Record { cancels: vec![call(12_000, 0, "")], ..polled() };
+    assert!(late("", &[cancelled], &calm, 9_000).is_empty());
+}
+
+#[test]
+fn gang_may_wait_unless_two_of_it_fit() {
+    let gang = |count| {
+        let mut record = polled();
+        record.job.steps =
+            vec![Step { count, gang: true, needs: (1_000, 1_024, 1), ..record.job.steps[0].clone() }];
+        record
+    };
+    let calm = Impairments::default();
+    assert_eq!(late("", &[gang(2)], &calm, 9_000), ["LOST"]);
+    assert!(late("", &[gang(3)], &calm, 9_000).is_empty());
+}
