--- a/crates/emul/tests/starts.rs
+++ b/crates/emul/tests/starts.rs
@@ -12,8 +12,7 @@
     Setup { workers: load.workers, load, seed, length_ms, rate: 1.0, faults_per_min }
 }
 
-/// Guards against work that waits beside idle workers: for a whole rack, for room that urgent work might need, or for
-/// workers that are out of use.
+/// Guards against waits beside idle workers: for a whole rack, for the reserve, or for workers out of use.
 #[yare::parameterized(
     wide_no_faults = { "wide", 1.0, 0.0, 6 },
     wide_faults = { "wide", 1.0, 10.0, 6 },
