Avoid workers on which a unit has failed only while others can fit it

Callers would have seen a gang of five on six workers, or a subtask that only one worker is large enough for, wait for ever after a failed run, beside idle workers (LOST).

Cause: the workers on which a unit had failed were left out without a look whether the others can ever fit it, and for ever.

Evidence: `gang_that_failed_twice_starts_on_workers_that_it_needs` and `subtask_that_failed_starts_on_the_only_worker_that_is_large_enough` failed before (no start within 3 s).

They are avoided while the others would fit the unit when empty, and for at most 15 s.

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -39,6 +39,9 @@
 /// Time without urgent jobs after which the reserve waits no longer for more of the same burst, in milliseconds.
 const URGENT_PAUSE_MS: u64 = 5_000;
 
+/// Time for which a unit waits for workers on which it has not failed, in milliseconds.
+const MAX_AVOIDANCE_MS: u64 = 15_000;
+
 /// Added to the rank of a worker that is held for another unit: urgent work uses it if no other has room.
 const HELD_RANK: u8 = 100;
 
@@ -464,9 +467,11 @@
         }
         let takes_any = self.takes_any_placement(pass, candidate, step, rooms);
         let has_failed = |room: &Room| unit.failed_on.contains(&pass.pool.workers[room.worker].incarnation);
-        let avoids_failures = unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang);
-        if avoids_failures && !rooms.iter().all(has_failed) {
-            let others: Vec<Room> = rooms.iter().filter(|room| !has_failed(room)).copied().collect();
+        let others: Vec<Room> = rooms.iter().filter(|room| !has_failed(room)).copied().collect();
+        let avoids_failures = (unit.failed_on.len() > 1 || (!unit.failed_on.is_empty() && !step.gang))
+            && pass.now < unit.since + MAX_AVOIDANCE_MS
+            && can_ever_fit(&pass.pool, &others, step);
+        if avoids_failures {
             let found = self.choose_workers(pass, candidate, (step, unit), others, uses_reserve, takes_any);
             if found.is_ok() || !takes_any {
                 return found;
