Take no announcement or report with a value out of bounds

What callers saw: after one announcement of another writer with a capacity at a limit of its type, no job was accepted for 20 s (a first look with separate processes on, not repeated here).

Cause: `cpu` or `gpu` of i64::MIN or i64::MAX was taken as a capacity. The planner's sums and products of capacities overflow: a debug build panics at each pass, a release build wraps, so that jobs are refused as too large.

Why the fix works: the bounds are checked where a value arrives. A planner also checks the reports, since agents of an earlier build pass such an announcement on: the worker keeps its known capacity and its runs, `report_ignored reason=out_of_bounds` names the field. Sums and products of resources no longer overflow in either build, and the number of copies that fit is limited so that its sum over all workers doesn't.

The process test was not run in a release build.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use crate::bounds::OutOfBounds;
 use crate::forecast::run_id;
 use crate::incarnation;
 use crate::job::{Job, Outcome, Step};
@@ -24,6 +25,9 @@
 /// Runs of a lost worker that its line in the logs names.
 const MAX_LOGGED_RUNS: usize = 16;
 
+/// Longest part of a name out of bounds that is logged, in characters.
+const MAX_LOGGED_CHARS: usize = 80;
+
 /// Time within which lost workers count as lost together, in milliseconds.
 const LOST_TOGETHER_MS: u64 = 1_000;
 
@@ -77,7 +81,20 @@
     ///
     /// An agent was alive when its connection was accepted, so a report of another incarnation than the known one is
     /// newer only if its connection is. Otherwise it changes nothing, like a report that arrives out of order.
+    ///
+    /// What is out of bounds in it counts as not reported: another writer's announcement or another build may be the cause.
     pub fn apply_report(&mut self, now: u64, wall: u64, connected_at: u64, report: &Report) -> bool {
+        let known_info = |incarnation: &str| Some(self.workers.get(incarnation)?.info.clone());
+        match report.bounded(known_info) {
+            Some((bounded, finding)) => {
+                self.record_finding(now, report, &finding);
+                self.apply_bounded_report(now, wall, connected_at, &bounded)
+            }
+            None => self.apply_bounded_report(now, wall, connected_at, report),
+        }
+    }
+
+    fn apply_bounded_report(&mut self, now: u64, wall: u64, connected_at: u64, report: &Report) -> bool {
         let known = self.agents.get(&report.agent).cloned();
         if let Some(known) = &known {
             if known.incarnation != report.agent_incarnation && connected_at <= known.connected_at {
@@ -153,6 +170,21 @@
             .collect()
     }
 
+    /// Counts a report with a value out of bounds, and logs it if a line is due.
+    fn record_finding(&mut self, now: u64, report: &Report, finding: &OutOfBounds) {
+        const REASON: &str = "out_of_bounds";
+        *self.ignored_reports.entry(REASON).or_default() += 1;
+        let Some(count) = self.line_limit.record(now, REASON) else { return };
+        self.log_line(format!(
+            "event=report_ignored agent={:?} agent_incarnation={} seq={} reason={REASON} cause=\"{finding}\" worker={:?} \
+             count={count}",
+            excerpt(&report.agent),
+            report.agent_incarnation,
+            report.seq,
+            excerpt(reported_worker(report)),
+        ));
+    }
+
     /// Counts a report that is ignored, and logs it if a line is due.
     fn record_ignored(&mut self, now: u64, report: &Report, reason: &'static str) {
         *self.ignored_reports.entry(reason).or_default() += 1;
@@ -561,3 +593,8 @@
 fn reported_worker(report: &Report) -> &str {
     report.worker.as_ref().map_or("", |info| &info.incarnation)
 }
+
+/// Returns the beginning of a text from another process.
+fn excerpt(text: &str) -> &str {
+    text.char_indices().nth(MAX_LOGGED_CHARS).map_or(text, |(end, _)| &text[..end])
+}
--- /dev/null
+++ b/crates/fleet/src/bounds.rs
@@ -0,0 +1,146 @@
+//! Bounds of the values that other processes write: announcements, reports, jobs and stored records.
+//!
+//! A decoder checks them where a value arrives, so that sums and products of what it lets through fit into 64 bits. They
+//! are far beyond the sizes in docs/CAPACITY.md.
+
+use derive_more::{Display, Error};
+
+use crate::report::{Report, WorkerInfo};
+use crate::resources::Resources;
+
+/// Result of a check.
+pub type Result<T> = std::result::Result<T, OutOfBounds>;
+
+/// Maximum CPU of a worker or subtask, in thousandths of a core: a million cores.
+pub const MAX_MILLICORES: i64 = 1_000_000_000;
+
+/// Maximum memory of a worker or subtask, in megabytes: a petabyte.
+pub const MAX_MEMORY_MB: i64 = 1_000_000_000;
+
+/// Maximum number of accelerators of a worker or subtask.
+pub const MAX_ACCELERATORS: i64 = 1_000_000;
+
+/// Maximum duration, in milliseconds: ten years. Times such factors as a queue's stretch, it fits into 64 bits.
+pub const MAX_DURATION_MS: u64 = 10 * 366 * 24 * 3_600_000;
+
+/// Latest time, in milliseconds since 1970: the end of the year 9999.
+pub const MAX_WALL_MS: u64 = 253_402_300_799_999;
+
+/// Maximum of numbers that only rise, such as those of announcements and ends: the largest that every JSON reader keeps
+/// exactly.
+pub const MAX_NUMBER: u64 = (1 << 53) - 1;
+
+/// Maximum length of a name or label, in bytes. Reports carry a worker's twice a second.
+pub const MAX_NAME_BYTES: usize = 1_024;
+
+/// Maximum number of a worker's labels.
+pub const MAX_LABELS: usize = 64;
+
+/// Maximum measurement of a run, in milliseconds of latency or thousandths of a core.
+pub const MAX_MEASUREMENT: u64 = MAX_MILLICORES as u64;
+
+/// A value that no process writes on purpose.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{field} out of bounds: {value}")]
+pub struct OutOfBounds {
+    pub field: &'static str,
+    pub value: String,
+}
+
+/// Checks that a value is at most `max`.
+///
+/// # Errors
+///
+/// Returns the field and its value if it is greater.
+pub fn check_max(field: &'static str, value: u64, max: u64) -> Result<()> {
+    if value > max { Err(OutOfBounds { field, value: value.to_string() }) } else { Ok(()) }
+}
+
+/// Checks the length of a name or label.
+///
+/// # Errors
+///
+/// Returns the field and the length if it is longer than [`MAX_NAME_BYTES`].
+pub fn check_name(field: &'static str, name: &str) -> Result<()> {
+    let value = || format!("{} bytes", name.len());
+    if name.len() > MAX_NAME_BYTES { Err(OutOfBounds { field, value: value() }) } else { Ok(()) }
+}
+
+impl Resources {
+    /// Checks that the amounts are neither negative nor absurd.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first that is out of bounds.
+    pub fn check(&self) -> Result<()> {
+        let check = |field, value: i64, max| match (0..=max).contains(&value) {
+            true => Ok(()),
+            false => Err(OutOfBounds { field, value: value.to_string() }),
+        };
+        check("millicores", self.millicores, MAX_MILLICORES)?;
+        check("memory_mb", self.memory_mb, MAX_MEMORY_MB)?;
+        check("accelerators", self.accelerators, MAX_ACCELERATORS)
+    }
+
+    /// Moves the amounts that are out of bounds to the nearest within; returns whether there were any.
+    pub fn clamp(&mut self) -> bool {
+        let before = *self;
+        self.millicores = self.millicores.clamp(0, MAX_MILLICORES);
+        self.memory_mb = self.memory_mb.clamp(0, MAX_MEMORY_MB);
+        self.accelerators = self.accelerators.clamp(0, MAX_ACCELERATORS);
+        *self != before
+    }
+}
+
+impl WorkerInfo {
+    /// Checks that a worker with these properties can be used.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of bounds.
+    pub fn check(&self) -> Result<()> {
+        check_name("worker", &self.incarnation)?;
+        check_name("service", &self.service)?;
+        check_name("domain", &self.domain)?;
+        check_max("labels", self.labels.len() as u64, MAX_LABELS as u64)?;
+        self.labels.iter().try_for_each(|label| check_name("label", label))?;
+        check_max("remaining_ms", self.remaining_ms.unwrap_or(0), MAX_DURATION_MS)?;
+        self.capacity.check()
+    }
+}
+
+impl Report {
+    /// Returns the report without what is out of bounds, and the first finding; `None` if there is nothing. The worker is
+    /// replaced by what `known` tells of it, and is left out if that is nothing. A rough figure is cut to its bounds.
+    pub(crate) fn bounded(
+        &self,
+        known: impl FnOnce(&str) -> Option<WorkerInfo>,
+    ) -> Option<(Self, OutOfBounds)> {
+        let mut report = self.clone();
+        let mut findings = Vec::new();
+        if let Some(info) = &self.worker
+            && let Err(e) = info.check()
+        {
+            findings.push(e);
+            report.worker = known(&info.incarnation);
+        }
+        if let Some(ms) = self.silent_before_ms
+            && let Err(e) = check_max("silent_before_ms", ms, MAX_DURATION_MS)
+        {
+            findings.push(e);
+            report.silent_before_ms = None;
+        }
+        for run in &mut report.running {
+            findings.extend(check_max("measurement", run.measurement, MAX_MEASUREMENT).err());
+            run.measurement = run.measurement.min(MAX_MEASUREMENT);
+        }
+        report.ended.retain(|end| match check_max("end", end.number, MAX_NUMBER) {
+            Ok(()) => true,
+            Err(e) => {
+                findings.push(e);
+                false
+            }
+        });
+        findings.into_iter().next().map(|finding| (report, finding))
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod approvals;
 pub mod assign;
 pub mod assignments;
+pub mod bounds;
 mod changes;
 pub mod claims;
 pub mod crash;
--- a/crates/fleet/src/resources.rs
+++ b/crates/fleet/src/resources.rs
@@ -8,7 +8,11 @@
 /// Cores that one accelerator counts as in cost comparisons, as in the users' price list.
 pub const CORES_PER_ACCELERATOR: i64 = 8;
 
-/// Resources of a worker or needed by a subtask; negative where a worker is overcommitted.
+/// Maximum number of copies that [`Resources::copies_of`] counts, so that the sum over all workers fits into 64 bits.
+const MAX_COPIES: i64 = u32::MAX as i64;
+
+/// Resources of a worker or needed by a subtask; negative where a worker is overcommitted. Amounts that
+/// don't fit into 64 bits are cut to the nearest that do.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display("{millicores}m/{memory_mb}MB/{accelerators}acc")]
 pub struct Resources {
@@ -30,13 +34,13 @@
         self.copies_of(other) >= 1
     }
 
-    /// Returns how many copies of `other` fit into this amount.
+    /// Returns how many copies of `other` fit into this amount, [`MAX_COPIES`] at most.
     pub fn copies_of(&self, other: &Self) -> i64 {
         let each = |have: i64, need: i64| match need {
             // What is overcommitted takes nothing more, even without need of it.
             _ if have < 0 => 0,
-            0 => i64::MAX,
-            need => have / need,
+            0 => MAX_COPIES,
+            need => have.saturating_div(need).min(MAX_COPIES),
         };
         each(self.millicores, other.millicores)
             .min(each(self.memory_mb, other.memory_mb))
@@ -57,12 +61,12 @@
 
     /// Returns the cost weight of the CPU and accelerators, in thousandths of a core.
     pub fn weight(&self) -> i64 {
-        self.millicores + self.accelerators * CORES_PER_ACCELERATOR * 1_000
+        self.millicores.saturating_add(self.accelerators.saturating_mul(CORES_PER_ACCELERATOR * 1_000))
     }
 
     /// Returns the largest share of `capacity` that this amount takes of any one resource, in thousandths.
     pub fn share_of(&self, capacity: &Self) -> i64 {
-        let each = |have: i64, of: i64| if of > 0 { have * 1_000 / of } else { 0 };
+        let each = |have: i64, of: i64| if of > 0 { have.saturating_mul(1_000) / of } else { 0 };
         each(self.millicores, capacity.millicores)
             .max(each(self.memory_mb, capacity.memory_mb))
             .max(each(self.accelerators, capacity.accelerators))
@@ -71,17 +75,17 @@
 
 impl AddAssign for Resources {
     fn add_assign(&mut self, other: Self) {
-        self.millicores += other.millicores;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.millicores = self.millicores.saturating_add(other.millicores);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 }
 
 impl SubAssign for Resources {
     fn sub_assign(&mut self, other: Self) {
-        self.millicores -= other.millicores;
-        self.memory_mb -= other.memory_mb;
-        self.accelerators -= other.accelerators;
+        self.millicores = self.millicores.saturating_sub(other.millicores);
+        self.memory_mb = self.memory_mb.saturating_sub(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_sub(other.accelerators);
     }
 }
 
@@ -89,6 +93,7 @@
     type Output = Self;
 
     fn mul(self, factor: i64) -> Self {
-        Self::new(self.millicores * factor, self.memory_mb * factor, self.accelerators * factor)
+        let each = |amount: i64| amount.saturating_mul(factor);
+        Self::new(each(self.millicores), each(self.memory_mb), each(self.accelerators))
     }
 }
