Don't let one odd sequence number shut a worker out

What callers saw: after one announcement of another writer with a high `sequence` under the current incarnation's name, the worker's own announcements were ignored as older. It could neither drain nor change its capacity, so runs were placed on it until it was gone, and lost with it.

Cause: any number above the newest became the newest, without confirmation and for good.

Why the fix works: a number counts as part of a series. One that is more than 1,000 above the newest changes nothing before the next one follows it. Lower ones change nothing either, until three of them rise over 2.5 s while nothing follows the newest: only the worker goes on with its own numbers. A late announcement of a worker that goes on still never wins, since the worker's own one comes within that time. `announcement_ignored reason=sequence_jump` and `sequence_lowered` tell of both.

--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -74,12 +74,16 @@
     }
 
     fn apply_announcement(&self, received: Received) {
-        let (effect, after) = {
+        let (before, effect, after) = {
             let mut state = lock(&self.worker_state);
-            let effect = state.apply_announcement(&received.announcement);
-            (effect, state.summary(now_ms()))
+            let before = state.summary(now_ms());
+            let effect = state.apply_announcement(now_ms(), &received.announcement);
+            (before, effect, state.summary(now_ms()))
         };
         metrics::count_announcement(effect.name());
+        if after.sequence < before.sequence {
+            log::warn!("event=sequence_lowered worker={} {received} {before}", after.current);
+        }
         match effect {
             AnnouncementEffect::Updated => {
                 log_announced(&received, "updated", "", &after);
@@ -94,7 +98,8 @@
             }
             AnnouncementEffect::OtherService
             | AnnouncementEffect::OlderSequence
-            | AnnouncementEffect::RepeatedSequence => {
+            | AnnouncementEffect::RepeatedSequence
+            | AnnouncementEffect::SequenceJump => {
                 self.log_ignored(&received, effect.name());
             }
         }
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -1,7 +1,6 @@
 //! State of a worker as its agent knows it: announcements, leases, runs and their ends. Does no I/O; the caller
 //! passes the time in.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
@@ -9,6 +8,7 @@
 use sorrelland_fleet::{Task, incarnation};
 use sorrelland_platform::worker::{Announcement, Listing};
 
+use crate::announcement_order::{AnnouncementOrder, Position};
 use crate::presence::{AnnouncementEffect, Presence, Summary};
 
 /// Remaining time of a grant below which nothing is started: a shorter lease would end before the next report.
@@ -47,6 +47,8 @@
     /// Longest time that a stop takes.
     stop_ms: u64,
     announced: Option<Announcement>,
+    /// Numbers of the current incarnation's announcements.
+    order: AnnouncementOrder,
     presence: Presence,
     epoch: u64,
     assignments: Option<Assignments>,
@@ -100,20 +102,21 @@
         Self { max_lease_ms, stop_ms, ..Self::default() }
     }
 
-    /// Applies an announcement and returns its effect. Only the current incarnation can change: an announcement may
+    /// Applies an announcement that arrives at `now` and returns its effect. Only the current incarnation can change: an announcement may
     /// arrive late or come from another writer, so the worker has to confirm any other one, and the return of one that
     /// leaves or is silent.
-    pub fn apply_announcement(&mut self, announcement: &Announcement) -> AnnouncementEffect {
+    pub fn apply_announcement(&mut self, now: u64, announcement: &Announcement) -> AnnouncementEffect {
         let incarnation = &announcement.info.incarnation;
         let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
         let Some(known) = current else { return AnnouncementEffect::Unconfirmed };
         if announcement.info.service != known.info.service {
             return AnnouncementEffect::OtherService;
         }
-        match announcement.sequence.cmp(&known.sequence) {
-            Ordering::Less => return AnnouncementEffect::OlderSequence,
-            Ordering::Equal => return AnnouncementEffect::RepeatedSequence,
-            Ordering::Greater => (),
+        match self.order.record(now, announcement.sequence) {
+            Position::Newest => (),
+            Position::Repeated => return AnnouncementEffect::RepeatedSequence,
+            Position::Older => return AnnouncementEffect::OlderSequence,
+            Position::Jump => return AnnouncementEffect::SequenceJump,
         }
         let changed = known.info != announcement.info;
         *known = announcement.clone();
@@ -135,6 +138,7 @@
         self.silent_before_ms = self.failing_since.take().map(|since| now.saturating_sub(since));
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
         self.leased_until = now + self.max_lease_ms;
+        self.order = AnnouncementOrder::new(announcement.sequence);
         self.announced = Some(announcement);
     }
 
--- a/crates/control/src/presence.rs
+++ b/crates/control/src/presence.rs
@@ -16,6 +16,8 @@
     OlderSequence,
     /// Ignored: the same announcement is known.
     RepeatedSequence,
+    /// Ignored until the next one follows it: its number is far above the known one.
+    SequenceJump,
 }
 
 impl AnnouncementEffect {
@@ -28,6 +30,7 @@
             Self::OtherService => "other_service",
             Self::OlderSequence => "older_sequence",
             Self::RepeatedSequence => "repeated_sequence",
+            Self::SequenceJump => "sequence_jump",
         }
     }
 }
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -112,17 +112,17 @@
 #[test]
 fn apply_announcement_names_its_effect() {
     let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
-    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Unconfirmed);
+    assert_eq!(state.apply_announcement(0, &announcement(2)), AnnouncementEffect::Unconfirmed);
     state.adopt_incarnation(0, announcement(2));
-    assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::Unchanged);
-    assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::RepeatedSequence);
-    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::OlderSequence);
+    assert_eq!(state.apply_announcement(0, &announcement(3)), AnnouncementEffect::Unchanged);
+    assert_eq!(state.apply_announcement(0, &announcement(3)), AnnouncementEffect::RepeatedSequence);
+    assert_eq!(state.apply_announcement(0, &announcement(2)), AnnouncementEffect::OlderSequence);
     let mut draining = announcement(4);
     draining.info.draining = true;
-    assert_eq!(state.apply_announcement(&draining), AnnouncementEffect::Updated);
+    assert_eq!(state.apply_announcement(0, &draining), AnnouncementEffect::Updated);
     assert!(state.end_incarnation(INCARNATION));
     assert!(!state.end_incarnation(INCARNATION));
-    assert_eq!(state.apply_announcement(&announcement(5)), AnnouncementEffect::Unconfirmed);
+    assert_eq!(state.apply_announcement(0, &announcement(5)), AnnouncementEffect::Unconfirmed);
 }
 
 #[test]
@@ -131,7 +131,7 @@
     state.adopt_incarnation(0, announcement(1));
     let poll = state.begin_poll();
     state.apply_listing(10, poll, INCARNATION, listing(500));
-    assert_eq!(state.apply_announcement(&other_announcement(9)), AnnouncementEffect::Unconfirmed);
+    assert_eq!(state.apply_announcement(0, &other_announcement(9)), AnnouncementEffect::Unconfirmed);
     assert_eq!((state.incarnation(), state.summary(20).runs), (Some(INCARNATION), 1));
     state.adopt_incarnation(30, other_announcement(9));
     assert_eq!((state.incarnation(), state.summary(30).runs), (Some("w-2"), 0));
@@ -170,7 +170,7 @@
     assert!(state.record_departure_notice(INCARNATION));
     assert_eq!(state.build_report("agent", 1, 1).not_started, Vec::new());
     assert_eq!(state.extend_lease(30), None);
-    assert_eq!(state.apply_announcement(&announcement(2)), AnnouncementEffect::Unconfirmed);
+    assert_eq!(state.apply_announcement(0, &announcement(2)), AnnouncementEffect::Unconfirmed);
     assert_eq!(state.extend_lease(35), None, "a check-in that came late brings a leaving worker back");
     state.adopt_incarnation(40, announcement(2));
     assert!(state.extend_lease(40).is_some());
@@ -179,7 +179,7 @@
     assert!(state.record_refused_connection(0, INCARNATION));
     assert_eq!(state.build_report("agent", 1, 2).not_started.len(), 1);
     assert!(!state.needs_poll());
-    assert_eq!(state.apply_announcement(&announcement(3)), AnnouncementEffect::Unconfirmed);
+    assert_eq!(state.apply_announcement(0, &announcement(3)), AnnouncementEffect::Unconfirmed);
     assert!(state.build_report("agent", 1, 3).worker.unwrap().draining);
 }
 
@@ -273,8 +273,8 @@
     let mut other = announcement(u64::MAX);
     other.info.service = "elsewhere".to_owned();
     other.info.draining = true;
-    state.apply_announcement(&other);
-    state.apply_announcement(&announcement(2));
+    state.apply_announcement(0, &other);
+    state.apply_announcement(0, &announcement(2));
     let worker = state.build_report("agent", 1, 1).worker.unwrap();
     assert_eq!((worker.service.as_str(), worker.draining), ("svc", false));
 }
@@ -283,7 +283,7 @@
 fn apply_announcement_of_silent_worker_takes_no_work() {
     let (mut state, now) = silent_worker();
     // The worker announces itself and still answers no call.
-    state.apply_announcement(&announcement(2));
+    state.apply_announcement(0, &announcement(2));
     assert_eq!(state.extend_lease(now), None);
     assert!(state.build_report("agent", 1, 1).worker.unwrap().draining, "work is placed that is never sent");
 }
@@ -350,8 +350,70 @@
     };
     state.apply_assignments(20, 1, Some(assigned(1, 8)));
     assert_eq!(state.due_starts(20).len(), 1);
-    assert_eq!(state.apply_announcement(&of_size(2, 4)), AnnouncementEffect::Updated);
+    assert_eq!(state.apply_announcement(0, &of_size(2, 4)), AnnouncementEffect::Updated);
     assert_eq!(state.due_starts(30), Vec::new());
     state.apply_assignments(40, 1, Some(assigned(2, 4)));
     assert_eq!(state.due_starts(40).len(), 1);
 }
+
+/// Returns an announcement with the given number of accelerators.
+fn of_size(sequence: u64, accelerators: i64) -> Announcement {
+    let mut announcement = announcement(sequence);
+    announcement.info.capacity = Resources::new(128_000, 262_144, accelerators);
+    announcement
+}
+
+fn accelerators(state: &WorkerState) -> i64 {
+    state.build_report("agent", 1, 1).worker.unwrap().capacity.accelerators
+}
+
+#[test]
+fn apply_announcement_with_an_odd_sequence_does_not_shut_the_worker_out() {
+    const HEARTBEAT_MS: u64 = 1_500;
+    let odd_sequences = [u64::MAX, u64::MAX - 1, i64::MAX as u64, (1 << 53) - 1, 1_000_000, 700, 104, 101];
+    for odd in odd_sequences.into_iter().chain([0]) {
+        let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+        // An agent that has just started may hear of the odd one first.
+        let first = if odd == 0 { u64::MAX } else { 100 };
+        state.adopt_incarnation(0, of_size(first, 8));
+        if odd > 0 {
+            state.apply_announcement(100, &of_size(odd, 1));
+        }
+        for (beat, sequence) in (1..).zip(101..105) {
+            state.apply_announcement(beat * HEARTBEAT_MS, &of_size(sequence, 4));
+        }
+        assert_eq!(accelerators(&state), 4, "the worker's own announcements are ignored after {odd}");
+        let mut draining = of_size(105, 4);
+        draining.info.draining = true;
+        assert_eq!(state.apply_announcement(8_000, &draining), AnnouncementEffect::Updated, "after {odd}");
+    }
+}
+
+#[test]
+fn apply_announcement_with_a_jump_changes_nothing_before_the_next_one() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, of_size(100, 8));
+    let jump = 1 << 50;
+    assert_eq!(state.apply_announcement(10, &of_size(jump, 1)), AnnouncementEffect::SequenceJump);
+    assert_eq!(state.apply_announcement(20, &of_size(jump, 1)), AnnouncementEffect::SequenceJump);
+    assert_eq!((accelerators(&state), state.summary(20).sequence), (8, 100));
+    assert_eq!(state.apply_announcement(1_500, &of_size(jump + 1, 1)), AnnouncementEffect::Updated);
+    assert_eq!(accelerators(&state), 1);
+}
+
+#[test]
+fn apply_announcement_ignores_late_ones_of_a_worker_that_goes_on() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, of_size(100, 8));
+    // A connection that was cut delivers them in a burst, then one after each of the worker's own.
+    for late in 50..60 {
+        let effect = state.apply_announcement(1_000, &of_size(late, 1));
+        assert_eq!(effect, AnnouncementEffect::OlderSequence);
+    }
+    for beat in 1..20 {
+        let now = beat * 1_500;
+        assert_eq!(state.apply_announcement(now, &of_size(60 + beat, 1)), AnnouncementEffect::OlderSequence);
+        assert_eq!(state.apply_announcement(now, &of_size(100 + beat, 8)), AnnouncementEffect::Unchanged);
+    }
+    assert_eq!(accelerators(&state), 8);
+}
--- a/crates/sorrelland/tests/odd_announcements.rs
+++ b/crates/sorrelland/tests/odd_announcements.rs
@@ -5,8 +5,12 @@
 use std::fs;
 use std::time::Duration;
 
+use bytes::Bytes;
+use common::eventually;
 use common::platform::{Platform, step};
+use http::{Method, header};
 use serde_json::{Value, json};
+use sorrelland_web::Client;
 
 const WORKER: &str = "w-1-1";
 
@@ -34,6 +38,13 @@
         .collect()
 }
 
+/// Returns the workers as the planner knows them.
+async fn workers(platform: &Platform) -> String {
+    let url = format!("http://{}/show/workers", platform.env.address(11, 9_464));
+    let reply = Client::new(Duration::from_secs(2)).send(Method::GET, &url, &[], Bytes::new()).await;
+    reply.map_or_else(|_| String::new(), |reply| String::from_utf8_lossy(&reply.body).into_owned())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_capacity_stops_no_process_and_no_job() {
     let platform = Platform::start(1, 3).await;
@@ -56,3 +67,30 @@
     // All workers are still of use.
     platform.await_workers().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_sequence_leaves_worker_able_to_change_and_drain() {
+    let mut platform = Platform::start(1, 2).await;
+    for sequence in [u64::MAX, 1 << 60, (1 << 53) - 1, 1_000_000, 500] {
+        let status = platform.announce(1, WORKER, &announcement(sequence)).await;
+        assert!([200, 400].contains(&status), "sequence {sequence}: {status}");
+    }
+    let capacity = json!({"cpu": 9_000, "memory_mb": 4_096, "gpu": 2});
+    let url = format!("http://{}/v1/capacity", platform.env.address(101, 8_000));
+    let headers = [(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"))];
+    let client = Client::new(Duration::from_secs(2));
+    let reply = client.send(Method::PUT, &url, &headers, Bytes::from(capacity.to_string())).await.unwrap();
+    assert!(reply.status.is_success(), "{}", reply.status);
+    eventually(Duration::from_secs(8), "the planner knows the worker's new capacity", async || {
+        workers(&platform).await.contains("\"cores\":\"0/9\"")
+    })
+    .await;
+    // Its machine has no time for more than this after SIGTERM.
+    assert!(platform.env.stop("worker-1", Duration::from_secs(15)).await, "the worker exits");
+    let log = fs::read_to_string(platform.env.dir().join("entry-1.log")).unwrap();
+    let draining = format!("event=worker_draining worker={WORKER}");
+    assert!(log.contains(&draining), "the planner never learned that the worker drains");
+    platform.submit_until_accepted(&job(1), &json!([step(1)]), "run_ms=200").await;
+    platform.await_state(&job(1), "completed", Duration::from_secs(10)).await;
+    assert_eq!(panics(&platform), Vec::<String>::new());
+}
