Bound what a submitted job can cost the planner

Cause: `estimate_ms`, amounts, `target_ms` and schedules were taken up to the limits of their types, and their sums overflow. A job that repeats 2^32 times and is due creates all of its occurrences at once. The longest chain after a step was found by recursion: along a chain of thousands of steps it overflows the stack, and among steps that depend on many earlier ones its time doubles with each step.

Further occurrences are created once fewer than 10,000 units of the job are not done, so none is lost. The longest chain is found in one pass backwards over the steps, without recursion.

--- a/crates/fleet/src/admit.rs
+++ b/crates/fleet/src/admit.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::bounds::MAX_DURATION_MS;
 use crate::desired::Queue;
 use crate::forecast::run_id;
 use crate::job::{Job, Step, Submission};
@@ -39,21 +40,36 @@
         critical_path_ms(&self.sub)
     }
 
-    /// Returns the estimated duration of the longest chain of dependent steps that begins with `step`.
+    /// Returns the estimated duration of the longest chain of dependent steps that begins with `step`, at most
+    /// [`MAX_DURATION_MS`].
     pub fn critical_path_from_ms(&self, step: u32) -> u64 {
         let steps = &self.sub.steps;
-        let own_ms = steps.get(step as usize).map_or(0, |step| step.estimate_ms);
-        let next = (0..).zip(steps).filter(|(at, next)| *at > step && next.depends_on.contains(&step));
-        own_ms + next.map(|(at, _)| self.critical_path_from_ms(at)).max().unwrap_or(0)
+        let first = step as usize;
+        // Longest chain after each step. A step depends on earlier ones only, so backwards each is final when it is read.
+        let mut after_ms = vec![0; steps.len()];
+        for (at, step) in steps.iter().enumerate().skip(first).rev() {
+            let chain_ms = add_durations(after_ms[at], step.estimate_ms);
+            for before in step.depends_on.iter().map(|before| *before as usize) {
+                if (first..at).contains(&before) {
+                    after_ms[before] = chain_ms.max(after_ms[before]);
+                }
+            }
+            after_ms[at] = chain_ms;
+        }
+        after_ms.get(first).copied().unwrap_or(0)
     }
 }
 
-/// Returns the estimated duration of the longest chain of dependent steps.
+fn add_durations(one_ms: u64, other_ms: u64) -> u64 {
+    one_ms.saturating_add(other_ms).min(MAX_DURATION_MS)
+}
+
+/// Returns the estimated duration of the longest chain of dependent steps, at most [`MAX_DURATION_MS`].
 pub fn critical_path_ms(sub: &Submission) -> u64 {
     let mut ends: Vec<u64> = Vec::new();
     for step in &sub.steps {
         let start_ms = step.depends_on.iter().filter_map(|before| ends.get(*before as usize)).max();
-        ends.push(start_ms.copied().unwrap_or(0) + step.estimate_ms);
+        ends.push(add_durations(start_ms.copied().unwrap_or(0), step.estimate_ms));
     }
     ends.into_iter().max().unwrap_or(0)
 }
@@ -64,6 +80,7 @@
 ///
 /// Returns the reason of a refusal and the time after which to retry.
 pub fn check_admission(planner: &Planner, now: u64, wall: u64, sub: &Submission) -> Result<(), Refusal> {
+    check_bounds(sub)?;
     check_fits_fleet(planner, sub)?;
     if sub.schedule.is_some() || sub.steps.iter().any(|step| step.long_running) {
         return Ok(());
@@ -75,6 +92,16 @@
     check_attains_value(planner, now, wall, sub)
 }
 
+/// Checks a job that an entry of another build may have passed on.
+fn check_bounds(sub: &Submission) -> Result<(), Refusal> {
+    sub.check().map_err(|e| Refusal {
+        cause: Cause::NeverFits,
+        reason: e.to_string(),
+        inputs: format!("cause=\"{e}\""),
+        retry_after_ms: NEVER_FITS_RETRY_AFTER_MS,
+    })
+}
+
 /// Returns whether a job is urgent and its account's guarantee covers it together with the account's other urgent jobs.
 fn is_guaranteed(planner: &Planner, sub: &Submission) -> bool {
     let urgent = |queue: &str| planner.desired.queue(queue).is_some_and(|queue| queue.priority == 0);
@@ -303,7 +330,7 @@
     ratio: &Ratio,
 ) -> (u64, u64) {
     let estimate_ms = job.sub.steps.get(key.step as usize).map_or(0, |step| step.estimate_ms);
-    let corrected_ms = |ratio_milli: u64| estimate_ms * ratio_milli / 1_000;
+    let corrected_ms = |ratio_milli: u64| estimate_ms.saturating_mul(ratio_milli) / 1_000;
     if unit.state != UnitState::Placed {
         // Saved progress leaves an unknown part of the work.
         let low_ms = if unit.saved.is_empty() { corrected_ms(ratio.low_milli) } else { 0 };
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -5,6 +5,7 @@
 
 use derive_more::{Display, Error};
 
+use crate::job::{Schedule, Step, Submission};
 use crate::report::{Report, WorkerInfo};
 use crate::resources::Resources;
 
@@ -39,6 +40,12 @@
 /// Maximum measurement of a run, in milliseconds of latency or thousandths of a core.
 pub const MAX_MEASUREMENT: u64 = MAX_MILLICORES as u64;
 
+/// Maximum number of subtasks of a job's occurrence, so that a small body cannot exhaust the memory.
+pub const MAX_SUBTASKS: u64 = 10_000;
+
+/// Units of a job that are not done from which no further occurrence is created: as many as one may have.
+pub const MAX_OPEN_UNITS: usize = 10_000;
+
 /// A value that no process writes on purpose.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{field} out of bounds: {value}")]
@@ -109,6 +116,45 @@
     }
 }
 
+impl Step {
+    fn check(&self) -> Result<()> {
+        self.resources.check()?;
+        check_max("estimate_ms", self.estimate_ms, MAX_DURATION_MS)?;
+        check_max("target_ms", self.target_ms.unwrap_or(0), MAX_DURATION_MS)?;
+        check_name("label", self.label.as_deref().unwrap_or_default())?;
+        check_name("preferred_rack", self.preferred_rack.as_deref().unwrap_or_default())?;
+        check_name("image", self.image.as_deref().unwrap_or_default())
+    }
+}
+
+impl Schedule {
+    fn check(&self) -> Result<()> {
+        check_max("first_ms", self.first_ms, MAX_WALL_MS)?;
+        check_max("interval_ms", self.interval_ms, MAX_DURATION_MS)
+    }
+}
+
+impl Submission {
+    /// Returns the number of subtasks of an occurrence.
+    pub fn subtasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Checks that a job can be planned.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first field that is out of bounds.
+    pub fn check(&self) -> Result<()> {
+        check_max("subtasks", self.subtasks(), MAX_SUBTASKS)?;
+        if let Some(step) = self.steps.iter().find(|step| step.count == 0) {
+            return Err(OutOfBounds { field: "count", value: step.count.to_string() });
+        }
+        self.steps.iter().try_for_each(Step::check)?;
+        self.schedule.map_or(Ok(()), |schedule| schedule.check())
+    }
+}
+
 impl Report {
     /// Returns the report without what is out of bounds, and the first finding; `None` if there is nothing. The worker is
     /// replaced by what `known` tells of it, and is left out if that is nothing. A rough figure is cut to its bounds.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::bounds::{MAX_OPEN_UNITS, MAX_WALL_MS};
 use crate::resources::Resources;
 use crate::unit::{Unit, UnitKey, UnitState};
 
@@ -145,7 +146,8 @@
     /// Returns the earliest start of an occurrence in milliseconds since 1970; `None` if it may start immediately.
     pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
         let schedule = self.sub.schedule?;
-        Some(schedule.first_ms.saturating_add(schedule.interval_ms.saturating_mul(u64::from(occurrence))))
+        let later_ms = schedule.interval_ms.saturating_mul(u64::from(occurrence));
+        Some(schedule.first_ms.saturating_add(later_ms).min(MAX_WALL_MS))
     }
 
     /// Returns whether a step of an occurrence has units and all of them are done.
@@ -178,6 +180,33 @@
         }
     }
 
+    /// Returns the number of units of an occurrence.
+    pub fn units_per_occurrence(&self) -> usize {
+        self.sub.steps.iter().map(|step| if step.gang { 1 } else { step.count as usize }).sum()
+    }
+
+    /// Creates the units of the occurrences that are due, while less than [`MAX_OPEN_UNITS`] are not done; returns whether
+    /// there are new ones.
+    pub fn create_due(&mut self, wall: u64) -> bool {
+        let next = self.units.keys().map(|key| key.occurrence.saturating_add(1)).max().unwrap_or(0);
+        let each = self.units_per_occurrence();
+        let is_due = |job: &Self, occurrence: u32| job.due_ms(occurrence).is_none_or(|due| due <= wall);
+        if each == 0 || next >= self.occurrences() || !is_due(self, next) {
+            return false;
+        }
+        let mut open = self.units.values().filter(|unit| unit.state != UnitState::Done).count();
+        let mut created = false;
+        for occurrence in next..self.occurrences() {
+            if open >= MAX_OPEN_UNITS || !is_due(self, occurrence) {
+                break;
+            }
+            self.create_units(occurrence);
+            open += each;
+            created = true;
+        }
+        created
+    }
+
     /// Returns whether a step of the job runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.sub.steps.iter().any(|step| step.long_running)
--- a/crates/fleet/src/overload.rs
+++ b/crates/fleet/src/overload.rs
@@ -351,9 +351,9 @@
 /// estimate that allows most: a target grows with the actual work.
 fn max_wait_ms(request: &Request<'_>, targets: u64) -> u64 {
     let wait_ms = |ratio_milli: u64| {
-        let chain_ms = request.chain_ms * ratio_milli / 1_000;
-        let target_ms = chain_ms * request.stretch_milli / 1_000 + request.full_value_ms;
-        (targets * target_ms).saturating_sub(chain_ms)
+        let chain_ms = request.chain_ms.saturating_mul(ratio_milli) / 1_000;
+        let target_ms = chain_ms.saturating_mul(request.stretch_milli) / 1_000 + request.full_value_ms;
+        targets.saturating_mul(target_ms).saturating_sub(chain_ms)
     };
     wait_ms(request.ratio.low_milli).max(wait_ms(request.ratio.high_milli))
 }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -405,7 +405,7 @@
     pub(crate) fn complete_if_done(&mut self, now: u64, wall: u64, name: &str) {
         let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { return };
         let all_done = job.units.values().all(|unit| unit.state == UnitState::Done);
-        let created = job.units.keys().map(|key| key.occurrence + 1).max().unwrap_or(0);
+        let created = job.units.keys().map(|key| key.occurrence.saturating_add(1)).max().unwrap_or(0);
         if all_done && created == job.occurrences() && !job.is_long_running() {
             self.end_job(now, wall, name, Outcome::Completed);
         }
@@ -468,12 +468,7 @@
         let mut changed = Vec::new();
         for name in &self.live {
             let Some(job) = self.jobs.get_mut(name).filter(|job| job.outcome.is_none()) else { continue };
-            let next = job.units.keys().map(|key| key.occurrence + 1).max().unwrap_or(0);
-            for occurrence in next..job.occurrences() {
-                if job.due_ms(occurrence).is_some_and(|due| due > wall) {
-                    break;
-                }
-                job.create_units(occurrence);
+            if job.create_due(wall) {
                 changed.push(name.clone());
             }
             let not_ready: Vec<UnitKey> =
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -197,7 +197,7 @@
 /// Returns the estimated time of the longest chain of steps after a step, in milliseconds.
 fn following_ms(job: &Job, step: u32) -> u64 {
     let own_ms = job.sub.steps.get(step as usize).map_or(0, |step| step.estimate_ms);
-    (job.critical_path_from_ms(step) - own_ms) * SLOW_WORKER_FACTOR_MILLI / 1_000
+    job.critical_path_from_ms(step).saturating_sub(own_ms) * SLOW_WORKER_FACTOR_MILLI / 1_000
 }
 
 impl Planner {
