Let no stored value end each new leader

What callers saw: nothing yet. A record of a job or of what the last planner learned with a value at a limit of its type would have ended the process of each leader that read it.

Cause: stored values were taken as they were. A number of an occurrence, a count or an index at the limit of its type makes the reader create units until the memory is exhausted; sums of stored times, run numbers and counters overflow.

Records within the bounds are read and written as before, which a test of a round trip shows. The test puts each limit in each field of a job's two records and the learned one, and lets a leader play them: its workers report, runs fail, units are placed again, a job is accepted.

--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -5,9 +5,10 @@
 
 use derive_more::{Display, Error};
 
-use crate::job::{Schedule, Step, Submission};
+use crate::job::{Job, Schedule, Step, Submission};
 use crate::report::{Report, WorkerInfo};
 use crate::resources::Resources;
+use crate::unit::{Unit, UnitKey};
 
 /// Result of a check.
 pub type Result<T> = std::result::Result<T, OutOfBounds>;
@@ -46,6 +47,12 @@
 /// Units of a job that are not done from which no further occurrence is created: as many as one may have.
 pub const MAX_OPEN_UNITS: usize = 10_000;
 
+/// Maximum number of units that are created from a stored job: more than a record of its progress has room for.
+pub const MAX_STORED_UNITS: usize = 100_000;
+
+/// Maximum of counters that a planner continues from a stored value.
+pub const MAX_COUNT: u32 = 1_000_000_000;
+
 /// A value that no process writes on purpose.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("{field} out of bounds: {value}")]
@@ -155,6 +162,54 @@
     }
 }
 
+impl Submission {
+    /// Cuts a stored job to its bounds, since it was accepted; returns the first field that is out of bounds.
+    pub(crate) fn clamp(&mut self) -> Option<OutOfBounds> {
+        let finding = self.check().err()?;
+        let mut left = MAX_SUBTASKS;
+        for step in &mut self.steps {
+            step.count = u64::from(step.count).min(left) as u32;
+            left -= u64::from(step.count);
+            step.resources.clamp();
+            step.estimate_ms = step.estimate_ms.min(MAX_DURATION_MS);
+            step.target_ms = step.target_ms.map(|ms| ms.min(MAX_DURATION_MS));
+        }
+        if let Some(schedule) = &mut self.schedule {
+            schedule.first_ms = schedule.first_ms.min(MAX_WALL_MS);
+            schedule.interval_ms = schedule.interval_ms.min(MAX_DURATION_MS);
+        }
+        Some(finding)
+    }
+}
+
+impl Unit {
+    /// Cuts the numbers of a stored unit to their bounds; returns whether there were any beyond.
+    pub(crate) fn clamp(&mut self) -> bool {
+        let before = (self.run, self.failures, self.uncounted_losses, self.measured_work_ms);
+        self.run = self.run.min(MAX_NUMBER);
+        self.failures = self.failures.min(MAX_COUNT);
+        self.uncounted_losses = self.uncounted_losses.min(MAX_COUNT);
+        self.measured_work_ms = self.measured_work_ms.min(MAX_DURATION_MS);
+        let mut is_cut = before != (self.run, self.failures, self.uncounted_losses, self.measured_work_ms);
+        for crash in &mut self.crashes {
+            is_cut |= crash.ran_ms > MAX_DURATION_MS;
+            crash.ran_ms = crash.ran_ms.min(MAX_DURATION_MS);
+        }
+        is_cut
+    }
+}
+
+impl Job {
+    /// Returns whether a stored unit can be one of the job.
+    pub(crate) fn may_have(&self, key: UnitKey) -> bool {
+        let occurrences = (MAX_STORED_UNITS / self.units_per_occurrence().max(1)).max(1);
+        let units = |step: &Step| if step.gang { 1 } else { step.count };
+        key.occurrence < self.occurrences()
+            && (key.occurrence as usize) < occurrences
+            && self.sub.steps.get(key.step as usize).is_some_and(|step| key.index < units(step))
+    }
+}
+
 impl Report {
     /// Returns the report without what is out of bounds, and the first finding; `None` if there is nothing. The worker is
     /// replaced by what `known` tells of it, and is left out if that is nothing. A rough figure is cut to its bounds.
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelland_forecast::Speed;
 
+use crate::bounds::{MAX_ACCELERATORS, MAX_COUNT, MAX_SUBTASKS};
 use crate::planner::Planner;
 use crate::record::Record;
 use crate::value::{MeanWork, PreemptionOutcomes};
@@ -26,6 +27,9 @@
 /// Maximum number of steps that a speed is taken to follow from.
 const MAX_STEPS: u32 = 1_000;
 
+/// Largest credible number of accelerators that a job needs at the same time.
+const MAX_JOB_ACCELERATORS: i64 = MAX_ACCELERATORS * MAX_SUBTASKS as i64;
+
 /// Largest credible ratio of work to estimate, as a natural logarithm.
 const MAX_LOG_RATIO: f64 = 7.0;
 
@@ -59,16 +63,20 @@
             Ok(digest) => digest,
             Err(e) => return (None, Some(format!("{KEY}: {e}"))),
         };
-        if wall > digest.made_at + MAX_AGE_MS {
+        if wall > digest.made_at.saturating_add(MAX_AGE_MS) {
             return (None, None);
         }
         let before = digest.entries();
         digest.speeds.retain(|(_, milli, steps)| SPEEDS_MILLI.contains(milli) && *steps <= MAX_STEPS);
         // JSON has no infinite numbers, but a comparison also excludes what another decoder might let through.
         digest.ratios.values_mut().for_each(|logs| logs.retain(|log| log.abs() <= MAX_LOG_RATIO));
-        digest.arrivals.values_mut().for_each(|jobs| jobs.retain(|(_, accelerators)| *accelerators >= 0));
+        let is_credible = |accelerators: i64| (0..=MAX_JOB_ACCELERATORS).contains(&accelerators);
+        digest
+            .arrivals
+            .values_mut()
+            .for_each(|jobs| jobs.retain(|(_, accelerators)| is_credible(*accelerators)));
         digest.mean_work.retain(|_, core_s| core_s.is_finite() && *core_s > 0.0);
-        digest.preemptions.retain(|_, (total, in_time)| in_time <= total);
+        digest.preemptions.retain(|_, (total, in_time)| in_time <= total && *total <= MAX_COUNT);
         let dropped = before - digest.entries();
         let finding = (dropped > 0).then(|| format!("{KEY}: {dropped} entries can't be true"));
         (Some(digest), finding)
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -3,6 +3,7 @@
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
 
+use crate::bounds::MAX_WALL_MS;
 use crate::job::{Job, Outcome, Submission};
 use crate::run_progress::RunProgress;
 use crate::unit::{Unit, UnitKey};
@@ -93,14 +94,17 @@
         .map(|prefix| Record { key: format!("{prefix}{job}"), value: Vec::new() })
 }
 
-/// Decodes the jobs from the newest record of each key; also returns a message for each record that can't be read.
+/// Decodes the jobs from the newest record of each key; also returns a message for each record that can't be read, or of
+/// which a part is out of bounds. Such a part is cut or left out, since the job was accepted.
 pub fn read<'a>(records: impl Iterator<Item = (&'a str, &'a [u8])> + Clone) -> (Vec<Job>, Vec<String>) {
     let (mut jobs, mut unreadable) = (std::collections::BTreeMap::new(), Vec::new());
     for (key, value) in records.clone() {
         let Some(name) = key.strip_prefix(SUBMISSION_PREFIX) else { continue };
         match serde_json::from_slice::<Submitted>(value) {
-            Ok(read) => {
-                jobs.insert(name.to_owned(), new_job(read.sub, read.accepted_ms));
+            Ok(mut read) => {
+                let finding = read.sub.clamp();
+                unreadable.extend(finding.map(|finding| format!("{key}: {finding}, cut to its bounds")));
+                jobs.insert(name.to_owned(), new_job(read.sub, read.accepted_ms.min(MAX_WALL_MS)));
             }
             Err(e) => unreadable.push(format!("{key}: {e}")),
         }
@@ -114,9 +118,16 @@
         match serde_json::from_slice::<Progress>(value) {
             Ok(read) => {
                 job.outcome = read.outcome;
-                job.ended_ms = read.ended_ms;
+                job.ended_ms = read.ended_ms.min(MAX_WALL_MS);
                 job.started = read.started;
-                job.units = read.units.into_iter().collect();
+                let (own, others): (Vec<_>, Vec<_>) =
+                    read.units.into_iter().partition(|(key, _)| job.may_have(*key));
+                job.units = own.into_iter().collect();
+                let cut = job.units.values_mut().filter_map(|unit| unit.clamp().then_some(())).count();
+                if cut + others.len() > 0 {
+                    let left_out = others.len();
+                    unreadable.push(format!("{key}: {left_out} units out of bounds left out, {cut} cut"));
+                }
                 // The record omits units that equal a newly created one.
                 let created = job.units.keys().map(|key| key.occurrence + 1).max().unwrap_or(0);
                 (0..created).for_each(|occurrence| job.create_units(occurrence));
