Speak the calls of landings 8 to 10 with processes of those landings

What callers saw: while machines are replaced from landing 8 or 9 to landing 10, or back, the processes of the two builds didn't understand each other. Entries of one build stayed not ready behind a leader of the other, a new leader heard no agent of the other build, and accepted jobs stayed queued beside idle workers.

Cause: the calls are encoded by bincode, which names no fields and accepts no bytes that are left over. Landing 10 added fields to reports, pings, listed entries and submissions, and put the reply NotRun before State. A server ends the connection on which it can't read a message.

Evidence: crates/sorrelland/tests/upgrades.rs runs builds of landings 8, 9 and 10 beside this one and replaces entries and agents one after the other, by SIGTERM and SIGKILL, while callers submit single tasks, gangs, steps with "after" and cancellations.

Why the fix works: the calls have versions. Both ends announce their newest version in the challenge of the handshake, which earlier builds take for random bytes, and use the older one. To a peer that announces none a client first sends a ping of landing 10 that changes nothing, and takes the version of landings 8 and 9 if that ends the connection. A server recognizes the version by the first message that only one version can read; a reply to an earlier request has the version that the last such client has shown. What the first version can't express is left out or not sent: first marks, the number of a call, take_over, Explain; NotRun becomes a refusal that says that the job has not run. An entry of landing 8 or 9 is never offered the leadership, and claims it once a leader has resigned.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,6 +1,8 @@
 //! Calls between entries, and from agents to entries.
+//!
+//! The encoding doesn't name its fields: a change of a type here, or of a type that it contains, is a new version of the
+//! calls (see docs/design/upgrades.md).
 
-use std::io;
 use std::time::Duration;
 
 use crate::peers::Listed;
@@ -9,10 +11,8 @@
 use sorrelland_fleet::job::{JobState, Submission};
 use sorrelland_fleet::report::Report;
 use sorrelland_fleet::view::Query;
-use sorrelland_wire::connect::{CallError, Connect, Pool, call_context, connect_authenticated};
-use tarpc::client::{Config, RpcError};
-use tarpc::serde_transport;
-use tarpc::tokio_serde::formats::Bincode;
+use sorrelland_wire::connect::{CallError, Pool, call_context};
+use tarpc::client::RpcError;
 
 /// An entry that leads or has led according to its claim in the store; its epoch is 0 if it has claimed nothing yet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,13 +153,6 @@
     async fn take_over(epoch: u64) -> OfferReply;
 }
 
-impl Connect for PlanRpcClient {
-    async fn connect(address: &str, key: &str) -> io::Result<Self> {
-        let transport = serde_transport::new(connect_authenticated(address, key).await?, Bincode::default());
-        Ok(Self::new(Config::default(), transport).spawn())
-    }
-}
-
 /// Pool of connections to entries.
 pub type EntryPool = Pool<PlanRpcClient>;
 
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -29,7 +29,7 @@
 use crate::handover::Offer;
 use crate::peers::{FailedHandovers, Listed, Peers};
 use crate::signals::{self, wait_for_stop};
-use crate::{Error, Result, follow, lock, metrics, reload};
+use crate::{Error, Result, follow, lock, metrics, reload, versions};
 
 /// Topic and key of the desired state.
 const DESIRED: (&str, &str) = ("keyed.op", "config");
@@ -229,7 +229,8 @@
                 tokio::spawn(call.execute(service.clone().serve()));
             }
         };
-        connect::serve(listener, key, new_handler).await;
+        let new_codec = versions::new_server_codecs();
+        connect::serve_versions(listener, key, Some(versions::NEWEST), new_codec, new_handler).await;
     }
 
     /// Returns the active planner if this entry leads.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod store_failures;
 pub mod stored;
 mod submissions;
+pub mod versions;
 
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -27,6 +28,8 @@
 
 pub struct Platform {
     pub env: TestEnv,
+    /// Build of the entries and agents that are started from now on.
+    build: PathBuf,
     entries: usize,
     workers: usize,
     /// Number of jobs submitted to find out whether all workers are known.
@@ -38,9 +41,57 @@
     json!({"count": count, "cpu": 1000, "memory_request_mb": 1024, "gpu": 1, "estimate_ms": 300})
 }
 
+/// Returns the daemon that is built with the tests.
+pub fn present_build() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_sorrellandd"))
+}
+
+/// Callers of a platform, who may go on calling while its processes are replaced.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    /// Addresses of the entries for callers.
+    entries: Vec<String>,
+}
+
+impl Callers {
+    pub fn entries(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Sends a request with a deadline of `deadline_ms` to an entry; returns status 0 if there is no response.
+    pub async fn call_within(
+        &self,
+        deadline_ms: u64,
+        index: usize,
+        method: Method,
+        path: &str,
+        key: &str,
+        body: &Value,
+    ) -> (u16, Value) {
+        let client = Client::new(Duration::from_secs(4));
+        let headers = [
+            (header::HOST, HeaderValue::from_static(HOST)),
+            (header::AUTHORIZATION, HeaderValue::from_str(&format!("Token {key}")).unwrap()),
+            (HeaderName::from_static("x-deadline-ms"), HeaderValue::from(deadline_ms)),
+        ];
+        let bytes = if body.is_null() { Bytes::new() } else { Bytes::from(body.to_string()) };
+        let url = format!("http://{}{path}", self.entries[index - 1]);
+        match client.send(method, &url, &headers, bytes).await {
+            Ok(reply) => (reply.status.as_u16(), serde_json::from_slice(&reply.body).unwrap_or(Value::Null)),
+            Err(_) => (0, Value::Null),
+        }
+    }
+}
+
 impl Platform {
     pub async fn start(entries: usize, workers: usize) -> Self {
-        let mut platform = Self { env: TestEnv::new(entries), entries, workers, gangs: AtomicU64::new(0) };
+        Self::start_build(present_build(), entries, workers).await
+    }
+
+    /// Starts the entries and agents from a build.
+    pub async fn start_build(build: &Path, entries: usize, workers: usize) -> Self {
+        let (env, build) = (TestEnv::new(entries), build.to_owned());
+        let mut platform = Self { env, build, entries, workers, gangs: AtomicU64::new(0) };
         platform.start_store().await;
         platform.publish(1, &[KEY]).await;
         for index in 1..=entries {
@@ -57,6 +108,16 @@
         platform
     }
 
+    /// Sets the build of the entries and agents that are started from now on.
+    pub fn set_build(&mut self, build: &Path) {
+        self.build = build.to_owned();
+    }
+
+    pub fn callers(&self) -> Callers {
+        let address = |index| self.env.address(10 + index, 8_521);
+        Callers { entries: (1..=self.entries).map(address).collect() }
+    }
+
     pub fn entries(&self) -> usize {
         self.entries
     }
@@ -115,7 +176,8 @@
         let variables = [("SORRELLANDING_SETTINGS", path.as_str())];
         let port = METRICS_PORT.to_string();
         let args = ["--platform", role, "--metrics-port", &port];
-        self.env.spawn_with_variables(name, env!("CARGO_BIN_EXE_sorrellandd"), &args, &variables);
+        let build = self.build.display().to_string();
+        self.env.spawn_with_variables(name, &build, &args, &variables);
     }
 
     pub fn start_entry(&mut self, index: usize) {
@@ -259,18 +321,7 @@
         key: &str,
         body: &Value,
     ) -> (u16, Value) {
-        let client = Client::new(Duration::from_secs(4));
-        let headers = [
-            (header::HOST, HeaderValue::from_static(HOST)),
-            (header::AUTHORIZATION, HeaderValue::from_str(&format!("Token {key}")).unwrap()),
-            (HeaderName::from_static("x-deadline-ms"), HeaderValue::from(deadline_ms)),
-        ];
-        let bytes = if body.is_null() { Bytes::new() } else { Bytes::from(body.to_string()) };
-        let url = format!("http://{}{path}", self.env.address(10 + index, 8_521));
-        match client.send(method, &url, &headers, bytes).await {
-            Ok(reply) => (reply.status.as_u16(), serde_json::from_slice(&reply.body).unwrap_or(Value::Null)),
-            Err(_) => (0, Value::Null),
-        }
+        self.callers().call_within(deadline_ms, index, method, path, key, body).await
     }
 
     /// Submits a job and returns the HTTP status; 0 if there is no response.
--- /dev/null
+++ b/crates/sorrelland/tests/upgrades.rs
@@ -0,0 +1,344 @@
+//! Builds of earlier landings beside the present one: entries and agents are replaced one after the other while callers
+//! go on, with real processes on loopback. `.ci/build-previous` builds the landings that `.ci/previous` names.
+
+mod common;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use common::eventually;
+use common::platform::{Callers, KEY, PREFIX, Platform, RECOVERY_BOUND, present_build, step};
+use http::Method;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+const ENTRIES: usize = 3;
+const WORKERS: usize = 3;
+
+/// Bound of the platform for recovery from the loss of a part of the system.
+const CATCH_UP_BOUND: Duration = Duration::from_secs(4);
+
+/// Bound of the platform for the end of jobs that have room (`finish_s`).
+const FINISH_BOUND: Duration = Duration::from_secs(14);
+
+/// Time that a process gets to end after SIGTERM.
+const STOP_BOUND: Duration = Duration::from_secs(6);
+
+const SUBMIT_INTERVAL: Duration = Duration::from_millis(200);
+
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Time for which builds run side by side before the next step.
+const MIXED_TIME: Duration = Duration::from_secs(2);
+
+/// Returns the daemon of an earlier landing.
+///
+/// # Panics
+///
+/// Panics if it has not been built.
+fn earlier_build(landing: &str) -> PathBuf {
+    let hint = "run .ci/build-previous, which prints the folder";
+    let dir = std::env::var_os("SORRELLAND_PREVIOUS");
+    let build =
+        PathBuf::from(dir.unwrap_or_else(|| panic!("SORRELLAND_PREVIOUS is not set; {hint}"))).join(landing);
+    assert!(build.is_file(), "{} doesn't exist; {hint}", build.display());
+    build
+}
+
+/// Callers that submit jobs of all kinds through all entries and follow each job to its end.
+struct Load {
+    stopping: Arc<AtomicBool>,
+    task: tokio::task::JoinHandle<Vec<String>>,
+}
+
+impl Load {
+    fn start(callers: Callers) -> Self {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let is_stopping = stopping.clone();
+        let task = tokio::spawn(async move {
+            let mut jobs = JoinSet::new();
+            let mut number = 0;
+            while !is_stopping.load(Ordering::Relaxed) {
+                number += 1;
+                let callers = callers.clone();
+                jobs.spawn(async move { play_job(&callers, number).await.err() });
+                tokio::time::sleep(SUBMIT_INTERVAL).await;
+            }
+            jobs.join_all().await.into_iter().flatten().collect()
+        });
+        Self { stopping, task }
+    }
+
+    /// Waits for the ends of all jobs and checks what their callers saw.
+    async fn finish(self, platform: &Platform) {
+        self.stopping.store(true, Ordering::Relaxed);
+        let broken = self.task.await.unwrap();
+        let dir = platform.env.dir().display();
+        assert!(broken.is_empty(), "{} jobs: {broken:#?}; logs in {dir}", broken.len());
+    }
+}
+
+/// Submits a job, checks that every entry knows it, and waits for its end; returns what was wrong.
+async fn play_job(callers: &Callers, number: usize) -> Result<(), String> {
+    let job = format!("{number:016x}");
+    let path = format!("{PREFIX}{job}");
+    let call = async |index: usize, method: Method, body: &Value| {
+        callers.call_within(2_000, index % ENTRIES + 1, method, &path, KEY, body).await
+    };
+    let is_cancelled = number.is_multiple_of(4);
+    let mut gang = step(2);
+    gang["gang_scheduled"] = json!(true);
+    let mut after = step(2);
+    after["after"] = json!([0]);
+    let steps = match number % 4 {
+        1 => json!([step(2)]),
+        2 => json!([gang]),
+        3 => json!([step(1), after]),
+        _ => json!([step(1)]),
+    };
+    let run_ms = if is_cancelled { 60_000 } else { 400 };
+    let body = json!({"task_spec": format!("run_ms={run_ms}"), "steps": steps});
+
+    let (began, mut answers) = (Instant::now(), Vec::new());
+    for index in number.. {
+        let status = call(index, Method::POST, &body).await.0;
+        answers.push(status);
+        if status == 200 {
+            break;
+        }
+        if began.elapsed() > RECOVERY_BOUND {
+            return Err(format!("{job} is not accepted: {answers:?}"));
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    let accepted = Instant::now();
+    if is_cancelled {
+        for index in number.. {
+            if call(index, Method::DELETE, &Value::Null).await.0 == 200 {
+                break;
+            }
+            if accepted.elapsed() > RECOVERY_BOUND {
+                return Err(format!("{job} can't be cancelled"));
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+    let expected = if is_cancelled { "cancelled" } else { "completed" };
+    let mut states = Vec::new();
+    for index in number.. {
+        let (status, body) = call(index, Method::GET, &Value::Null).await;
+        let state = body["state"].as_str().map_or_else(|| status.to_string(), str::to_owned);
+        if state == "410" {
+            let entry = index % ENTRIES + 1;
+            return Err(format!("{job} was accepted, but entry {entry} doesn't know it; before: {states:?}"));
+        }
+        if state == expected {
+            return Ok(());
+        }
+        if accepted.elapsed() > FINISH_BOUND {
+            return Err(format!("{job} is not {expected} after {FINISH_BOUND:?}: {states:?}"));
+        }
+        states.push(state);
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    Ok(())
+}
+
+/// Ends a process by SIGTERM or SIGKILL in turn.
+async fn end_process(platform: &mut Platform, name: &str, index: usize) {
+    match index % 2 {
+        0 => platform.env.kill(name),
+        _ => _ = platform.env.stop(name, STOP_BOUND).await,
+    }
+}
+
+async fn replace_entries(platform: &mut Platform) {
+    for index in 1..=ENTRIES {
+        end_process(platform, &format!("entry-{index}"), index).await;
+        platform.start_entry(index);
+        platform.await_ready(index).await;
+        platform.await_workers().await;
+    }
+}
+
+async fn replace_agents(platform: &mut Platform) {
+    for index in 1..=WORKERS {
+        end_process(platform, &format!("agent-{index}"), index).await;
+        platform.start_agent(index);
+        platform.await_workers().await;
+    }
+}
+
+/// Checks that no subtask ran twice, that every worker is used, and that no process has panicked.
+async fn assert_rules_held(platform: &Platform) {
+    platform.await_workers().await;
+    platform.assert_run_once().await;
+    for file in fs::read_dir(platform.env.dir()).unwrap().flatten() {
+        let text = fs::read_to_string(file.path()).unwrap_or_default();
+        assert!(!text.contains("panicked at"), "{} has a panic", file.path().display());
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    EntriesFirst,
+    AgentsFirst,
+}
+
+/// Replaces all processes of one build by those of another while callers go on.
+async fn replace_all(from: &Path, to: &Path, order: Order) {
+    let mut platform = Platform::start_build(from, ENTRIES, WORKERS).await;
+    let load = Load::start(platform.callers());
+    platform.set_build(to);
+    match order {
+        Order::EntriesFirst => replace_entries(&mut platform).await,
+        Order::AgentsFirst => replace_agents(&mut platform).await,
+    }
+    tokio::time::sleep(MIXED_TIME).await;
+    platform.await_workers().await;
+    match order {
+        Order::EntriesFirst => replace_agents(&mut platform).await,
+        Order::AgentsFirst => replace_entries(&mut platform).await,
+    }
+    load.finish(&platform).await;
+    assert_rules_held(&platform).await;
+}
+
+#[yare::parameterized(
+    landing_8_entries_first = { "landing-8", Order::EntriesFirst },
+    landing_8_agents_first = { "landing-8", Order::AgentsFirst },
+    landing_9_entries_first = { "landing-9", Order::EntriesFirst },
+    landing_9_agents_first = { "landing-9", Order::AgentsFirst },
+    landing_10_entries_first = { "landing-10", Order::EntriesFirst },
+    landing_10_agents_first = { "landing-10", Order::AgentsFirst },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
+async fn upgrade_loses_no_job_and_runs_none_twice(landing: &str, order: Order) {
+    replace_all(&earlier_build(landing), present_build(), order).await;
+}
+
+#[yare::parameterized(
+    landing_8_entries_first = { "landing-8", Order::EntriesFirst },
+    landing_8_agents_first = { "landing-8", Order::AgentsFirst },
+    landing_9_entries_first = { "landing-9", Order::EntriesFirst },
+    landing_9_agents_first = { "landing-9", Order::AgentsFirst },
+    landing_10_entries_first = { "landing-10", Order::EntriesFirst },
+    landing_10_agents_first = { "landing-10", Order::AgentsFirst },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
+async fn rollback_loses_no_job_and_runs_none_twice(landing: &str, order: Order) {
+    replace_all(present_build(), &earlier_build(landing), order).await;
+}
+
+/// Returns the entry that took the leadership last.
+fn newest_leader(platform: &Platform) -> usize {
+    let epoch = |index: usize| -> u64 {
+        let log =
+            fs::read_to_string(platform.env.dir().join(format!("entry-{index}.log"))).unwrap_or_default();
+        let taken = log.lines().filter_map(|line| line.split("event=office_taken epoch=").nth(1));
+        taken.filter_map(|epoch| epoch.trim().parse().ok()).max().unwrap_or(0)
+    };
+    (1..=ENTRIES).max_by_key(|index| epoch(*index)).unwrap()
+}
+
+/// Ends the leaders of both builds in turn: each has a successor of the other build only.
+#[yare::parameterized(
+    landing_8 = { "landing-8" },
+    landing_9 = { "landing-9" },
+    landing_10 = { "landing-10" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
+async fn leadership_passes_between_builds_within_bound(landing: &str) {
+    let builds = [present_build().to_owned(), earlier_build(landing)];
+    let mut platform = Platform::start_build(&builds[1], ENTRIES, WORKERS).await;
+    platform.set_build(&builds[0]);
+    platform.env.kill("agent-1");
+    platform.start_agent(1);
+    let load = Load::start(platform.callers());
+    for round in 0..4 {
+        // The leader is of one build; both others are of the other.
+        let leader = newest_leader(&platform);
+        platform.set_build(&builds[round % 2]);
+        for index in (1..=ENTRIES).filter(|index| *index != leader) {
+            platform.env.kill(&format!("entry-{index}"));
+            platform.start_entry(index);
+            platform.await_ready(index).await;
+        }
+        assert_eq!(newest_leader(&platform), leader, "round {round}: the leader has changed");
+        let ended = Instant::now();
+        match round {
+            0 | 3 => {
+                assert!(platform.env.stop(&format!("entry-{leader}"), STOP_BOUND).await, "round {round}")
+            }
+            _ => platform.env.kill(&format!("entry-{leader}")),
+        }
+        let other = leader % ENTRIES + 1;
+        let job = format!("{:016x}", 0xe000 + round);
+        eventually(CATCH_UP_BOUND, "an entry of the other build accepts a job", async || {
+            platform.submit(other, &job, json!([step(1)]), "run_ms=10").await == 200
+        })
+        .await;
+        if landing == "landing-10" && matches!(round, 0 | 3) {
+            assert!(count_events(&platform, leader, "handed_over") > 0, "round {round}: no hand-over");
+        }
+        println!("{landing} round {round}: accepted after {} ms", ended.elapsed().as_millis());
+        platform.start_entry(leader);
+        platform.await_ready(leader).await;
+        platform.await_workers().await;
+    }
+    load.finish(&platform).await;
+    assert_rules_held(&platform).await;
+}
+
+fn count_events(platform: &Platform, index: usize, event: &str) -> usize {
+    let log = fs::read_to_string(platform.env.dir().join(format!("entry-{index}.log"))).unwrap_or_default();
+    log.matches(&format!("event={event} ")).count()
+}
+
+/// A small leader passes its role to a larger entry of the other build. Landings 8 and 9 resign for it, landing 10 and this
+/// build offer it.
+#[yare::parameterized(
+    from_landing_8 = { Some("landing-8"), None, "office_ended" },
+    from_landing_9 = { Some("landing-9"), None, "office_ended" },
+    from_landing_10 = { Some("landing-10"), None, "handing_over" },
+    to_landing_10 = { None, Some("landing-10"), "handing_over" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
+async fn small_leader_passes_role_to_larger_entry_of_other_build(
+    from: Option<&str>,
+    to: Option<&str>,
+    event: &str,
+) {
+    let [from, to] =
+        [from, to].map(|landing| landing.map_or_else(|| present_build().to_owned(), earlier_build));
+    let mut platform = Platform::start_build(&from, ENTRIES, WORKERS).await;
+    for index in 1..=ENTRIES {
+        platform.env.kill(&format!("entry-{index}"));
+    }
+    for index in 1..ENTRIES {
+        platform.start_entry_of_size(index, 0.12);
+        platform.await_ready(index).await;
+    }
+    platform.await_workers().await;
+    let small = newest_leader(&platform);
+    let ended_before = count_events(&platform, small, event);
+    let led_before = count_events(&platform, ENTRIES, "office_taken");
+    let load = Load::start(platform.callers());
+    platform.set_build(&to);
+    platform.start_entry_of_size(ENTRIES, 0.5);
+    eventually(RECOVERY_BOUND, "the larger entry leads", async || {
+        count_events(&platform, ENTRIES, "office_taken") > led_before
+    })
+    .await;
+    platform.await_workers().await;
+    assert!(count_events(&platform, small, event) > ended_before, "the leader did not pass its role");
+    load.finish(&platform).await;
+    assert_rules_held(&platform).await;
+}
--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -12,7 +12,8 @@
 use tarpc::client::{Config, RpcError};
 use tarpc::server::{BaseChannel, Channel, InFlightRequest};
 use tarpc::tokio_serde::formats::Bincode;
-use tarpc::{RequestName, context, serde_transport};
+use tarpc::tokio_serde::{Deserializer, Serializer};
+use tarpc::{ClientMessage, RequestName, Response, context, serde_transport};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -42,14 +43,32 @@
 
 /// Accepts connections and passes each call to the handler of its connection, until the future is dropped.
 ///
-/// `new_handler` is called when a connection is accepted. Calls arrive only after the peer has authenticated itself on
-/// that connection, so their sender was alive after the handler was made. A handler should spawn a task per call, since
-/// the calls of a connection are dispatched one by one.
+/// `new_handler` is as for [`serve_versions`].
 pub async fn serve<Req, Resp, F>(listener: TcpListener, key: Arc<str>, new_handler: impl Fn() -> F)
 where
     Req: RequestName + DeserializeOwned + Send + 'static,
     Resp: Serialize + Send + 'static,
     F: Fn(InFlightRequest<Req, Resp>) + Send + Sync + 'static,
+{
+    serve_versions(listener, key, None, |_| Bincode::default(), new_handler).await;
+}
+
+/// Serves calls whose encoding depends on the peer's version.
+///
+/// `version` is announced to each peer; `new_codec` gets the version that the peer announces. `new_handler` is called when a connection is accepted. Calls arrive only after the peer has authenticated itself on
+/// that connection, so their sender was alive after the handler was made. A handler should spawn a task per call, since
+/// the calls of a connection are dispatched one by one.
+pub async fn serve_versions<Req, Resp, C, F>(
+    listener: TcpListener,
+    key: Arc<str>,
+    version: Option<u16>,
+    new_codec: impl Fn(Option<u16>) -> C + Clone + Send + 'static,
+    new_handler: impl Fn() -> F,
+) where
+    Req: RequestName + DeserializeOwned + Send + 'static,
+    Resp: Serialize + Send + 'static,
+    C: Codec<Req, Resp>,
+    F: Fn(InFlightRequest<Req, Resp>) + Send + Sync + 'static,
 {
     let connection_slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
@@ -59,24 +78,31 @@
             continue;
         };
         let Ok(permit) = connection_slots.clone().try_acquire_owned() else { continue };
-        let (key, handle_call) = (key.clone(), new_handler());
+        let (key, new_codec, handle_call) = (key.clone(), new_codec.clone(), new_handler());
         tokio::spawn(async move {
             let _permit = permit;
             // A failed handshake or a disconnect affects only this connection.
-            let _ = serve_connection(stream, &key, handle_call).await;
+            let _ = serve_connection(stream, &key, version, new_codec, handle_call).await;
         });
     }
 }
 
-async fn serve_connection<Req, Resp, F>(mut stream: TcpStream, key: &str, handle_call: F) -> io::Result<()>
+async fn serve_connection<Req, Resp, C, F>(
+    mut stream: TcpStream,
+    key: &str,
+    version: Option<u16>,
+    new_codec: impl Fn(Option<u16>) -> C,
+    handle_call: F,
+) -> io::Result<()>
 where
     Req: RequestName + DeserializeOwned + Send + 'static,
     Resp: Serialize + Send + 'static,
+    C: Codec<Req, Resp>,
     F: Fn(InFlightRequest<Req, Resp>) + Send + Sync,
 {
     stream.set_nodelay(true)?;
-    authenticate(&mut stream, key, Role::Server).await?;
-    let transport = serde_transport::new(Framed::new(stream, codec()), Bincode::default());
+    let announced = authenticate(&mut stream, key, Role::Server, version).await?;
+    let transport = serde_transport::new(Framed::new(stream, codec()), new_codec(announced));
     let mut calls = std::pin::pin!(BaseChannel::with_defaults(transport).requests());
     while let Some(Ok(call)) = calls.next().await {
         handle_call(call);
@@ -84,7 +110,28 @@
     Ok(())
 }
 
-/// Connects to `address` and authenticates both ends with the shared `key`.
+/// Encoding of the calls of one connection, for the server.
+pub trait Codec<Req, Resp>:
+    Deserializer<ClientMessage<Req>, Error = io::Error>
+    + Serializer<Response<Resp>, Error = io::Error>
+    + Send
+    + 'static
+{
+}
+
+impl<Req, Resp, C> Codec<Req, Resp> for C where
+    C: Deserializer<ClientMessage<Req>, Error = io::Error>
+        + Serializer<Response<Resp>, Error = io::Error>
+        + Send
+        + 'static
+{
+}
+
+/// An authenticated connection, which carries one message a frame.
+pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Connects to `address` and authenticates both ends with the shared `key`. Announces `version`, if there is one, and also
+/// returns the version that the peer announces.
 ///
 /// # Errors
 ///
@@ -92,14 +139,15 @@
 pub async fn connect_authenticated(
     address: &str,
     key: &str,
-) -> io::Result<Framed<TcpStream, LengthDelimitedCodec>> {
+    version: Option<u16>,
+) -> io::Result<(Frames, Option<u16>)> {
     let address: SocketAddr = address
         .parse()
         .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("{address}: {e}")))?;
     let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    authenticate(&mut stream, key, Role::Client).await?;
-    Ok(Framed::new(stream, codec()))
+    let announced = authenticate(&mut stream, key, Role::Client, version).await?;
+    Ok((Framed::new(stream, codec()), announced))
 }
 
 /// An RPC client that can be created for an address.
@@ -110,14 +158,16 @@
 
 impl Connect for AgentRpcClient {
     async fn connect(address: &str, key: &str) -> io::Result<Self> {
-        let transport = serde_transport::new(connect_authenticated(address, key).await?, Bincode::default());
+        let (frames, _) = connect_authenticated(address, key, None).await?;
+        let transport = serde_transport::new(frames, Bincode::default());
         Ok(Self::new(Config::default(), transport).spawn())
     }
 }
 
 impl Connect for EntryRpcClient {
     async fn connect(address: &str, key: &str) -> io::Result<Self> {
-        let transport = serde_transport::new(connect_authenticated(address, key).await?, Bincode::default());
+        let (frames, _) = connect_authenticated(address, key, None).await?;
+        let transport = serde_transport::new(frames, Bincode::default());
         Ok(Self::new(Config::default(), transport).spawn())
     }
 }
@@ -175,7 +225,8 @@
         let client = self.get(address).await.map_err(CallError::Connect)?;
         let result = call(client).await;
         result.map_err(|e| {
-            if !matches!(e, RpcError::DeadlineExceeded) {
+            // A call that can't be encoded for the peer is not sent, and leaves the connection as it is.
+            if !matches!(e, RpcError::DeadlineExceeded | RpcError::Send(_)) {
                 self.discard(address);
             }
             CallError::Rpc(e)
