Keep the fields of a later build in the stored progress of jobs

What callers would see: nothing yet. A later build that stores a further field of a job or unit would lose it whenever this build leads in between, during an upgrade or a rollback.

Cause: the progress of a job is decoded into the known fields and written anew from them at each change.

Evidence: progress_keeps_fields_of_a_later_build failed before the change: of {"notes": ["x"]} in a job and {"moved": ...} in a unit nothing was left after the next change of the unit.

Why the fix works: unknown fields of the record and of each unit are kept with the job and written again.

Measured result: the test passes, as do all tests of the crate and the process tests. Decoding time was not measured.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::record::UnknownFields;
 use crate::resources::Resources;
 use crate::unit::{Unit, UnitKey, UnitState};
 
@@ -134,6 +135,8 @@
     pub accepted_in: u64,
     /// Whether runs of other jobs were preempted for it.
     pub preempted_others: bool,
+    /// Fields of its stored progress that this build doesn't know.
+    pub unknown: UnknownFields,
 }
 
 impl Job {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,7 +1,10 @@
 //! Stored form of jobs: two keyed records for each job, so that no snapshots are needed.
 
+use std::collections::BTreeMap;
+
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::job::{Job, Outcome, Submission};
 use crate::run_progress::RunProgress;
@@ -19,6 +22,10 @@
     Json(serde_json::Error),
 }
 
+/// Fields of a stored record that this build doesn't know. They are written again, so that a build that knows them finds
+/// them after this one has led.
+pub type UnknownFields = BTreeMap<String, Value>;
+
 /// Key prefix of submissions; written once for each job.
 const SUBMISSION_PREFIX: &str = "j/";
 
@@ -46,6 +53,9 @@
     started: bool,
     /// Units that differ from a newly created one.
     units: Vec<(UnitKey, Unit)>,
+    /// Fields of a later build.
+    #[serde(flatten)]
+    unknown: UnknownFields,
 }
 
 /// Encodes the submission of a job.
@@ -83,6 +93,7 @@
         ended_ms: job.ended_ms,
         started: job.started,
         units: units.map(|(key, unit)| (*key, unit.clone())).collect(),
+        unknown: job.unknown.clone(),
     };
     Ok(Record { key: format!("{PROGRESS_PREFIX}{}", job.sub.job), value: serde_json::to_vec(&value)? })
 }
@@ -95,7 +106,7 @@
 
 /// Decodes the jobs from the newest record of each key; also returns a message for each record that can't be read.
 pub fn read<'a>(records: impl Iterator<Item = (&'a str, &'a [u8])> + Clone) -> (Vec<Job>, Vec<String>) {
-    let (mut jobs, mut unreadable) = (std::collections::BTreeMap::new(), Vec::new());
+    let (mut jobs, mut unreadable) = (BTreeMap::new(), Vec::new());
     for (key, value) in records.clone() {
         let Some(name) = key.strip_prefix(SUBMISSION_PREFIX) else { continue };
         match serde_json::from_slice::<Submitted>(value) {
@@ -116,6 +127,7 @@
                 job.outcome = read.outcome;
                 job.ended_ms = read.ended_ms;
                 job.started = read.started;
+                job.unknown = read.unknown;
                 job.units = read.units.into_iter().collect();
                 // The record omits units that equal a newly created one.
                 let created = job.units.keys().map(|key| key.occurrence + 1).max().unwrap_or(0);
@@ -139,5 +151,6 @@
         ended_in: 0,
         accepted_in: 0,
         preempted_others: false,
+        unknown: UnknownFields::new(),
     }
 }
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::Crash;
+use crate::record::UnknownFields;
 use crate::run_progress::RunProgress;
 use crate::task::Task;
 use crate::wait::Waits;
@@ -104,6 +105,9 @@
     /// Measured progress of the newest run; a new planner relearns it from the reports.
     #[serde(skip)]
     pub progress: RunProgress,
+    /// Stored fields that this build doesn't know.
+    #[serde(flatten)]
+    pub unknown: UnknownFields,
 }
 
 impl Unit {
