Leave out figures of a digest that overflow a planner

What callers saw: a record of what a planner has learned with figures at the limits of their types, from another writer or a broken build, ended the leader's planner, and again that of each next leader: no job is accepted.

Cause: the time of the record, the accelerators of recent urgent jobs and the counts of preemptions were added unchecked.

Evidence: digest_at_the_limits_of_its_types_ends_no_planner panicked with "attempt to add with overflow" in digest.rs:62; with that mended, in reserve.rs:67; with the accelerators bounded, in value.rs:96.

Why the fix works: the age is computed with a saturating addition, and accelerators and counts beyond what can be true are left out of the record and logged, like its other absurd entries.

Measured result: the test passes, as do the other tests of the crate.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -26,6 +26,12 @@
 /// Maximum number of steps that a speed is taken to follow from.
 const MAX_STEPS: u32 = 1_000;
 
+/// Largest credible number of accelerators that a job needs at the same time.
+const MAX_ACCELERATORS: i64 = 1_000_000;
+
+/// Largest credible number of a queue's jobs that preempted others.
+const MAX_PREEMPTIONS: u32 = 1_000_000_000;
+
 /// Largest credible ratio of work to estimate, as a natural logarithm.
 const MAX_LOG_RATIO: f64 = 7.0;
 
@@ -59,16 +65,19 @@
             Ok(digest) => digest,
             Err(e) => return (None, Some(format!("{KEY}: {e}"))),
         };
-        if wall > digest.made_at + MAX_AGE_MS {
+        if wall > digest.made_at.saturating_add(MAX_AGE_MS) {
             return (None, None);
         }
         let before = digest.entries();
         digest.speeds.retain(|(_, milli, steps)| SPEEDS_MILLI.contains(milli) && *steps <= MAX_STEPS);
         // JSON has no infinite numbers, but a comparison also excludes what another decoder might let through.
         digest.ratios.values_mut().for_each(|logs| logs.retain(|log| log.abs() <= MAX_LOG_RATIO));
-        digest.arrivals.values_mut().for_each(|jobs| jobs.retain(|(_, accelerators)| *accelerators >= 0));
+        digest
+            .arrivals
+            .values_mut()
+            .for_each(|jobs| jobs.retain(|(_, accelerators)| (0..=MAX_ACCELERATORS).contains(accelerators)));
         digest.mean_work.retain(|_, core_s| core_s.is_finite() && *core_s > 0.0);
-        digest.preemptions.retain(|_, (total, in_time)| in_time <= total);
+        digest.preemptions.retain(|_, (total, in_time)| in_time <= total && *total <= MAX_PREEMPTIONS);
         let dropped = before - digest.entries();
         let finding = (dropped > 0).then(|| format!("{KEY}: {dropped} entries can't be true"));
         (Some(digest), finding)
--- a/crates/fleet/tests/takeover.rs
+++ b/crates/fleet/tests/takeover.rs
@@ -202,3 +202,25 @@
     let old = Digest::read([("learned", r#"{"made_at": 1000}"#.as_bytes())].into_iter(), 10_000_000);
     assert_eq!(old, (None, None), "the work may have changed since");
 }
+
+/// Guards against a planner that ends on the figures of another writer, and again with each next leader.
+#[test]
+fn digest_at_the_limits_of_its_types_ends_no_planner() {
+    let limits = r#"{"made_at": 18446744073709551615, "speeds": [["w0", 10000, 1000]], "ratios": {"urgent": [7.0, -7.0]},
+        "mean_work": {"urgent": 1e308}, "preemptions": {"urgent": [4294967295, 4294967295]},
+        "arrivals": {"svc": [[0, 9223372036854775807], [0, 9223372036854775807], [0, 9223372036854775807],
+            [18446744073709551615, 9223372036854775807]]}}"#;
+    let (digest, finding) = read_digest(limits);
+    assert!(finding.as_ref().is_some_and(|finding| finding.contains("5 entries")), "{finding:?}");
+    let mut fleet = Fleet::new(4);
+    fleet.planner.restore(fleet.now, fleet.now, digest.unwrap());
+    // Work that leaves a reserve free, then urgent work that may preempt it.
+    for (job, queue) in [("00000000000000b1", "low"), ("00000000000000b2", "low"), (JOB, "urgent")] {
+        fleet.submit(job, queue, vec![step(32, 1)]);
+        for _ in 0..5 {
+            let assignments = fleet.advance(100);
+            fleet.mark_running(&assignments);
+        }
+    }
+    assert!(fleet.planner.state(JOB).is_some());
+}
