--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bounds::{MAX_OPEN_UNITS, MAX_WALL_MS};
+use crate::record::UnknownFields;
 use crate::resources::Resources;
 use crate::unit::{Unit, UnitKey, UnitState};
 
@@ -135,6 +136,8 @@
     pub accepted_in: u64,
     /// Whether runs of other jobs were preempted for it.
     pub preempted_others: bool,
+    /// Fields of its stored progress that this build doesn't know.
+    pub unknown: UnknownFields,
 }
 
 impl Job {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,7 +1,10 @@
 //! Stored form of jobs: two keyed records for each job, so that no snapshots are needed.
 
+use std::collections::BTreeMap;
+
 use derive_more::{Display, Error, From};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::bounds::MAX_WALL_MS;
 use crate::job::{Job, Outcome, Submission};
@@ -20,6 +23,10 @@
     Json(serde_json::Error),
 }
 
+/// Fields of a stored record that this build doesn't know. They are written again, so that a build that knows them finds
+/// them after this one has led.
+pub type UnknownFields = BTreeMap<String, Value>;
+
 /// Key prefix of submissions; written once for each job.
 const SUBMISSION_PREFIX: &str = "j/";
 
@@ -47,6 +54,9 @@
     started: bool,
     /// Units that differ from a newly created one.
     units: Vec<(UnitKey, Unit)>,
+    /// Fields of a later build.
+    #[serde(flatten)]
+    unknown: UnknownFields,
 }
 
 /// Encodes the submission of a job.
@@ -84,6 +94,7 @@
         ended_ms: job.ended_ms,
         started: job.started,
         units: units.map(|(key, unit)| (*key, unit.clone())).collect(),
+        unknown: job.unknown.clone(),
     };
     Ok(Record { key: format!("{PROGRESS_PREFIX}{}", job.sub.job), value: serde_json::to_vec(&value)? })
 }
@@ -97,7 +108,7 @@
 /// Decodes the jobs from the newest record of each key; also returns a message for each record that can't be read, or of
 /// which a part is out of bounds. Such a part is cut or left out, since the job was accepted.
 pub fn read<'a>(records: impl Iterator<Item = (&'a str, &'a [u8])> + Clone) -> (Vec<Job>, Vec<String>) {
-    let (mut jobs, mut unreadable) = (std::collections::BTreeMap::new(), Vec::new());
+    let (mut jobs, mut unreadable) = (BTreeMap::new(), Vec::new());
     for (key, value) in records.clone() {
         let Some(name) = key.strip_prefix(SUBMISSION_PREFIX) else { continue };
         match serde_json::from_slice::<Submitted>(value) {
@@ -120,6 +131,7 @@
                 job.outcome = read.outcome;
                 job.ended_ms = read.ended_ms.min(MAX_WALL_MS);
                 job.started = read.started;
+                job.unknown = read.unknown;
                 let (own, others): (Vec<_>, Vec<_>) =
                     read.units.into_iter().partition(|(key, _)| job.may_have(*key));
                 job.units = own.into_iter().collect();
@@ -150,5 +162,6 @@
         ended_in: 0,
         accepted_in: 0,
         preempted_others: false,
+        unknown: UnknownFields::new(),
     }
 }
