--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -11,10 +11,10 @@
 use crate::job::{Job, Step, Submission};
 use crate::overload::{FairShares, Rank, Share};
 use crate::pass::Pass;
+use crate::patience::IDLE_WAIT_MS;
 use crate::planner::Planner;
-use crate::pool::{Held, Need, Pool, PoolWorker, Room, Usage};
+use crate::pool::{PoolWorker, Room};
 use crate::preempt;
-use crate::reserve::UrgentArrivals;
 use crate::resources::Resources;
 use crate::timing::JobTiming;
 use crate::unit::{Unit, UnitKey, UnitState};
@@ -29,22 +29,9 @@
 /// reply.
 const GUARANTEE_MARGIN_MS: u64 = 900;
 
-/// Time before its latest start from which a unit that is not urgent may use the reserve.
-const RESERVE_ACCESS_LEAD_MS: u64 = 1_000;
-
-/// Time for which a unit waits for a better placement while half of its service is idle, in milliseconds: half of the
-/// platform's bound for a start beside idle workers, which leaves the rest for storing and delivering the placement.
-const IDLE_WAIT_MS: u64 = 1_500;
-
-/// Time without urgent jobs after which the reserve waits no longer for more of the same burst, in milliseconds.
-const URGENT_PAUSE_MS: u64 = 5_000;
-
 /// Time for which a unit waits for workers on which it has not failed, in milliseconds.
 const MAX_AVOIDANCE_MS: u64 = 15_000;
 
-/// Added to the rank of a worker that is held for another unit: urgent work uses it if no other has room.
-const HELD_RANK: u8 = 100;
-
 /// A waiting unit with the values that determine its rank.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -85,7 +72,7 @@
 
     /// Returns whether a quarter of the time in which it has to start is over. Estimates are off, so a unit that
     /// waits for longer may end too late.
-    fn has_waited_long(&self, wall: u64) -> bool {
+    pub(crate) fn has_waited_long(&self, wall: u64) -> bool {
         let ready_at = wall.saturating_sub(self.timing.age_ms);
         4 * self.timing.age_ms >= self.latest_start.saturating_sub(ready_at)
     }
@@ -309,72 +296,6 @@
         covered.flat_map(|(_, (_, names))| names.iter().copied()).collect()
     }
 
-    /// Returns the workers on which a unit of a step may start now, with their resources that no other unit claims.
-    pub(crate) fn available_rooms(
-        &self,
-        pool: &Pool,
-        now: u64,
-        candidate: &Candidate,
-        step: &Step,
-    ) -> Vec<Room> {
-        self.rooms_on(pool, now, candidate, step, |worker| worker.is_usable)
-    }
-
-    /// Returns the workers out of those that `may_use` names, with their resources that a unit of a step may use.
-    fn rooms_on(
-        &self,
-        pool: &Pool,
-        now: u64,
-        candidate: &Candidate,
-        step: &Step,
-        may_use: impl Fn(&PoolWorker) -> bool,
-    ) -> Vec<Room> {
-        let Some(queue) = self.queue_of(&candidate.job) else { return Vec::new() };
-        let approved = queue.needs_approval.then(|| {
-            let step_key = (candidate.job.clone(), candidate.key.occurrence, candidate.key.step);
-            self.approvals.approved_workers(&step_key, now)
-        });
-        let is_approved = |worker: &PoolWorker| {
-            approved.as_ref().is_none_or(|ids| ids.contains(worker.incarnation.as_str()))
-        };
-        let accepting = pool.workers.iter().enumerate().filter(|(_, worker)| {
-            worker.service == queue.service
-                && may_use(worker)
-                && worker.suits(step)
-                && worker.admits(&candidate.job)
-                && is_approved(worker)
-        });
-        let classes = self.speed_classes_of(queue);
-        let is_urgent = candidate.priority == 0;
-        let is_kept_from_it = |held: &&Held| {
-            let ends_before = !step.long_running && now + step.estimate_ms <= held.due_at;
-            !candidate.guaranteed && !ends_before && (&held.job, held.key) != (&candidate.job, candidate.key)
-        };
-        let room = |(at, worker): (usize, &PoolWorker)| {
-            let mut free = worker.unclaimed(candidate.guaranteed);
-            let mut rank = classes.map_or(0, |classes| classes.rank(worker.speed_milli, is_urgent));
-            match worker.held.as_ref().filter(is_kept_from_it) {
-                Some(_) if is_urgent => rank += HELD_RANK,
-                Some(held) => free = free.min_each(&held.spare),
-                None => (),
-            }
-            Room { worker: at, free, rank }
-        };
-        let mut rooms: Vec<Room> = accepting.map(room).collect();
-        // The unit's own claim doesn't count against it.
-        if let Some(own) = self.claims.get(&candidate.job, candidate.key)
-            && (own.guaranteed || !candidate.guaranteed)
-        {
-            for incarnation in &own.workers {
-                let claimed = rooms.iter_mut().find(|room| pool.index_of(incarnation) == Some(room.worker));
-                if let Some(room) = claimed {
-                    room.free += own.per_member;
-                }
-            }
-        }
-        rooms
-    }
-
     /// Returns the index of a worker for each member of a unit.
     ///
     /// # Errors
@@ -436,23 +357,6 @@
         found
     }
 
-    /// Returns the workers out of those that `may_use` names on which a unit may start, with what it may use there.
-    fn rooms_for(
-        &self,
-        pass: &Pass,
-        candidate: &Candidate,
-        (step, unit): (&Step, &Unit),
-        may_use: impl Fn(&PoolWorker) -> bool,
-    ) -> Vec<Room> {
-        let pool = &pass.pool;
-        let mut rooms = self.rooms_on(pool, pass.now, candidate, step, may_use);
-        self.drop_workers_at_limit(pool, &mut rooms, candidate, step);
-        if unit.must_run_alone() {
-            rooms.retain(|room| pool.workers[room.worker].has_no_other_job(&candidate.job));
-        }
-        rooms
-    }
-
     /// Returns the index of a worker for each member of a unit, if possible without the workers on which it has failed.
     fn choose_unfailed(
         &self,
@@ -524,104 +428,6 @@
         }
         choose(&rooms)
     }
-
-    /// Returns how much longer a gang that prefers one rack takes on several, in milliseconds.
-    pub(crate) fn spread_cost_ms(&self, step: &Step) -> u64 {
-        step.estimate_ms * self.timing.remote_factor_milli.saturating_sub(1_000) / 1_000
-    }
-
-    /// Returns whether a gang that fits on several racks is done sooner on one that has room later. Expected ends are
-    /// often exceeded, so it never waits for longer than running on several racks costs.
-    fn is_rack_worth_waiting(&self, pass: &Pass, (step, unit): (&Step, &Unit), rooms: &[Room]) -> bool {
-        let left_ms = self.spread_cost_ms(step).saturating_sub(pass.now.saturating_sub(unit.since));
-        if left_ms == 0 {
-            return false;
-        }
-        let nearest = pass.releases(self).earliest_rack(&pass.pool, rooms, &Need::new(step, step.count));
-        nearest.is_some_and(|(_, outlook)| outlook.due_ms < left_ms)
-    }
-
-    /// Returns whether a unit that can still wait would use accelerators that are reserved for urgent jobs.
-    pub(crate) fn would_use_reserve(&self, pass: &Pass, candidate: &Candidate, step: &Step) -> bool {
-        if candidate.priority == 0 || pass.wall + RESERVE_ACCESS_LEAD_MS >= candidate.latest_start {
-            return false;
-        }
-        let Some(queue) = self.queue_of(&candidate.job) else { return false };
-        let Some(arrivals) = self.urgent_arrivals.get(&queue.service) else { return false };
-        if self.holds.is_due(&queue.service, &candidate.job, candidate.key, pass.now) {
-            return false;
-        }
-        if self.may_use_idle_reserve(pass, candidate, step, arrivals) {
-            return false;
-        }
-        let classes = self.speed_classes_of(queue);
-        let suits = |worker: &&PoolWorker| {
-            worker.service == queue.service
-                && classes.is_none_or(|classes| classes.suits_urgent(worker.speed_milli))
-        };
-        let workers = || pass.pool.workers.iter().filter(suits);
-        let all: i64 = workers().map(|worker| worker.capacity.accelerators).sum();
-        let usable = workers().filter(|worker| worker.is_usable);
-        let free: i64 = usable.map(|worker| worker.free.accelerators.max(0)).sum();
-        let members = if step.gang { i64::from(step.count) } else { 1 };
-        let reserve = match candidate.has_waited_long(pass.wall) {
-            true => arrivals.min_reserve(pass.now, all),
-            false => arrivals.reserve(pass.now, all),
-        };
-        free - step.reserved().accelerators * members < reserve
-    }
-
-    /// Returns whether a unit has waited for long enough to use the reserve of an idle service. While urgent jobs arrive,
-    /// the accelerators that the reserve consists of have to be idle.
-    fn may_use_idle_reserve(
-        &self,
-        pass: &Pass,
-        candidate: &Candidate,
-        step: &Step,
-        arrivals: &UrgentArrivals,
-    ) -> bool {
-        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
-        let Some(queue) = self.queue_of(&candidate.job) else { return false };
-        let has_waited = unit.is_some_and(|unit| pass.now >= unit.since + IDLE_WAIT_MS);
-        let Usage { capacity, used } = pass.pool.usage(&queue.service);
-        if has_waited && 2 * used.accelerators < capacity.accelerators {
-            return true;
-        }
-        (step.long_running || !arrivals.is_any_within(pass.now, URGENT_PAUSE_MS)) && {
-            let rooms = self.available_rooms(&pass.pool, pass.now, candidate, step);
-            self.takes_any_placement(pass, candidate, step, &rooms)
-        }
-    }
-
-    /// Returns whether a unit has waited for so long beside free workers that no better placement is worth more waiting. A
-    /// subtask without an end serves from its start on, so it waits for nothing better however full the service is.
-    fn takes_any_placement(&self, pass: &Pass, candidate: &Candidate, step: &Step, rooms: &[Room]) -> bool {
-        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
-        if unit.is_none_or(|unit| pass.now < unit.since + IDLE_WAIT_MS) {
-            return false;
-        }
-        let need = Need::new(step, if step.gang { step.count } else { 1 });
-        (step.long_running || self.is_half_idle(pass, &candidate.job))
-            && need.fitting(rooms) >= 2 * need.members
-    }
-
-    /// Returns whether less than half of a job's service is in use.
-    fn is_half_idle(&self, pass: &Pass, job: &str) -> bool {
-        self.queue_of(job).is_some_and(|queue| pass.pool.usage(&queue.service).is_half_idle())
-    }
-
-    /// Removes the workers that already run as many subtasks of a step as its limit per worker allows.
-    fn drop_workers_at_limit(&self, pool: &Pool, rooms: &mut Vec<Room>, candidate: &Candidate, step: &Step) {
-        let Some(max_per_worker) = step.max_per_worker else { return };
-        let first = UnitKey { index: 0, ..candidate.key }.task(&candidate.job, 0);
-        let last = UnitKey { index: u32::MAX, ..candidate.key }.task(&candidate.job, 0);
-        let of_step = (first, 0)..=(last, u64::MAX);
-        rooms.retain(|room| {
-            let worker = self.workers.get(&pool.workers[room.worker].incarnation);
-            let placed = worker.map_or(0, |worker| worker.placed.range(of_step.clone()).count());
-            (placed as u32) < max_per_worker
-        });
-    }
 }
 
 /// Returns the latest start that preserves a timeliness, in milliseconds since 1970.
