--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -327,7 +327,7 @@
         if self.assignments.as_ref().is_some_and(|known| known.number >= assignments.number) {
             return false;
         }
-        self.granted_until = self.granted_until.max(sent + assignments.grant_ms);
+        self.granted_until = self.granted_until.max(sent.saturating_add(assignments.grant_ms));
         let assigned = |run: &RunKey| {
             assignments.starts.iter().any(|start| start.task == run.0 && start.run == run.1)
                 || assignments.stops.iter().any(|stop| stop.task == run.0 && stop.run == run.1)
@@ -353,8 +353,9 @@
         let (clock, read_at) = self.clock_reading?;
         let remaining = self.granted_until.checked_sub(now).filter(|remaining| *remaining > 0)?;
         self.leased_until = self.leased_until.max(self.granted_until);
-        let on_slow_clock = |ms: u64| ms * (100 - CLOCK_LAG_PERCENT) / 100;
-        Some(clock + on_slow_clock(now.saturating_sub(read_at)) + on_slow_clock(remaining))
+        let on_slow_clock = |ms: u64| ms.saturating_mul(100 - CLOCK_LAG_PERCENT) / 100;
+        let now_on_clock = clock.saturating_add(on_slow_clock(now.saturating_sub(read_at)));
+        Some(now_on_clock.saturating_add(on_slow_clock(remaining)))
     }
 
     /// Returns whether the worker has not answered for as long as a lease lasts.
@@ -532,7 +533,7 @@
 
     /// Marks all runs as not started once every lease has certainly expired; returns whether there were any.
     pub fn expire_leases(&mut self, now: u64) -> bool {
-        let expired_at = self.leased_until + self.lapse_margin_ms();
+        let expired_at = self.leased_until.saturating_add(self.lapse_margin_ms());
         // A stop that the worker doesn't answer keeps all starts back.
         let waits_for_stop = !self.given_up.is_empty() && self.is_unresponsive(now);
         let may_lose_runs = self.has_runs() || (self.presence == Presence::Present && waits_for_stop);
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -417,3 +417,24 @@
     }
     assert_eq!(accelerators(&state), 8);
 }
+
+#[test]
+fn extend_lease_with_numbers_at_their_limits_ends_no_agent() {
+    for number in [0, 1, 1 << 53, i64::MAX as u64, u64::MAX - 1, u64::MAX] {
+        let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+        state.adopt_incarnation(1_000, announcement(1));
+        let poll = state.begin_poll();
+        state.apply_listing(1_000, poll, INCARNATION, listing(number));
+        state.apply_assignments(
+            1_000,
+            1,
+            Some(Assignments { grant_ms: number, acknowledged: number, ..stop_assignments(number) }),
+        );
+        state.record_clock(1_000, number);
+        state.extend_lease(1_500);
+        state.due_starts(1_500);
+        state.due_stops(1_500);
+        state.expire_leases(20_000);
+        state.summary(20_000);
+    }
+}
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -80,3 +80,18 @@
     assert!(!failed.may_try(15_999, "a"));
     assert!(failed.may_try(16_000, "a"));
 }
+
+#[test]
+fn record_listed_with_numbers_at_their_limits_ends_no_entry() {
+    const NOW: u64 = 10_000;
+    for number in [0, 1, 1 << 53, i64::MAX as u64, u64::MAX - 1, u64::MAX] {
+        let mut peers = Peers::default();
+        peers.record_ping(NOW, "a".to_owned(), number, true);
+        let listed = Listed { address: "b".to_owned(), millicores: number, age_ms: number, can_lead: true };
+        peers.record_listed(NOW, listed);
+        peers.prune(NOW + 1);
+        assert_eq!(peers.successors(NOW + 1, 0), ["a"], "{number}");
+        assert!(peers.live(NOW + 1).iter().all(|peer| peer.address == "a" || number <= 1), "{number}");
+        peers.has_larger(NOW, number);
+    }
+}
