Test answers during an outage of the store across builds

A caller of an entry of one build whose leader is of another must not be told "not run" of a job that runs. With the store down and a leader of this build, the entry answers 429 in landings 8 and 9, which know no other refusal, and 503 in landing 10; the job doesn't exist afterwards, and no subtask of it has started. With a leader of landing 8 or 9 an entry of this build answers 504, since those leaders can't withdraw a job; with one of landing 10, 503.

--- a/crates/sorrelland/tests/upgrades.rs
+++ b/crates/sorrelland/tests/upgrades.rs
@@ -342,3 +342,50 @@
     load.finish(&platform).await;
     assert_rules_held(&platform).await;
 }
+
+/// Guards against "not run" for a job that runs, where entry and leader are of different builds and the store is away.
+#[yare::parameterized(
+    landing_8_entry = { "landing-8", false },
+    landing_9_entry = { "landing-9", false },
+    landing_10_entry = { "landing-10", false },
+    landing_8_leader = { "landing-8", true },
+    landing_9_leader = { "landing-9", true },
+    landing_10_leader = { "landing-10", true },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
+async fn store_outage_answers_are_true_across_builds(landing: &str, leader_is_earlier: bool) {
+    let (earlier, present) = (earlier_build(landing), present_build().to_owned());
+    let (of_leader, of_entry) = if leader_is_earlier { (earlier, present) } else { (present, earlier) };
+    let mut platform = Platform::start_build(&of_leader, 2, 2).await;
+    let leader = platform.leader();
+    let entry = leader % 2 + 1;
+    platform.env.kill(&format!("entry-{entry}"));
+    platform.set_build(&of_entry);
+    platform.start_entry(entry);
+    platform.await_ready(entry).await;
+    assert_eq!(platform.leader(), leader);
+
+    platform.set_store_faults(json!({"down": true})).await;
+    let job = "00000000000000b1";
+    let status = platform.submit(entry, job, json!([step(1)]), "run_ms=100").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.set_store_faults(json!({})).await;
+    println!("{landing}, its leader: {leader_is_earlier}: {status}");
+    let is_refused = matches!(status, 429 | 503);
+    // Landings 8 and 9 don't withdraw a job, so that their leaders can't tell.
+    assert!(is_refused || leader_is_earlier && matches!(status, 504 | 0), "{status}");
+    if is_refused {
+        eventually(CATCH_UP_BOUND, "the job is known not to exist", async || {
+            platform.state(entry, job).await == "410" && platform.state(leader, job).await == "410"
+        })
+        .await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(platform.state(entry, job).await, "410");
+        let history = platform.history().await;
+        assert!(history.iter().all(|event| !event.1.starts_with(job)), "a job that was \"not run\" ran");
+    }
+    platform.submit_until_accepted(job, &json!([step(1)]), "run_ms=100").await;
+    platform.await_state(job, "completed", FINISH_BOUND).await;
+    assert_rules_held(&platform).await;
+}
