Let no hold keep work off idle workers, nor one unit keep the holds

Found by an independent review of the fix, with plays in virtual time: a hold for a gang that waits for one worker kept three idle ones from a job of 120 s and from a subtask without an end for 57 s; a gang that can never fit was tried alone, so no other unit of its service got a hold (a gang of four not started in 150 s); one idle worker with room for four copies didn't count as twice the room for one (60 s); subtasks of a wide step were each tried twice in their first seconds (5,000 subtasks on 730 workers: 298 ms a pass instead of 47); and a run that a new planner hadn't seen listed yet was stopped on a draining worker.

A unit that has waited beside workers of which less than half of each resource is in use also searches what is held, but for holds due within 5 s: a gang of most of a service empties it before it starts. A subtask without an end searches it in any case. The units of a service are tried in order of their wait until one gets a hold. Copies count on each worker up to twice the unit. Subtasks of a step are told apart by whether they have waited for long. Runs of an earlier planner are withdrawn only 3 s after the takeover.

`work_starts_beside_idle_workers_that_are_held` (3), `gang_starts_beside_an_older_one_that_fits_nowhere` and `subtask_that_fits_twice_on_one_idle_worker_starts_there` follow the review's plays.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -22,6 +22,9 @@
 /// Time within which an agent reports a start that it had sent when its worker began to drain, in milliseconds.
 const START_REPORT_MS: u64 = 700;
 
+/// Time within which agents list the runs that an earlier planner placed, in milliseconds.
+const FIRST_LISTING_MS: u64 = 3_000;
+
 /// Age from which a run that an agent reports is an error, in milliseconds: one day.
 const MAX_RUN_AGE_MS: u64 = 24 * 3_600_000;
 
@@ -297,10 +300,20 @@
             return;
         }
         let mut withdrawn = Vec::new();
+        // An agent that has restarted may list what runs later than it reports.
+        let may_be_listed = now < self.created_at + FIRST_LISTING_MS;
         for ((_, job, key), reserved) in self.unseen_starts(worker).into_iter().rev() {
-            if free.is_non_negative() && !is_draining {
+            let fits = free.is_non_negative();
+            let is_known = || {
+                let unit = self.jobs.get(job).and_then(|job| job.units.get(&key));
+                unit.is_some_and(|unit| unit.placed_at.is_some())
+            };
+            if fits && !is_draining {
                 break;
             }
+            if fits && may_be_listed && !is_known() {
+                continue;
+            }
             free += reserved;
             withdrawn.push((job.to_owned(), key));
         }
--- a/crates/fleet/src/hold.rs
+++ b/crates/fleet/src/hold.rs
@@ -25,6 +25,12 @@
 /// Time after which workers that didn't come free as expected are no longer held, in milliseconds.
 const OVERDUE_MS: u64 = 2_000;
 
+/// Time within which a unit has to fit so that no other one is preferred to it, in milliseconds.
+const MAX_DUE_MS: u64 = 600_000;
+
+/// Units that are tried in one pass, since some may never fit.
+const MAX_TRIED: usize = 16;
+
 /// Share of a worker from which a single subtask counts as wide, in thousandths.
 const WIDE_SHARE_MILLI: i64 = 750;
 
@@ -75,14 +81,15 @@
             let is_usable = |id: &String| {
                 pass.pool.index_of(id).is_some_and(|worker| pass.pool.workers[worker].is_usable)
             };
-            waits && pass.now <= hold.due_at + OVERDUE_MS && hold.workers.iter().all(is_usable)
+            let is_current = pass.now <= hold.due_at + OVERDUE_MS && hold.due_at <= pass.now + MAX_DUE_MS;
+            waits && is_current && hold.workers.iter().all(is_usable)
         });
         let mut lines = Vec::new();
-        for (service, candidate) in self.starving_units(pass.now, candidates) {
+        for (service, starving) in self.starving_units(pass.now, candidates) {
             if holds.by_service.contains_key(service) {
                 continue;
             }
-            let Some(hold) = self.choose_hold(pass, candidate) else { continue };
+            let Some((candidate, hold)) = self.choose_hold(pass, &starving) else { continue };
             lines.push(format!(
                 "event=workers_held job={} task={} waited_ms={} due_ms={} workers={}",
                 hold.job,
@@ -100,16 +107,22 @@
         self.holds = holds;
     }
 
-    /// Returns the wide unit of each service that has waited longest for resources, if its wait has been long.
-    fn starving_units<'a>(&self, now: u64, candidates: &'a [Candidate]) -> BTreeMap<&str, &'a Candidate> {
-        let mut starving: BTreeMap<&str, &Candidate> = BTreeMap::new();
+    /// Returns the wide units of each service that have waited long for resources, the longest first.
+    fn starving_units<'a>(
+        &self,
+        now: u64,
+        candidates: &'a [Candidate],
+    ) -> BTreeMap<&str, Vec<&'a Candidate>> {
+        let mut starving: BTreeMap<&str, Vec<&Candidate>> = BTreeMap::new();
         for candidate in candidates.iter().filter(|candidate| self.is_starving(now, candidate)) {
-            let Some(queue) = self.queue_of(&candidate.job) else { continue };
-            let longest = starving.entry(&queue.service).or_insert(candidate);
-            if self.waited_ms(now, candidate) > self.waited_ms(now, longest) {
-                *longest = candidate;
+            if let Some(queue) = self.queue_of(&candidate.job) {
+                starving.entry(&queue.service).or_default().push(candidate);
             }
         }
+        for units in starving.values_mut() {
+            units.sort_by_key(|candidate| std::cmp::Reverse(self.waited_ms(now, candidate)));
+            units.truncate(MAX_TRIED);
+        }
         starving
     }
 
@@ -135,9 +148,22 @@
         unit.map_or(0, |unit| now.saturating_sub(unit.since))
     }
 
+    /// Returns the first of the units that fits in the foreseeable future, or else the first that ever fits, with its hold.
+    fn choose_hold<'a>(&self, pass: &Pass, starving: &[&'a Candidate]) -> Option<(&'a Candidate, Hold)> {
+        let mut first = None;
+        for candidate in starving {
+            let Some(hold) = self.hold_for(pass, candidate) else { continue };
+            if hold.due_at <= pass.now + MAX_DUE_MS {
+                return Some((candidate, hold));
+            }
+            first = first.or(Some((*candidate, hold)));
+        }
+        first
+    }
+
     /// Returns the workers that fit a unit first, on one rack if it is worth the wait; `None` if it fits now, so that it
     /// waits for something else than room.
-    fn choose_hold(&self, pass: &Pass, candidate: &Candidate) -> Option<Hold> {
+    fn hold_for(&self, pass: &Pass, candidate: &Candidate) -> Option<Hold> {
         let step = self.jobs.get(&candidate.job)?.sub.steps.get(candidate.key.step as usize)?;
         let need = Need::new(step, if step.gang { step.count } else { 1 });
         let rooms = self.available_rooms(&pass.pool, pass.now, candidate, step);
--- a/crates/fleet/src/pass.rs
+++ b/crates/fleet/src/pass.rs
@@ -29,8 +29,8 @@
     releases: OnceCell<Releases>,
     /// Steps of which a long wait was logged in this pass.
     pub logged_waits: BTreeSet<StepKey>,
-    /// Steps whose subtasks fit on no worker.
-    unplaceable: BTreeSet<StepKey>,
+    /// Steps whose subtasks fit on no worker, by whether these have waited for long.
+    unplaceable: BTreeSet<(StepKey, bool)>,
     /// Steps for whose waiting subtasks no preemption pays.
     unpreemptable: BTreeSet<StepKey>,
 }
@@ -59,12 +59,13 @@
         self.releases.get_or_init(|| Releases::new(planner, &self.pool, self.now))
     }
 
-    pub fn mark_step_unplaceable(&mut self, candidate: &Candidate) {
-        self.unplaceable.insert(step_key(candidate));
+    /// Records that a subtask of a step fits nowhere; those that have waited for long may take more than others.
+    pub fn mark_step_unplaceable(&mut self, candidate: &Candidate, has_waited: bool) {
+        self.unplaceable.insert((step_key(candidate), has_waited));
     }
 
-    pub fn is_step_unplaceable(&self, candidate: &Candidate) -> bool {
-        !self.unplaceable.is_empty() && self.unplaceable.contains(&step_key(candidate))
+    pub fn is_step_unplaceable(&self, candidate: &Candidate, has_waited: bool) -> bool {
+        !self.unplaceable.is_empty() && self.unplaceable.contains(&(step_key(candidate), has_waited))
     }
 
     pub fn mark_step_unpreemptable(&mut self, candidate: &Candidate) {
--- a/crates/fleet/src/patience.rs
+++ b/crates/fleet/src/patience.rs
@@ -6,13 +6,16 @@
 use crate::pass::Pass;
 use crate::place::Candidate;
 use crate::planner::Planner;
-use crate::pool::{Need, PoolWorker, Room};
+use crate::pool::{Need, Pool, PoolWorker, Room};
 use crate::reserve::UrgentArrivals;
 use crate::unit::Unit;
 
-/// Time for which a unit waits for a better placement while half of its service is idle, in milliseconds: half of the
-/// platform's bound for a start beside idle workers, which leaves the rest for storing and delivering the placement.
-pub const IDLE_WAIT_MS: u64 = 1_500;
+/// Time for which a unit waits for a better placement while half of its service is idle, in milliseconds: the platform's
+/// bound of 3 s for a start beside idle workers, less the time to store and deliver the placement.
+pub const IDLE_WAIT_MS: u64 = 2_200;
+
+/// Time for which a unit waits for the reserve while half of its service is idle, in milliseconds.
+const IDLE_RESERVE_WAIT_MS: u64 = 1_500;
 
 /// Time without urgent jobs after which the reserve waits no longer for more of the same burst, in milliseconds.
 const URGENT_PAUSE_MS: u64 = 5_000;
@@ -21,8 +24,7 @@
 const RESERVE_ACCESS_LEAD_MS: u64 = 1_000;
 
 impl Planner {
-    /// Returns whether a unit has waited for so long beside free workers that no better placement is worth more waiting. A
-    /// subtask without an end serves from its start on, so it waits for nothing better however full the service is.
+    /// Returns whether a unit has waited for so long beside free workers that no better placement is worth more waiting.
     pub(crate) fn takes_any_placement(
         &self,
         pass: &Pass,
@@ -30,18 +32,27 @@
         step: &Step,
         rooms: &[Room],
     ) -> bool {
-        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
-        if unit.is_none_or(|unit| pass.now < unit.since + IDLE_WAIT_MS) {
-            return false;
-        }
         let need = Need::new(step, if step.gang { step.count } else { 1 });
-        (step.long_running || self.is_half_idle(pass, &candidate.job))
+        self.has_waited_beside_idle_workers(&pass.pool, pass.now, candidate, step)
             && need.fitting(rooms) >= 2 * need.members
     }
 
-    /// Returns whether less than half of a job's service is in use.
-    pub(crate) fn is_half_idle(&self, pass: &Pass, job: &str) -> bool {
-        self.queue_of(job).is_some_and(|queue| pass.pool.usage(&queue.service).is_half_idle())
+    /// Returns whether a unit has waited for long on a service that is half idle. A subtask without an end serves from its
+    /// start on, so it waits for nothing better however full the service is.
+    pub(crate) fn has_waited_beside_idle_workers(
+        &self,
+        pool: &Pool,
+        now: u64,
+        candidate: &Candidate,
+        step: &Step,
+    ) -> bool {
+        let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
+        let has_waited = unit.is_some_and(|unit| now >= unit.since + IDLE_WAIT_MS);
+        let is_half_idle = || {
+            let queue = self.queue_of(&candidate.job);
+            queue.is_some_and(|queue| pool.usage(&queue.service).is_half_idle())
+        };
+        has_waited && (step.long_running || is_half_idle())
     }
 
     /// Returns how much longer a gang that prefers one rack takes on several, in milliseconds.
@@ -106,7 +117,7 @@
     ) -> bool {
         let unit = self.jobs.get(&candidate.job).and_then(|job| job.units.get(&candidate.key));
         let Some(queue) = self.queue_of(&candidate.job) else { return false };
-        if unit.is_none_or(|unit| pass.now < unit.since + IDLE_WAIT_MS) {
+        if unit.is_none_or(|unit| pass.now < unit.since + IDLE_RESERVE_WAIT_MS) {
             return false;
         }
         let usage = pass.pool.usage(&queue.service);
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -13,9 +13,10 @@
 use crate::pass::Pass;
 use crate::patience::IDLE_WAIT_MS;
 use crate::planner::Planner;
-use crate::pool::{PoolWorker, Room};
+use crate::pool::Room;
 use crate::preempt;
 use crate::resources::Resources;
+use crate::rooms::Search;
 use crate::timing::JobTiming;
 use crate::unit::{Unit, UnitKey, UnitState};
 use crate::value::{LatestStarts, Timeliness, attainable_value, estimated_work_core_s};
@@ -316,19 +317,13 @@
             let found = self.find_rooms(pass, candidate, step, unit, uses_reserve);
             return found.map_err(|_| WaitReason::Isolation);
         }
-        if !has_claim && pass.is_step_unplaceable(candidate) {
+        let has_waited = pass.now >= unit.since + IDLE_WAIT_MS;
+        if !has_claim && pass.is_step_unplaceable(candidate, has_waited) {
             return Err(WaitReason::Resources);
         }
         let found = self.find_rooms(pass, candidate, step, unit, uses_reserve);
-        // Another subtask of the step may have waited long enough to take what this one doesn't.
-        let is_like_others = pass.now >= unit.since + IDLE_WAIT_MS;
-        if found == Err(WaitReason::Resources)
-            && !step.gang
-            && !has_claim
-            && unit.failed_on.is_empty()
-            && (is_like_others || !self.is_half_idle(pass, &candidate.job))
-        {
-            pass.mark_step_unplaceable(candidate);
+        if found == Err(WaitReason::Resources) && !step.gang && !has_claim && unit.failed_on.is_empty() {
+            pass.mark_step_unplaceable(candidate, has_waited);
         }
         found
     }
@@ -341,16 +336,15 @@
         unit: &Unit,
         uses_reserve: bool,
     ) -> Result<Vec<usize>> {
-        let rooms = self.rooms_for(pass, candidate, (step, unit), |worker| worker.is_usable);
+        let rooms = self.rooms_for(pass, candidate, (step, unit), Search::Usual);
         if rooms.is_empty() && self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval) {
             return Err(WaitReason::Approval);
         }
         let found = self.choose_unfailed(pass, candidate, (step, unit), &rooms, uses_reserve);
         let lacks_room = matches!(found, Err(WaitReason::Resources | WaitReason::Workers));
-        if lacks_room {
-            let may_use = |worker: &PoolWorker| worker.is_usable || worker.is_ejected;
-            let all = self.rooms_for(pass, candidate, (step, unit), may_use);
-            if all.len() > rooms.len() && self.takes_any_placement(pass, candidate, step, &all) {
+        if lacks_room && self.has_waited_beside_idle_workers(&pass.pool, pass.now, candidate, step) {
+            let all = self.rooms_for(pass, candidate, (step, unit), Search::Wide);
+            if self.takes_any_placement(pass, candidate, step, &all) {
                 return self.choose_unfailed(pass, candidate, (step, unit), &all, uses_reserve);
             }
         }
--- a/crates/fleet/src/pool.rs
+++ b/crates/fleet/src/pool.rs
@@ -125,6 +125,12 @@
     pub fn is_half_idle(&self) -> bool {
         self.used.weight() < self.capacity.weight() - self.used.weight()
     }
+
+    /// Returns whether less than half of each resource is in use.
+    pub fn is_half_idle_throughout(&self) -> bool {
+        const HALF_MILLI: i64 = 500;
+        self.used.share_of(&self.capacity) < HALF_MILLI
+    }
 }
 
 /// All known workers during a pass, in the order of their incarnations' names.
@@ -294,8 +300,10 @@
 
     /// Returns how many members fit, up to twice as many as there are.
     pub fn fitting(&self, rooms: &[Room]) -> i64 {
-        let fitting: i64 = rooms.iter().map(|room| self.members_in(&room.free)).sum();
-        fitting.min(2 * self.members)
+        let enough = 2 * self.members;
+        let members_in =
+            |room: &Room| room.free.copies_of(&self.per_member).min(self.max_per_worker).min(enough);
+        rooms.iter().map(members_in).sum::<i64>().min(enough)
     }
 
     /// Returns whether all members fit.
--- a/crates/fleet/src/resources.rs
+++ b/crates/fleet/src/resources.rs
@@ -56,6 +56,15 @@
         )
     }
 
+    /// Returns the larger amount of each resource.
+    pub fn max_each(&self, other: &Self) -> Self {
+        Self::new(
+            self.millicores.max(other.millicores),
+            self.memory_mb.max(other.memory_mb),
+            self.accelerators.max(other.accelerators),
+        )
+    }
+
     /// Returns whether no resource is negative.
     pub fn is_non_negative(&self) -> bool {
         self.millicores >= 0 && self.memory_mb >= 0 && self.accelerators >= 0
--- a/crates/fleet/src/rooms.rs
+++ b/crates/fleet/src/rooms.rs
@@ -5,11 +5,25 @@
 use crate::place::Candidate;
 use crate::planner::Planner;
 use crate::pool::{Held, Pool, PoolWorker, Room};
+use crate::resources::Resources;
 use crate::unit::{Unit, UnitKey};
 
-/// Added to the rank of a worker that is held for another unit: urgent work uses it if no other has room.
+/// Added to the rank of a worker that is held for another unit: what ignores the hold uses it if no other has room.
 const HELD_RANK: u8 = 100;
 
+/// Time before it is due from which a hold also keeps off what waits beside idle workers, in milliseconds. A gang of most
+/// of a service empties more than half of it before it starts.
+const MAX_HOLD_WAIT_MS: u64 = 5_000;
+
+/// Workers among which a search for room looks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Search {
+    /// Those that are usable, without what is held for other units.
+    Usual,
+    /// Also ejected workers, and what is held if less than half of each resource is in use.
+    Wide,
+}
+
 impl Planner {
     /// Returns the workers on which a unit of a step may start now, with their resources that no other unit claims.
     pub(crate) fn available_rooms(
@@ -19,18 +33,19 @@
         candidate: &Candidate,
         step: &Step,
     ) -> Vec<Room> {
-        self.rooms_on(pool, now, candidate, step, |worker| worker.is_usable)
+        self.rooms_on(pool, now, candidate, step, Search::Usual)
     }
 
-    /// Returns the workers out of those that `may_use` names, with their resources that a unit of a step may use.
+    /// Returns the workers of a search, with their resources that a unit of a step may use.
     fn rooms_on(
         &self,
         pool: &Pool,
         now: u64,
         candidate: &Candidate,
         step: &Step,
-        may_use: impl Fn(&PoolWorker) -> bool,
+        search: Search,
     ) -> Vec<Room> {
+        let may_use = |worker: &PoolWorker| worker.is_usable || (search == Search::Wide && worker.is_ejected);
         let Some(queue) = self.queue_of(&candidate.job) else { return Vec::new() };
         let approved = queue.needs_approval.then(|| {
             let step_key = (candidate.job.clone(), candidate.key.occurrence, candidate.key.step);
@@ -52,12 +67,15 @@
             let ends_before = !step.long_running && now.saturating_add(step.estimate_ms) <= held.due_at;
             !candidate.guaranteed && !ends_before && (&held.job, held.key) != (&candidate.job, candidate.key)
         };
+        let is_idle = step.long_running || pool.usage(&queue.service).is_half_idle_throughout();
+        let ignores_holds = search == Search::Wide && is_idle;
+        let is_due_soon = |held: &Held| !step.long_running && held.due_at <= now + MAX_HOLD_WAIT_MS;
         let room = |(at, worker): (usize, &PoolWorker)| {
             let mut free = worker.unclaimed(candidate.guaranteed);
             let mut rank = classes.map_or(0, |classes| classes.rank(worker.speed_milli, is_urgent));
             match worker.held.as_ref().filter(is_kept_from_it) {
-                Some(_) if is_urgent => rank += HELD_RANK,
-                Some(held) => free = free.min_each(&held.spare),
+                Some(held) if is_urgent || (ignores_holds && !is_due_soon(held)) => rank += HELD_RANK,
+                Some(held) => free = free.min_each(&held.spare.max_each(&Resources::default())),
                 None => (),
             }
             Room { worker: at, free, rank }
@@ -77,16 +95,16 @@
         rooms
     }
 
-    /// Returns the workers out of those that `may_use` names on which a unit may start, with what it may use there.
+    /// Returns the workers of a search on which a unit may start, with what it may use there.
     pub(crate) fn rooms_for(
         &self,
         pass: &Pass,
         candidate: &Candidate,
         (step, unit): (&Step, &Unit),
-        may_use: impl Fn(&PoolWorker) -> bool,
+        search: Search,
     ) -> Vec<Room> {
         let pool = &pass.pool;
-        let mut rooms = self.rooms_on(pool, pass.now, candidate, step, may_use);
+        let mut rooms = self.rooms_on(pool, pass.now, candidate, step, search);
         self.drop_workers_at_limit(pool, &mut rooms, candidate, step);
         if unit.must_run_alone() {
             rooms.retain(|room| pool.workers[room.worker].has_no_other_job(&candidate.job));
--- a/crates/fleet/tests/starvation.rs
+++ b/crates/fleet/tests/starvation.rs
@@ -274,7 +274,7 @@
         let assignments = fleet.advance(ARRIVAL_INTERVAL_MS);
         fleet.mark_running(&assignments);
         for start in assignments.iter().flat_map(|assigned| &assigned.starts) {
-            if start.task.job.as_str() != GANG {
+            if !start.task.job.starts_with("00000000000000f") {
                 // Runs end at different times, so that one worker after the other comes free.
                 let spread_ms = 37 * (self.next + start.task.index as u64) % 1_000;
                 self.running.push((fleet.now + self.estimate_ms + spread_ms, start.task.job.clone()));
@@ -284,6 +284,44 @@
     }
 }
 
+/// Guards against a hold for a gang that waits for one worker and keeps the idle ones from work that could start.
+#[yare::parameterized(
+    long = { Step { estimate_ms: 120_000, ..narrow(0) } },
+    without_end = { Step { long_running: true, ..narrow(120_000) } },
+    without_accelerators = { Step { resources: Resources::new(1_000, 130_000, 0), ..narrow(120_000) } },
+)]
+fn work_starts_beside_idle_workers_that_are_held(late: Step) {
+    let mut fleet = Fleet::new(4);
+    occupy(&mut fleet, 0, narrow(60_000));
+    let wide = Step { prefers_one_rack: false, estimate_ms: 3_000, ..one_rack_gang(4) };
+    fleet.submit("00000000000000fe", "plain", vec![wide]);
+    for _ in 0..50 {
+        fleet.advance(100);
+    }
+    let log = fleet.planner.take_log();
+    assert!(log.iter().any(|line| line.starts_with("event=workers_held ")), "nothing is held");
+    fleet.submit(GANG, "plain", vec![late]);
+    let waited_ms = await_start(&mut fleet, GANG, IDLE_START_MS);
+    assert!(waited_ms.is_some(), "waits for a gang that waits");
+}
+
+/// Guards against a subtask that waits for its rack since its only other worker counts for one copy.
+#[test]
+fn subtask_that_fits_twice_on_one_idle_worker_starts_there() {
+    let mut fleet = Fleet::new(2);
+    for (at, report) in fleet.reports.iter_mut().enumerate() {
+        report.worker.as_mut().unwrap().labels = vec!["a".to_owned(), format!("r{at}")];
+    }
+    occupy(&mut fleet, 0, Step { resources: Resources::new(2_000, 230_000, 1), ..narrow(60_000) });
+    let resources = Resources::new(2_000, 60_000, 1);
+    let near = Step { preferred_rack: Some("r0".to_owned()), resources, ..narrow(60_000) };
+    fleet.submit(GANG, "plain", vec![near]);
+    assert!(
+        await_start(&mut fleet, GANG, IDLE_START_MS).is_some(),
+        "waits for its rack beside an idle worker"
+    );
+}
+
 /// Guards against wide work that never starts while narrow work keeps arriving.
 #[yare::parameterized(
     four_of_one_rack = { 4, true, "plain" },
@@ -305,8 +343,31 @@
     // It waits as long as it runs itself, then until the longest narrow run has ended, before the next narrow run starts.
     let max_ms = gang.estimate_ms + 2 * (load.estimate_ms + 1_000) + IDLE_START_MS;
     fleet.submit(GANG, queue, vec![gang]);
+    await_gang(&mut fleet, &mut load, narrow_queue, max_ms);
+}
+
+/// Guards against a gang that can never fit and takes the hold of the others for itself.
+#[test]
+fn gang_starts_beside_an_older_one_that_fits_nowhere() {
+    let mut fleet = Fleet::new(12);
+    occupy(&mut fleet, 0, Step { long_running: true, ..narrow(60_000) });
+    let mut load = NarrowLoad::new(4_000);
+    for _ in 0..60 {
+        load.advance(&mut fleet, "plain");
+    }
+    fleet.submit("00000000000000fe", "plain", vec![Step { prefers_one_rack: false, ..one_rack_gang(12) }]);
+    for _ in 0..350 {
+        load.advance(&mut fleet, "plain");
+    }
+    let gang = Step { prefers_one_rack: false, ..one_rack_gang(4) };
+    let max_ms = gang.estimate_ms + 2 * (load.estimate_ms + 1_000) + IDLE_START_MS;
+    fleet.submit(GANG, "plain", vec![gang]);
+    await_gang(&mut fleet, &mut load, "plain", max_ms);
+}
+
+fn await_gang(fleet: &mut Fleet, load: &mut NarrowLoad, narrow_queue: &str, max_ms: u64) {
     let mut waited_ms = 0;
-    while starts_of(&load.advance(&mut fleet, narrow_queue), GANG) == 0 {
+    while starts_of(&load.advance(fleet, narrow_queue), GANG) == 0 {
         waited_ms += ARRIVAL_INTERVAL_MS;
         assert!(waited_ms <= max_ms, "not started after {waited_ms} ms");
     }
