Don't overflow on the validity of an approval

What callers saw: nothing yet.

Cause: the planner adds `valid_ms` of the policy service's reply to its clock.

Not run in a release build.

Why the fix works: the sum stops at the latest time that the clock has.

--- a/crates/fleet/src/approvals.rs
+++ b/crates/fleet/src/approvals.rs
@@ -110,7 +110,7 @@
     ) {
         let tickets = self.approvals.by_step.entry(step.clone()).or_default();
         for (incarnation, ticket) in admitted {
-            tickets.insert(incarnation.clone(), (ticket.clone(), now + valid_ms));
+            tickets.insert(incarnation.clone(), (ticket.clone(), now.saturating_add(valid_ms)));
         }
         // The policy's decision on a worker is final.
         let refused = requested
--- a/crates/fleet/tests/bounds.rs
+++ b/crates/fleet/tests/bounds.rs
@@ -232,3 +232,19 @@
     let path = small.spawn(move || job.critical_path_from_ms(0)).unwrap().join();
     assert_eq!(path.unwrap(), 9_000 * 2_000);
 }
+
+#[test]
+fn record_approvals_of_absurd_validity_keeps_service() {
+    for valid_ms in NUMBERS {
+        let mut fleet = Fleet::new(2);
+        fleet.submit("00000000000000b1", "advised", vec![step(1, 1)]);
+        fleet.advance(100);
+        let (asked, workers) = fleet.planner.next_approval_request(fleet.now).unwrap();
+        let admitted = [(workers[0].clone(), "ticket".to_owned())];
+        fleet.planner.record_approvals(fleet.now, &asked, &workers, &admitted, valid_ms);
+        let assigned = fleet.advance(100);
+        let starts: usize = assigned.iter().map(|assigned| assigned.starts.len()).sum();
+        assert_eq!(starts, usize::from(valid_ms > 1_000), "valid for {valid_ms} ms");
+        assert_serves(&mut fleet, JOB, &format!("valid for {valid_ms} ms"));
+    }
+}
