--- a/crates/soak/src/checkins.rs
+++ b/crates/soak/src/checkins.rs
@@ -29,10 +29,21 @@
     Departure,
     /// Check-in of the worker beside another agent.
     OtherMachine,
+    DeepNesting,
+    /// A number that no type holds.
+    HugeNumber,
+    PortOutOfRange,
+    /// The current incarnation's, with an amount at the limit of its type.
+    CapacityLimit,
+    /// The current incarnation's, with a sequence number that leaves none for the next ones.
+    SequenceLimit,
 }
 
+/// Brackets of a value that is nested too deeply for any reader.
+const DEPTH: usize = 100_000;
+
 impl Kind {
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 14] = [
         Self::MissingField,
         Self::WrongType,
         Self::Undecodable,
@@ -42,6 +53,11 @@
         Self::Late,
         Self::Departure,
         Self::OtherMachine,
+        Self::DeepNesting,
+        Self::HugeNumber,
+        Self::PortOutOfRange,
+        Self::CapacityLimit,
+        Self::SequenceLimit,
     ];
 }
 
@@ -67,6 +83,25 @@
             (Method::PUT, stranger)
         }
         Kind::Undecodable | Kind::Stranger => (Method::PUT, stranger),
+        Kind::DeepNesting | Kind::HugeNumber => {
+            set("capacity", json!(PLACEHOLDER));
+            (Method::PUT, current.announced_name())
+        }
+        Kind::PortOutOfRange => {
+            set("address", json!("127.0.0.1:99999"));
+            (Method::PUT, stranger)
+        }
+        Kind::CapacityLimit => {
+            let fields = ["cpu", "memory_request_mb", "gpu"];
+            let amount = if rng.random() { i64::MIN } else { i64::MAX };
+            body["capacity"][fields[rng.random_range(0..fields.len())]] = json!(amount);
+            (Method::PUT, current.announced_name())
+        }
+        Kind::SequenceLimit => {
+            // The last number that a reader of JSON keeps exactly, and that of the type.
+            set("sequence", json!(if rng.random() { (1_u64 << 53) - 1 } else { u64::MAX }));
+            (Method::PUT, current.announced_name())
+        }
         Kind::UnknownState => {
             set("state", json!("resting"));
             (Method::PUT, stranger)
@@ -86,6 +121,8 @@
     let bytes = match kind {
         Kind::Undecodable => Bytes::from_static(&[0xff, 0xfe, 0x00, 0x7b]),
         Kind::Departure => Bytes::new(),
+        Kind::DeepNesting => with_placed(&body, &("[".repeat(DEPTH) + &"]".repeat(DEPTH))),
+        Kind::HugeNumber => with_placed(&body, r#"{"cpu": 1e999}"#),
         _ => Bytes::from(body.to_string()),
     };
     let url = format!("http://{}/instances/{name}", deployment.control_address(worker));
@@ -93,6 +130,14 @@
     Some(reply.map_or(0, |reply| reply.status.as_u16()))
 }
 
+/// Text of a value that [`with_placed`] replaces.
+const PLACEHOLDER: &str = "@value@";
+
+/// Returns a body with a text that is no value in place of the placeholder.
+fn with_placed(body: &Value, text: &str) -> Bytes {
+    Bytes::from(body.to_string().replace(&format!("{PLACEHOLDER:?}"), text))
+}
+
 fn checkin(address: &str, sequence: u64) -> Value {
     json!({
         "service": "svc", "address": address, "zone": "haiphong-a", "version": "v1", "slots": 8,
