Ask about further workers while the approved ones have no room

Cause: `request_approvals` only asked whether the step has any valid ticket.

A step whose units have waited 500 ms for room, 500 ms after the last reply, is asked about again: about workers that have room for a subtask now and on which no decision holds. Refusals stay final, and tickets stay as they are. So nothing more is asked on a service without room. First requests are as before and go first; of the others at most one is pending, for the step that was answered longest ago, and the next one waits for as long as the last one took, or 3 s if it had no reply. A pending step without workers to ask about no longer hides those after it.

--- a/crates/fleet/src/approvals.rs
+++ b/crates/fleet/src/approvals.rs
@@ -2,8 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::pass::step_key;
+use crate::place::Candidate;
 use crate::planner::Planner;
+use crate::pool;
 use crate::task::Task;
+use crate::wait::WaitReason;
+use crate::worker::Worker;
 
 /// The policy service takes time for each worker in a request.
 const MAX_WORKERS_PER_REQUEST: usize = 30;
@@ -15,6 +20,10 @@
 /// Time after which a request without a reply is repeated.
 const REQUEST_RETRY_DELAY_MS: u64 = 3_000;
 
+/// Wait of a unit, and time since the last reply for its step, from which further workers are asked about, in
+/// milliseconds: the pass that follows a reply places what the approved workers have room for.
+const FURTHER_REQUEST_DELAY_MS: u64 = 500;
+
 /// A step of a job's occurrence: the job, the occurrence, and the number of the step.
 pub type StepKey = (String, u32, u32);
 
@@ -25,7 +34,17 @@
     by_step: BTreeMap<StepKey, BTreeMap<String, (String, u64)>>,
     refused: BTreeMap<StepKey, BTreeSet<String>>,
     requested_at: BTreeMap<StepKey, u64>,
+    /// When the service last replied for a step.
+    answered_at: BTreeMap<StepKey, u64>,
+    /// Steps without a valid ticket.
     pending: BTreeSet<StepKey>,
+    /// A step whose approved workers have no room; asked about once no other request is pending.
+    pending_further: Option<StepKey>,
+    /// Step of the last request about further workers, until its reply.
+    further_requested: Option<StepKey>,
+    /// When the next request about further workers may be sent. These take at most half of the service's time, so that
+    /// first requests don't wait for them.
+    further_allowed_at: u64,
 }
 
 impl Approvals {
@@ -54,6 +73,21 @@
         }
     }
 
+    /// Returns whether a request about further workers may be sent for a step.
+    fn is_further_due(&self, step: &StepKey, now: u64) -> bool {
+        let is_over = |at: Option<&u64>, ms: u64| at.is_none_or(|at| now >= at + ms);
+        !self.pending.contains(step)
+            && is_over(self.requested_at.get(step), REQUEST_RETRY_DELAY_MS)
+            && is_over(self.answered_at.get(step), FURTHER_REQUEST_DELAY_MS)
+    }
+
+    /// Returns whether the service has decided on a worker for a step and the decision still holds: a refusal is final, an
+    /// approval holds as long as its ticket.
+    fn is_decided(&self, step: &StepKey, incarnation: &str, now: u64) -> bool {
+        self.refused.get(step).is_some_and(|refused| refused.contains(incarnation))
+            || self.valid_ticket(step, incarnation, now).is_some()
+    }
+
     /// Removes an approval that a worker did not accept.
     pub fn invalidate(&mut self, step: &StepKey, incarnation: &str) {
         if let Some(tickets) = self.by_step.get_mut(step) {
@@ -66,37 +100,107 @@
         self.by_step.retain(|step, _| step.0 != job);
         self.refused.retain(|step, _| step.0 != job);
         self.requested_at.retain(|step, _| step.0 != job);
+        self.answered_at.retain(|step, _| step.0 != job);
         self.pending.retain(|step| step.0 != job);
+        self.pending_further.take_if(|step| step.0 == job);
+        self.further_requested.take_if(|step| step.0 == job);
     }
 }
 
 impl Planner {
     /// Returns whether a request to the policy service is pending.
     pub fn has_approval_requests(&self) -> bool {
-        !self.approvals.pending.is_empty()
+        !self.approvals.pending.is_empty() || self.approvals.pending_further.is_some()
+    }
+
+    /// Requests approvals of further workers for a step whose units wait since the approved workers have no room, if others
+    /// have: for the step that was answered longest ago.
+    pub(crate) fn request_further_approvals(&mut self, now: u64, candidates: &[Candidate]) {
+        self.approvals.pending_further = None;
+        if now < self.approvals.further_allowed_at {
+            return;
+        }
+        let waiting = candidates.iter().filter(|candidate| {
+            self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval)
+                && self.lacks_approved_room(now, candidate)
+        });
+        let steps: BTreeSet<StepKey> = waiting.map(step_key).collect();
+        if steps.is_empty() {
+            return;
+        }
+        let mut due: Vec<StepKey> =
+            steps.into_iter().filter(|step| self.approvals.is_further_due(step, now)).collect();
+        due.sort_by_key(|step| self.approvals.answered_at.get(step).copied());
+        let found = due.into_iter().find(|step| !self.further_workers(step, now).is_empty());
+        if found.is_none() {
+            // Every search looks at all workers.
+            self.approvals.further_allowed_at = now + FURTHER_REQUEST_DELAY_MS;
+        }
+        self.approvals.pending_further = found;
+    }
+
+    /// Returns whether a unit waits for room, not for a better placement or a stop.
+    fn lacks_approved_room(&self, now: u64, candidate: &Candidate) -> bool {
+        let job = self.jobs.get(&candidate.job);
+        let Some(unit) = job.and_then(|job| job.units.get(&candidate.key)) else { return false };
+        now >= unit.since + FURTHER_REQUEST_DELAY_MS
+            && match unit.waits.reason() {
+                Some(
+                    WaitReason::Workers
+                    | WaitReason::Resources
+                    | WaitReason::Approval
+                    | WaitReason::Isolation,
+                ) => true,
+                Some(WaitReason::Speed | WaitReason::Stops | WaitReason::Rack | WaitReason::Reserve)
+                | None => false,
+            }
     }
 
     /// Returns the next request to the policy service: a step and the workers to ask about, those with the most free
-    /// resources first, without those refused before.
+    /// resources first, without those decided before.
     pub fn next_approval_request(&mut self, now: u64) -> Option<(StepKey, Vec<String>)> {
-        let step = self.approvals.pending.pop_first()?;
+        while let Some(step) = self.approvals.pending.pop_first() {
+            self.approvals.requested_at.insert(step.clone(), now);
+            let workers = self.undecided_workers(&step, now, |_| true);
+            if !workers.is_empty() {
+                return Some((step, freest(workers)));
+            }
+        }
+        let step = self.approvals.pending_further.take()?;
+        let workers = self.further_workers(&step, now);
+        if workers.is_empty() {
+            return None;
+        }
+        let workers = freest(workers);
         self.approvals.requested_at.insert(step.clone(), now);
-        let service = self.queue_of(&step.0)?.service.clone();
-        let refused = self.approvals.refused.get(&step);
-        let is_allowed = |incarnation: &str| refused.is_none_or(|refused| !refused.contains(incarnation));
-        let mut workers: Vec<_> = self
-            .workers
-            .values()
-            .filter(|worker| {
-                worker.info.service == service
-                    && !worker.info.draining
-                    && is_allowed(&worker.info.incarnation)
-            })
-            .collect();
-        workers.sort_by_key(|worker| std::cmp::Reverse(worker.free().weight()));
-        let incarnations: Vec<String> =
-            workers.iter().take(MAX_WORKERS_PER_REQUEST).map(|w| w.info.incarnation.clone()).collect();
-        (!incarnations.is_empty()).then_some((step, incarnations))
+        self.approvals.further_requested = Some(step.clone());
+        self.approvals.further_allowed_at = now + REQUEST_RETRY_DELAY_MS;
+        Some((step, workers))
+    }
+
+    /// Returns the workers out of those that `may_use` names on which no decision holds for a step.
+    fn undecided_workers(&self, step: &StepKey, now: u64, may_use: impl Fn(&Worker) -> bool) -> Vec<&Worker> {
+        let Some(queue) = self.queue_of(&step.0) else { return Vec::new() };
+        let is_undecided = |worker: &&Worker| {
+            worker.info.service == queue.service
+                && !worker.info.draining
+                && may_use(worker)
+                && !self.approvals.is_decided(step, &worker.info.incarnation, now)
+        };
+        self.workers.values().filter(is_undecided).collect()
+    }
+
+    /// Returns those of them on which a subtask of the step has room now.
+    fn further_workers(&self, key: &StepKey, now: u64) -> Vec<&Worker> {
+        let job = self.jobs.get(&key.0);
+        let Some(step) = job.and_then(|job| job.sub.steps.get(key.2 as usize)) else { return Vec::new() };
+        let reserved = step.reserved();
+        self.undecided_workers(key, now, |worker| {
+            worker.free().can_fit(&reserved)
+                && pool::is_usable(worker, now)
+                && !self.evacuated.contains(&worker.info.domain)
+                && step.label.as_deref().is_none_or(|label| worker.has_label(label))
+        })
     }
 
     /// Records the policy service's reply for a step; the workers in `requested` but not in `admitted` are refused.
@@ -117,7 +221,12 @@
             .iter()
             .filter(|incarnation| !admitted.iter().any(|(admitted, _)| admitted == *incarnation));
         self.approvals.refused.entry(step.clone()).or_default().extend(refused.cloned());
-        self.approvals.requested_at.remove(step);
+        let requested_at = self.approvals.requested_at.remove(step);
+        self.approvals.answered_at.insert(step.clone(), now);
+        if self.approvals.further_requested.take_if(|further| further == step).is_some() {
+            let took_ms = requested_at.map_or(0, |at| now.saturating_sub(at));
+            self.approvals.further_allowed_at = now + took_ms;
+        }
         let (job, occurrence, number) = step;
         self.log_line(format!(
             "event=approved job={job} step={job}.{occurrence}.{number} asked={} admitted={}",
@@ -130,3 +239,10 @@
         (task.job.clone(), task.occurrence, task.step)
     }
 }
+
+/// Returns the workers with the most free resources, as many as one request names.
+fn freest(mut workers: Vec<&Worker>) -> Vec<String> {
+    workers.sort_by_key(|worker| std::cmp::Reverse(worker.free().weight()));
+    let freest = workers.into_iter().take(MAX_WORKERS_PER_REQUEST);
+    freest.map(|worker| worker.info.incarnation.clone()).collect()
+}
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -155,7 +155,7 @@
         ));
     }
 
-    /// Requests approvals for the steps that need one and have none that is valid.
+    /// Requests approvals for the steps that need one and have none that is valid, or no room where they have one.
     fn request_approvals(&mut self, now: u64, candidates: &[Candidate]) {
         for candidate in candidates {
             if self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval) {
@@ -169,6 +169,7 @@
                 }
             }
         }
+        self.request_further_approvals(now, candidates);
     }
 
     /// Returns the waiting units whose dependencies are done and whose occurrence is due, in order of placement.
