--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -410,8 +410,9 @@
         let rooms: Vec<Room> = rooms.into_iter().map(|(_, room)| room).collect();
         let Some(enough) = (1..=rooms.len()).find(|count| need.fits(&rooms[..*count])) else { return };
         let chosen: Vec<usize> = rooms[..enough].iter().map(|room| room.worker).collect();
-        let whole =
-            chosen.iter().map(|at| pass.pool.workers[*at].capacity).fold(Resources::default(), largest);
+        let whole = chosen
+            .iter()
+            .fold(Resources::default(), |whole, at| whole.max_each(&pass.pool.workers[*at].capacity));
         let workers = pass.pool.incarnations(&chosen);
         self.claims.insert(&mut pass.pool, candidate, candidate.key, workers, whole, pass.now);
     }
@@ -434,11 +435,3 @@
     let suspects = job.units.iter().filter(|(_, unit)| !unit.crashes.is_empty());
     suspects.map(|(key, _)| (job.sub.job.clone(), *key))
 }
-
-fn largest(one: Resources, other: Resources) -> Resources {
-    Resources::new(
-        one.millicores.max(other.millicores),
-        one.memory_mb.max(other.memory_mb),
-        one.accelerators.max(other.accelerators),
-    )
-}
