Let an urgent gang wait for a rack while it can be in time there and not on several

Cause: the expected wait for a rack counts only runs that end by themselves. For an urgent gang runs are stopped shortly before its latest start, so a rack comes free for it, and spread over racks it is late from the start.

`urgent_gang_starts_on_one_rack_by_stopping_runs` failed before (workers 4, 10 and 11 of two racks).

--- a/crates/fleet/src/patience.rs
+++ b/crates/fleet/src/patience.rs
@@ -9,6 +9,7 @@
 use crate::pool::{Need, Pool, PoolWorker, Room};
 use crate::reserve::UrgentArrivals;
 use crate::unit::Unit;
+use crate::value::Timeliness;
 
 /// Time for which a unit waits for a better placement while half of its service is idle, in milliseconds: the platform's
 /// bound of 3 s for a start beside idle workers, less the time to store and deliver the placement.
@@ -61,14 +62,24 @@
     }
 
     /// Returns whether a gang that fits on several racks is done sooner on one that has room later. Expected ends are
-    /// often exceeded, so it never waits for longer than running on several racks costs.
+    /// often exceeded, so it never waits for longer than running on several racks costs. An urgent job that would be late
+    /// on several waits while it can be in time: runs are stopped for it before its latest start.
     pub(crate) fn is_rack_worth_waiting(
         &self,
         pass: &Pass,
+        candidate: &Candidate,
         (step, unit): (&Step, &Unit),
         rooms: &[Room],
     ) -> bool {
-        let left_ms = self.spread_cost_ms(step).saturating_sub(pass.now.saturating_sub(unit.since));
+        let spread_cost_ms = self.spread_cost_ms(step);
+        if candidate.priority == 0 && candidate.timeliness == Timeliness::InTime {
+            let timing = candidate.timing;
+            let spread_ms = timing.remaining_ms.saturating_add(spread_cost_ms);
+            if timing.age_ms.saturating_add(spread_ms) > timing.target_ms {
+                return true;
+            }
+        }
+        let left_ms = spread_cost_ms.saturating_sub(pass.now.saturating_sub(unit.since));
         if left_ms == 0 {
             return false;
         }
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -394,7 +394,7 @@
         let locality_wait_ms = step.estimate_ms * LOCALITY_WAIT_MILLI / 1_000;
         let wait_for_locality = !takes_any && pass.now < unit.since + locality_wait_ms;
         let waits_for_rack =
-            |rooms: &[Room]| is_patient && self.is_rack_worth_waiting(pass, (step, unit), rooms);
+            |rooms: &[Room]| is_patient && self.is_rack_worth_waiting(pass, candidate, (step, unit), rooms);
         let choose = |rooms: &[Room]| match step.gang {
             true => find_workers_for_gang(pool, rooms, step, waits_for_rack),
             false => find_worker_for_subtask(pool, rooms, step, wait_for_locality),
--- a/crates/fleet/tests/starvation.rs
+++ b/crates/fleet/tests/starvation.rs
@@ -3,7 +3,11 @@
 #[allow(dead_code, reason = "the other tests use the rest")]
 mod common;
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use common::{Fleet, step};
+use sorrelland_fleet::Desired;
 use sorrelland_fleet::Resources;
 use sorrelland_fleet::assignments::Assignments;
 use sorrelland_fleet::job::{JobState, Step};
@@ -113,6 +117,38 @@
     assert_eq!((is_on_one_rack, waited_ms > 1_000), (waits, waits), "on {placed:?} after {waited_ms} ms");
 }
 
+/// Guards against an urgent gang that is late on several racks although runs could be stopped on one in time.
+#[test]
+fn urgent_gang_starts_on_one_rack_by_stopping_runs() {
+    let mut fleet = Fleet::new(12);
+    for (at, report) in fleet.reports.iter_mut().enumerate() {
+        report.worker.as_mut().unwrap().labels = vec!["a".to_owned(), format!("r{}", at / 6)];
+    }
+    for at in [0, 1, 2, 3, 6, 7, 8, 9] {
+        occupy(&mut fleet, at, Step { resources: Resources::new(120_000, 250_000, 7), ..narrow(60_000) });
+    }
+    let mut desired = Desired { version: 2, accounts: BTreeMap::new(), ..common::desired() };
+    desired.queues.iter_mut().for_each(|queue| queue.stretch_milli = 1_500);
+    fleet.planner.set_desired(Arc::new(desired));
+    fleet.submit(GANG, "urgent", vec![Step { estimate_ms: 2_000, ..one_rack_gang(3) }]);
+    let mut placed: Vec<usize> = Vec::new();
+    for _ in 0..60 {
+        let assignments = fleet.advance(100);
+        let is_gang = |assigned: &&Assignments| assigned.starts.iter().any(|start| start.task.job == GANG);
+        let workers =
+            assignments.iter().filter(is_gang).map(|assigned| assigned.incarnation[1..].parse().unwrap());
+        placed = workers.collect();
+        if !placed.is_empty() {
+            break;
+        }
+        for stop in assignments.iter().flat_map(|assigned| &assigned.stops) {
+            fleet.end_runs(&stop.task.job, EndReason::Stopped);
+        }
+    }
+    assert_eq!(placed.len(), 3, "not started");
+    assert!(placed.iter().all(|at| at / 6 == placed[0] / 6), "on several racks: {placed:?}");
+}
+
 /// Guards against a subtask that waits for its rack while other racks are idle.
 #[test]
 fn subtask_near_a_busy_rack_starts_beside_idle_workers() {
