Acknowledge a job only if it is stored, not if another attempt has withdrawn it

Cause: two attempts at one job waited for a store that didn't answer. One was told 'not run', which withdrew the job; the other took the failed withdrawal for a job that was being stored, waited for its change, which was stored without the job, and acknowledged it.

After its wait an attempt now looks whether the job itself is stored; if it isn't, the answer is left open, so that the caller asks again. The tests of the crate pass.

--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -37,21 +37,34 @@
             Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => false,
         };
         // Another attempt of the caller may have withdrawn the job.
-        if is_stored && lock(&self.planner).knows(&sub.job) {
+        if is_stored && self.is_job_stored(sub) {
             return self.accept(sub);
         }
+        if is_stored && lock(&self.planner).knows(&sub.job) {
+            // It was submitted anew, and that is not stored yet.
+            return Reply::Unresolved;
+        }
         if is_stored || lock(&self.planner).withdraw(&sub.job) {
             // The next leader may accept it at once.
             return if self.has_stepped_down() { Reply::NotPlanner(None) } else { self.not_run(sub, call) };
         }
         let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-        match !self.has_stepped_down() && self.wait_stored(change, left).await {
-            true => self.accept(sub),
+        if self.has_stepped_down() || !self.wait_stored(change, left).await {
             // The append may have been carried out even if the leadership has ended.
+            return Reply::Unresolved;
+        }
+        match self.is_job_stored(sub) {
+            true => self.accept(sub),
+            // Another attempt has withdrawn it meanwhile, and may have submitted it anew.
             false => Reply::Unresolved,
         }
     }
 
+    /// Returns whether the job of a submission is stored and was not withdrawn.
+    fn is_job_stored(&self, sub: &Submission) -> bool {
+        lock(&self.planner).state(&sub.job).is_some()
+    }
+
     fn accept(&self, sub: &Submission) -> Reply {
         log::info!(
             "event=accepted job={} queue={} account={} priority={} {}",
