Review case 2: a large job ends all progress of all jobs

Cause: a job's progress is one record of the store, whatever its size. Once it is longer than the store's limit, the append that holds it is refused for good, together with the changes of all other jobs.

Change: a script that hands in a scheduled job of 3 steps of 230 subtasks, 4 times, beside jobs of another tenant.

--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod http;
 mod json;
+mod large;
 mod policy;
 mod record;
 mod store;
@@ -93,6 +94,7 @@
     record::note(&format!("case {name}, with the disruption: {has_trouble}"));
     let play = match name.as_str() {
         "ends" => ends::play,
+        "large" => large::play,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
