--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod advice;
 mod deployment;
 mod ends;
 mod http;
@@ -93,6 +94,7 @@
     deployment::watch();
     record::note(&format!("case {name}, with the disruption: {has_trouble}"));
     let play = match name.as_str() {
+        "advice" => advice::play,
         "ends" => ends::play,
         "large" => large::play,
         _ => {
