Review case 4: another writer's check-in hides a worker for good

Cause: an agent adopts the first check-in whose id its worker confirms, with whatever service it names, and then ignores the worker's own as of another service.

Change: a script in which one such check-in reaches each agent before the first one of its worker.

--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod store;
 mod worker;
+mod writer;
 
 use std::panic;
 use std::path::Path;
@@ -97,6 +98,7 @@
         "advice" => advice::play,
         "ends" => ends::play,
         "large" => large::play,
+        "writer" => writer::play,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
