Review case 5: a job fails for good at one failed run while its queue is removed

Cause: a job whose queue isn't in the desired state has one attempt, and its end is final, also if the queue comes back.

Change: a script that removes a queue and adds it again while a subtask of one of its jobs runs and ends failed.

--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -10,6 +10,7 @@
 mod large;
 mod policy;
 mod record;
+mod route;
 mod store;
 mod worker;
 mod writer;
@@ -98,6 +99,7 @@
         "advice" => advice::play,
         "ends" => ends::play,
         "large" => large::play,
+        "route" => route::play,
         "writer" => writer::play,
         _ => {
             eprintln!("no such case");
