Review case 4: send the other writer's check-ins at the same time

Cause: sent one after the other, the last one could come after the first check-in of its worker on a slow machine.

Change: one thread an agent.

--- a/review/src/writer.rs
+++ b/review/src/writer.rs
@@ -17,21 +17,12 @@
     let deployment = Deployment::start(2, WORKERS, &config(7, &[ORDERS], 4), shape);
     if has_trouble {
         // One check-in an agent, as soon as it listens.
-        for index in 0..WORKERS {
-            let worker = &deployment.workers[index];
-            let body = worker.description(deployment.app(index), 1);
-            let body = body
-                .replace(&format!("\"service\":\"{}\"", worker.shape.service), "\"service\":\"inventory\"");
-            let path = format!("/instances/{}", worker.shape.id);
-            let send =
-                || http::call(deployment.control(index), "PUT", &path, &[], &body, Duration::from_secs(1));
-            let mut reply = send();
-            while reply.is_err() && elapsed() < Duration::from_secs(10) {
-                thread::sleep(Duration::from_millis(5));
-                reply = send();
+        thread::scope(|scope| {
+            for index in 0..WORKERS {
+                let deployment = &deployment;
+                scope.spawn(move || send_check_in(deployment, index));
             }
-            note(&format!("another writer sent PUT {path} {body} -> {reply:?}"));
-        }
+        });
     }
     deployment.await_ready();
     let body = "{\"task_spec\":\"run_ms=500 \",\"steps\":[{\"count\":2,\"cpu\":15000,\"memory_request_mb\":1024,\"gpu\":1,\
@@ -64,3 +55,19 @@
         )),
     }
 }
+
+/// Sends the agent of a worker a check-in like the worker's own, but for a service that isn't named anywhere.
+fn send_check_in(deployment: &Deployment, index: usize) {
+    let worker = &deployment.workers[index];
+    let body = worker.description(deployment.app(index), 1);
+    let own = format!("\"service\":\"{}\"", worker.shape.service);
+    let body = body.replace(&own, "\"service\":\"inventory\"");
+    let path = format!("/instances/{}", worker.shape.id);
+    while elapsed() < Duration::from_secs(10) {
+        let reply = http::call(deployment.control(index), "PUT", &path, &[], &body, Duration::from_secs(1));
+        if reply.is_ok() {
+            return note(&format!("another writer sent PUT {path} {body} -> {reply:?}"));
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+}
