--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start. They use the standard library only.
-set -eu
+# Builds the stand-ins that the scripts start. The build of the deploy file comes first.
+set -e
 cd "$(dirname "$0")/.."
-mkdir -p target/review
-rustc --edition 2024 -O -o target/review/cases review/src/main.rs
+cargo build --release --locked -p sorrelland --bin sorrelland-standin
