--- a/review/4/case.py
+++ b/review/4/case.py
@@ -63,8 +63,7 @@
         if state == "failed" and most < MAX_ATTEMPTS and len(runs) < MAX_ATTEMPTS:
             broken.append("LOST: %s is shown as failed, but its gang has failed in %d run, of %d attempts"
                           % (job, len(runs), MAX_ATTEMPTS))
-        elif state not in ("completed", "failed"):
-            broken.append("LOST: %s is %s" % (job, state))
+        d.check(state in ("completed", "failed"), "%s is %s" % (job, state))
     return broken
 
 
