--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -19,6 +19,7 @@
 STANDIN = os.path.join(ROOT, "target/release/sorrelland-standin")
 HOST, KEY = "shop.example", "key-1"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+LIMIT_S = 110
 
 
 class CannotRun(Exception):
@@ -302,13 +303,14 @@
 
 def main(folder, entries, workers, body, **options):
     """Runs a case: `body` returns the reasons why the rule is broken. Exits with 1, 0, or 2 if it couldn't run."""
-    deployment = Deployment(folder, entries, workers, **options)
-
     def stop(*_):
-        raise CannotRun("ended by a signal")
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+        raise CannotRun("ended by a signal, or it took too long")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(LIMIT_S)
+    deployment = None
     try:
+        deployment = Deployment(folder, entries, workers, **options)
         deployment.start()
         broken = body(deployment)
         for reason in broken:
@@ -316,10 +318,12 @@
             print(reason)
         code = 1 if broken else 0
         deployment.record.line("exit %d" % code)
-    except CannotRun as error:
-        deployment.record.line("couldn't run: %s" % error)
-        print("couldn't run: %s" % error, file=sys.stderr)
+    except Exception as error:  # Whatever else happens is no result.
+        if deployment:
+            deployment.record.line("couldn't run: %r" % error)
+        print("couldn't run: %r" % error, file=sys.stderr)
         code = 2
     finally:
-        deployment.close()
+        if deployment:
+            deployment.close()
     sys.exit(code)
