Count a gang's failed run as one attempt, however many members failed

Cause: a gang is one unit with one count of failures, and the planner added one for each end `failed`. The members of a gang share the number of their run, so a run of N members could use up N attempts.

The logs name subtask, run and count of each end, so an end that is applied twice and a hidden second run are ruled out.

Change: `Unit::record_failure` counts a run once and stores which run it counted.

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -449,8 +449,7 @@
                 set_state(unit, UnitState::Done, now);
             }
             EndReason::Failed => {
-                unit.failures += 1;
-                unit.failed_on.push(incarnation.to_owned());
+                unit.record_failure(incarnation);
                 failed = !long_running && unit.failures >= max_failures;
                 mark_ending(unit, now);
             }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -135,6 +135,7 @@
                 let (own, others): (Vec<_>, Vec<_>) =
                     read.units.into_iter().partition(|(key, _)| job.may_have(*key));
                 job.units = own.into_iter().collect();
+                job.units.values_mut().for_each(Unit::count_failures_by_run);
                 let cut = job.units.values_mut().filter_map(|unit| unit.clamp().then_some(())).count();
                 if cut + others.len() > 0 {
                     let left_out = others.len();
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -59,6 +59,21 @@
     pub percent: u64,
 }
 
+/// What the number of a unit's failed runs covers. Builds that count each failed member leave it as it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CountedFailures {
+    /// Number of the newest run that counts as failed; 0 for none.
+    pub run: u64,
+    /// Length of the unit's `failed_on`.
+    pub members: usize,
+}
+
+impl CountedFailures {
+    fn is_none(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// A gang, or a subtask that does not belong to a gang.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unit {
@@ -68,9 +83,12 @@
     pub run: u64,
     /// Members of the newest run by offset; unreleased members occupy resources.
     pub members: Vec<Member>,
-    /// Number of runs that failed through their own fault or the worker's.
+    /// Number of runs that failed through their own fault or the worker's, however many members failed in each.
     #[serde(rename = "fails")]
     pub failures: u32,
+    /// What `failures` covers.
+    #[serde(default, skip_serializing_if = "CountedFailures::is_none")]
+    pub counted_failures: CountedFailures,
     /// Newest saved progress; empty if there is none.
     pub saved: String,
     /// Worker incarnations on which it failed, newest last.
@@ -115,6 +133,27 @@
     pub fn all_released(&self) -> bool {
         self.members.iter().all(|member| member.released)
     }
+
+    /// Records that a member of the newest run has failed on a worker.
+    pub(crate) fn record_failure(&mut self, worker: &str) {
+        if self.counted_failures.run != self.run {
+            self.failures += 1;
+        }
+        self.failed_on.push(worker.to_owned());
+        self.counted_failures = CountedFailures { run: self.run, members: self.failed_on.len() };
+    }
+
+    /// Corrects the failures of a stored unit, to which a build may have added that counts each failed member.
+    pub(crate) fn count_failures_by_run(&mut self) {
+        self.failures = self.failures.min(u32::try_from(self.run).unwrap_or(u32::MAX));
+        if self.state != UnitState::Ending {
+            return;
+        }
+        let added = self.failed_on.get(self.counted_failures.members..).unwrap_or_default();
+        if self.members.iter().any(|member| member.released && added.contains(&member.worker)) {
+            self.counted_failures = CountedFailures { run: self.run, members: self.failed_on.len() };
+        }
+    }
 }
 
 fn is_zero_ms(ms: &u64) -> bool {
