Conclude nothing from a worker's list that may lack ends

Cause: a worker lists its oldest 500 unacknowledged ends. The agent took such a list for complete, so a run that was neither running nor listed was forgotten; its start was sent again, refused as `old`, and then counted as not started.

The agent logs `ends_unlisted` and `ends_complete` now, since nothing said that a list was cut.

Change: while a list may lack ends, absence decides nothing. Runs that vanish are kept and reported as running, which leaders of every landing understand. A restarted agent neither sends nor rejects starts before its first complete list, and an agent doesn't give up runs of a worker that answers and will list their ends. Checks of single starts no longer search all assignments and ends. The stand-in of a worker lists 500 ends at a time.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -12,7 +12,7 @@
 use sorrelland_fleet::LineLimit;
 use sorrelland_fleet::assignments::{Pace, Start, Stop};
 use sorrelland_platform::serve::{self, Request};
-use sorrelland_platform::worker::{Error, StartOutcome, StartRequest};
+use sorrelland_platform::worker::{Error, Listing, StartOutcome, StartRequest};
 use sorrelland_platform::{Settings, Store, WorkerClient};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
@@ -266,7 +266,7 @@
         let (token, lease_end_ms) = {
             let mut state = lock(&self.worker_state);
             // The assignments may have changed while earlier calls were in flight.
-            if !state.due_starts(now_ms()).contains(start) {
+            if !state.is_due(now_ms(), start) {
                 return true;
             }
             let Some(lease_end_ms) = state.extend_lease(now_ms()) else { return false };
@@ -427,6 +427,22 @@
         }
     }
 
+    /// Applies the listing of a poll; returns whether it shows a change.
+    fn apply_listing(&self, poll: u64, incarnation: &str, listing: Listing) -> bool {
+        let mut state = lock(&self.worker_state);
+        let lacked_ends = state.lacks_ends();
+        let is_changed = state.apply_listing(now_ms(), poll, incarnation, listing);
+        let (lacks_ends, unlisted, acknowledged) =
+            (state.lacks_ends(), state.unlisted_runs(), state.acknowledged());
+        drop(state);
+        metrics::set_gauge("unlisted_runs", unlisted as u64);
+        if lacks_ends != lacked_ends {
+            let event = if lacks_ends { "ends_unlisted" } else { "ends_complete" };
+            log::info!("event={event} worker={incarnation} runs={unlisted} acknowledged={acknowledged}");
+        }
+        is_changed
+    }
+
     /// Polls the worker and extends its leases; returns whether it answered.
     async fn poll_worker(&self, incarnation: &str, wait: Duration) -> bool {
         let (poll, token, acknowledged, lease_end_ms) = {
@@ -435,7 +451,7 @@
         };
         match self.worker.poll(incarnation, token, acknowledged, lease_end_ms, wait).await {
             Ok(listing) => {
-                if lock(&self.worker_state).apply_listing(now_ms(), poll, incarnation, listing) {
+                if self.apply_listing(poll, incarnation, listing) {
                     self.report_due.notify_one();
                     self.dispatch_due.notify_one();
                 }
--- a/crates/control/src/agent/announcements.rs
+++ b/crates/control/src/agent/announcements.rs
@@ -166,10 +166,11 @@
             let mut state = lock(&self.worker_state);
             let before = state.summary(now);
             state.adopt_incarnation(now, received.announcement.clone());
+            drop(state);
             if let Some(listing) = listing {
-                state.apply_listing(now, poll, incarnation, listing);
+                self.apply_listing(poll, incarnation, listing);
             }
-            (before, state.summary(now))
+            (before, lock(&self.worker_state).summary(now))
         };
         let effect = match before.current.as_str() {
             "" => "adopted",
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -1,12 +1,14 @@
 //! State of a worker as its agent knows it: announcements, leases, runs and their ends. Does no I/O; the caller
 //! passes the time in.
 
+mod listing;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, FirstMark, NotStarted, Report, Running, WORKER_CRASHED, WorkerInfo};
 use sorrelland_fleet::{Task, incarnation};
-use sorrelland_platform::worker::{Announcement, Listing};
+use sorrelland_platform::worker::Announcement;
 
 use crate::announcement_order::{AnnouncementOrder, Position};
 use crate::presence::{AnnouncementEffect, Presence, Summary};
@@ -67,6 +69,12 @@
     /// The worker's clock, and when it was read.
     clock_reading: Option<(u64, u64)>,
     running: BTreeMap<RunKey, Running>,
+    /// Runs that have ended, as they were last known, while the worker's list doesn't reach their ends.
+    unlisted: BTreeMap<RunKey, Running>,
+    /// Whether the newest list may lack ends.
+    lacks_ends: bool,
+    /// Whether a list of the current incarnation was complete, so that all runs that ran there before are known.
+    knows_earlier_runs: bool,
     /// What was first seen of the listed runs.
     first_seen: BTreeMap<RunKey, FirstSeen>,
     /// Runs whose start was confirmed, with the worker's clock at the confirmation.
@@ -83,6 +91,8 @@
     /// be executed late, so the next incarnation of the name may still start them.
     earlier_starts: (String, BTreeSet<RunKey>),
     ended: Vec<End>,
+    /// Runs of `ended`.
+    ended_runs: BTreeSet<RunKey>,
     /// Runs that the worker will not start from now on, with the reason and the number of polls begun by then. The
     /// first poll begun later shows whether the run is present.
     absence_checks: BTreeMap<RunKey, (String, u64)>,
@@ -238,6 +248,7 @@
             .keys()
             .chain(&self.start_attempts)
             .chain(self.started.keys())
+            .chain(self.unlisted.keys())
             .chain(self.absence_checks.keys())
             .chain(self.refused.keys());
         let runs: Vec<RunKey> = runs.filter(|run| !self.is_ended(run)).cloned().collect();
@@ -245,6 +256,7 @@
             self.not_started.insert(run, why.to_owned());
         }
         self.running.clear();
+        self.unlisted.clear();
         self.first_seen.clear();
         self.started.clear();
         self.start_attempts.clear();
@@ -256,6 +268,8 @@
     fn reject_assigned_starts(&mut self) {
         let why = match self.presence {
             Presence::Present => return,
+            // An earlier process of this agent may have sent them, and they may have ended.
+            Presence::Leaving if self.may_have_unknown_ends() => return,
             Presence::Leaving | Presence::Left => "the worker leaves",
             Presence::Silent => "the worker does not answer",
         };
@@ -273,14 +287,15 @@
     fn is_known(&self, run: &RunKey) -> bool {
         self.running.contains_key(run)
             || self.started.contains_key(run)
+            || self.unlisted.contains_key(run)
             || self.not_started.contains_key(run)
             || self.absence_checks.contains_key(run)
             || self.refused.contains_key(run)
             || self.is_ended(run)
     }
 
-    fn is_ended(&self, (task, run): &RunKey) -> bool {
-        self.ended.iter().any(|end| end.task == *task && end.run == *run)
+    fn is_ended(&self, run: &RunKey) -> bool {
+        self.ended_runs.contains(run)
     }
 
     /// Returns what is known of the worker, for the logs.
@@ -379,25 +394,34 @@
 
     /// Returns the starts to send now.
     pub fn due_starts(&self, now: u64) -> Vec<Start> {
+        let Some(assignments) = self.assignments.as_ref().filter(|_| self.may_start(now)) else {
+            return Vec::new();
+        };
+        assignments.starts.iter().filter(|start| self.is_unknown(start)).cloned().collect()
+    }
+
+    /// Returns whether a start is still to be sent.
+    pub fn is_due(&self, now: u64, start: &Start) -> bool {
+        let is_assigned = self.assignments.as_ref().is_some_and(|known| known.starts.contains(start));
+        is_assigned && self.is_unknown(start) && self.may_start(now)
+    }
+
+    fn is_unknown(&self, start: &Start) -> bool {
+        !self.is_known(&(start.task.clone(), start.run))
+    }
+
+    /// Returns whether starts may be sent to the worker.
+    fn may_start(&self, now: u64) -> bool {
         let draining = self.announced.as_ref().is_none_or(|known| known.info.draining);
         if draining || self.presence != Presence::Present || now + MIN_START_GRANT_MS > self.granted_until {
-            return Vec::new();
+            return false;
+        }
+        if self.may_have_unknown_ends() {
+            return false;
         }
         // The starts were placed before the planner knew that the worker's capacity has shrunk.
         let capacity = self.announced.as_ref().map(|known| known.info.capacity).unwrap_or_default();
-        if self.assignments.as_ref().is_some_and(|assignments| !capacity.covers(&assignments.capacity)) {
-            return Vec::new();
-        }
-        let is_due = |start: &&Start| {
-            let run = (start.task.clone(), start.run);
-            !self.running.contains_key(&run)
-                && !self.started.contains_key(&run)
-                && !self.not_started.contains_key(&run)
-                && !self.absence_checks.contains_key(&run)
-                && !self.refused.contains_key(&run)
-                && !self.is_ended(&run)
-        };
-        self.assignments.iter().flat_map(|assignments| &assignments.starts).filter(is_due).cloned().collect()
+        self.assignments.as_ref().is_some_and(|assignments| capacity.covers(&assignments.capacity))
     }
 
     /// Returns the stops to send now.
@@ -486,58 +510,15 @@
         }
     }
 
-    /// Applies the listing of a poll, given by its number; returns whether a change should be reported to the planner
-    /// at once.
-    pub fn apply_listing(&mut self, now: u64, poll: u64, incarnation: &str, listing: Listing) -> bool {
-        if self.incarnation() != Some(incarnation) || listing.clock_ms < self.listing_clock_ms {
-            return false;
-        }
-        self.listing_clock_ms = listing.clock_ms;
-        self.record_clock(now, listing.clock_ms);
-        let key = |run: &Running| (run.task.clone(), run.run);
-        let running: BTreeMap<RunKey, Running> =
-            listing.running.iter().map(|run| (key(run), run.clone())).collect();
-        let updated = listing.ended != self.ended || !running.keys().eq(self.running.keys());
-        for (run, listed) in running.iter().filter(|(run, _)| !self.running.contains_key(run)) {
-            let is_start = self.started.contains_key(run) || self.start_attempts.contains(run);
-            let seen = FirstSeen { at: now, percent: listed.percent, is_start };
-            self.first_seen.insert(run.clone(), seen);
-        }
-        self.running = running;
-        self.first_seen.retain(|run, _| self.running.contains_key(run));
-        self.ended = listing.ended;
-        self.started.retain(|run, at| *at >= listing.clock_ms && !self.running.contains_key(run));
-        self.confirmed_paces.retain(|run, _| self.running.contains_key(run));
-        let ended = |run: &RunKey| self.ended.iter().any(|end| end.task == run.0 && end.run == run.1);
-        let checked: Vec<RunKey> = self
-            .absence_checks
-            .iter()
-            .filter(|(_, (_, before))| poll > *before)
-            .map(|(run, _)| run.clone())
-            .collect();
-        for run in &checked {
-            if let Some((why, _)) = self.absence_checks.remove(run)
-                && !self.running.contains_key(run)
-                && !ended(run)
-            {
-                self.not_started.insert(run.clone(), why);
-            }
-        }
-        self.refused.retain(|run, _| !self.running.contains_key(run));
-        let ended: BTreeSet<RunKey> = self.ended.iter().map(|end| (end.task.clone(), end.run)).collect();
-        self.start_attempts.retain(|run| {
-            !self.running.contains_key(run) && !self.not_started.contains_key(run) && !ended.contains(run)
-        });
-        updated || !checked.is_empty()
-    }
-
-    /// Marks all runs as not started once every lease has certainly expired; returns whether there were any.
+    /// Marks all runs as not started once every lease has certainly expired; returns whether there were any. A worker that
+    /// answers will list how they ended.
     pub fn expire_leases(&mut self, now: u64) -> bool {
         let expired_at = self.leased_until.saturating_add(self.lapse_margin_ms());
         // A stop that the worker doesn't answer keeps all starts back.
         let waits_for_stop = !self.given_up.is_empty() && self.is_unresponsive(now);
         let may_lose_runs = self.has_runs() || (self.presence == Presence::Present && waits_for_stop);
-        if now <= expired_at || !may_lose_runs {
+        let will_list_ends = self.lacks_ends && !self.is_unresponsive(now);
+        if now <= expired_at || !may_lose_runs || will_list_ends {
             return false;
         }
         if self.unanswered_since.is_some() && self.presence == Presence::Present {
@@ -571,7 +552,10 @@
 
     /// Returns whether runs may be on the worker.
     fn has_runs(&self) -> bool {
-        !self.running.is_empty() || !self.start_attempts.is_empty() || !self.started.is_empty()
+        !self.running.is_empty()
+            || !self.start_attempts.is_empty()
+            || !self.started.is_empty()
+            || !self.unlisted.is_empty()
     }
 
     /// Returns whether a poll may show a change.
@@ -608,16 +592,11 @@
 
     /// Builds the report for the planner; `agent` is the name of the agent's instance.
     pub fn build_report(&self, agent: &str, agent_incarnation: u64, seq: u64) -> Report {
-        let mut running: Vec<Running> = self.running.values().cloned().collect();
-        running.extend(self.started.keys().filter(|run| !self.running.contains_key(run)).map(
-            |(task, run)| Running {
-                task: task.clone(),
-                run: *run,
-                saved: String::new(),
-                percent: 0,
-                measurement: 0,
-            },
-        ));
+        // The planner keeps a run until its end is listed, and sends no start for it.
+        let mut running: Vec<Running> =
+            self.running.values().chain(self.unlisted.values()).cloned().collect();
+        let not_listed = self.started.keys().filter(|run| !self.running.contains_key(run));
+        running.extend(not_listed.map(listing::new_run));
         let not_started = |((task, run), why): (&RunKey, &String)| NotStarted {
             task: task.clone(),
             run: *run,
--- a/crates/sorrelland/tests/common/mod.rs
+++ b/crates/sorrelland/tests/common/mod.rs
@@ -180,6 +180,14 @@
         assert!(self.processes.signal(name, signal), "{name} is not running");
     }
 
+    /// Returns the peak memory of a process, in kB.
+    pub fn peak_memory_kb(&self, name: &str) -> u64 {
+        let pid = self.processes.pid(name).expect("the process is running");
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, name: &str) {
         assert!(self.processes.pid(name).is_some(), "{name} is not running");
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -43,6 +43,9 @@
 const DRAIN_MS: u64 = 2_000;
 const UNACKNOWLEDGED_DRAIN_MS: u64 = 5_000;
 
+/// Ends listed at a time; the others follow once these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Time between two checks for ended runs. After a much longer one, the process was suspended.
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
 const SUSPENSION_MS: u64 = 200;
@@ -456,7 +459,8 @@
     let row =
         |((task, number), run): (&(String, u64), &Run)| json!([task, number, "", run.percent(clock_ms), 0]);
     let running: Vec<Value> = state.running.iter().map(row).collect();
-    let mut reply = json!({"clock_ms": worker.clock_ms(), "running": running, "finished": state.finished});
+    let finished: Vec<&Value> = state.finished.iter().take(MAX_LISTED_ENDS).collect();
+    let mut reply = json!({"clock_ms": worker.clock_ms(), "running": running, "finished": finished});
     worker.tell_start(&mut reply);
     respond(StatusCode::OK, &reply)
 }
