Log who decided a cancel, under which epoch and by which evidence

Nothing in the logs said who answered a cancel, so three causes of a cancelled job that ran on could not be told apart: a cancel that overtakes its submission, a superseded leader that answers from memory, and a stored cancel that the successor does not read. The planner logs `cancel_decided` with its epoch, whether it knew the job and whether the outcome is stored; the entry logs `cancel_answered` with the status, the newest epoch that it knows and the time taken.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -296,18 +296,24 @@
                 let trial = lock(&self.planner).trial();
                 Reply::View(trial.explain(now_ms(), wall_ms(), &sub).to_string())
             }
-            PlannerRequest::Cancel(job) => {
-                let change = lock(&self.planner).cancel(now_ms(), wall_ms(), &job);
-                let Some(change) = change else { return Reply::Cancelled(false) };
-                self.request_pass(change);
-                match self.wait_stored(change, wait).await {
-                    true => Reply::Cancelled(true),
-                    false => Reply::Unresolved,
-                }
-            }
+            PlannerRequest::Cancel(job) => self.cancel(&job, wait).await,
         }
     }
 
+    /// Cancels a job and waits at most `wait` until that is stored.
+    async fn cancel(&self, job: &str, wait: Duration) -> Reply {
+        let epoch = self.leader.epoch;
+        let change = lock(&self.planner).cancel(now_ms(), wall_ms(), job);
+        let Some(change) = change else {
+            log::info!("event=cancel_decided job={job} epoch={epoch} known=false stored=false");
+            return Reply::Cancelled(false);
+        };
+        self.request_pass(change);
+        let is_stored = self.wait_stored(change, wait).await;
+        log::info!("event=cancel_decided job={job} epoch={epoch} known=true stored={is_stored}");
+        if is_stored { Reply::Cancelled(true) } else { Reply::Unresolved }
+    }
+
     /// Applies an agent's report and returns the assignments of its worker once they differ from those last sent, or
     /// after [`MAX_REPORT_WAIT`]. `connected_at` is when the connection that delivered the report was accepted, on the
     /// monotonic clock. Returns `None` if this process no longer leads.
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -125,11 +125,19 @@
     }
 
     async fn cancel(&self, job: &str, http_request: &Request) -> Response {
-        match self.request_planner(PlannerRequest::Cancel(job.to_owned()), http_request).await {
+        let began = Instant::now();
+        let result = self.request_planner(PlannerRequest::Cancel(job.to_owned()), http_request).await;
+        let response = match result {
             RequestResult::Reply(Reply::Cancelled(true)) => Response::new(StatusCode::OK).json(&json!({})),
             RequestResult::Reply(Reply::Cancelled(false)) => refuse(StatusCode::GONE, "no such job"),
             other => unanswered("cancel", job, &other),
-        }
+        };
+        let (status, took_ms) = (response.status.as_u16(), began.elapsed().as_millis());
+        let known_epoch = self.leadership.epoch();
+        log::info!(
+            "event=cancel_answered job={job} status={status} known_epoch={known_epoch} took_ms={took_ms}"
+        );
+        response
     }
 
     async fn pending(&self, queue: &Queue, http_request: &Request) -> Response {
