Store the cancel of an unknown job before answering it with 410

Cause: a leader answered the cancel of a job that it didn't know with 410 from memory. That is a final answer, but a submission could still be on its way: retried by an entry during a hand-over, and accepted a few milliseconds later; or accepted by a successor that a frozen leader had not noticed.

Change: the cancel is stored like that of a known job, so the append is fenced and the next leader reads it. A submission that arrives later becomes a cancelled job. Such cancels are limited in number and time; beyond, and while the store doesn't answer, the answer is 503 or 504.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -17,7 +17,7 @@
 use crate::clock::{now_ms, wall_ms};
 use crate::planner_load::PlannerLoad;
 use crate::store_failures::StoreFailures;
-use crate::stored::{PRODUCER, Snapshot, load_jobs};
+use crate::stored::{Loaded, PRODUCER, Snapshot, load_jobs};
 use crate::{lock, metrics};
 
 /// Time between two planning passes when nothing else triggers one; an occurrence of a scheduled job starts at most
@@ -85,8 +85,8 @@
         earlier: Option<Snapshot>,
     ) -> Option<Arc<Self>> {
         let mut writer = Writer { producer: PRODUCER.to_owned(), epoch: leader.epoch, sequence: 0 };
-        let (jobs, digest) = load_jobs(store, &mut writer, earlier).await?;
-        let mut planner = Planner::new(timing, desired, jobs, now_ms());
+        let Loaded { jobs, cancels, digest } = load_jobs(store, &mut writer, earlier).await?;
+        let mut planner = Planner::new(timing, desired, jobs, now_ms()).with_cancels(cancels);
         if let Some(digest) = digest {
             planner.restore(now_ms(), wall_ms(), digest);
         }
@@ -300,20 +300,6 @@
         }
     }
 
-    /// Cancels a job and waits at most `wait` until that is stored.
-    async fn cancel(&self, job: &str, wait: Duration) -> Reply {
-        let epoch = self.leader.epoch;
-        let change = lock(&self.planner).cancel(now_ms(), wall_ms(), job);
-        let Some(change) = change else {
-            log::info!("event=cancel_decided job={job} epoch={epoch} known=false stored=false");
-            return Reply::Cancelled(false);
-        };
-        self.request_pass(change);
-        let is_stored = self.wait_stored(change, wait).await;
-        log::info!("event=cancel_decided job={job} epoch={epoch} known=true stored={is_stored}");
-        if is_stored { Reply::Cancelled(true) } else { Reply::Unresolved }
-    }
-
     /// Applies an agent's report and returns the assignments of its worker once they differ from those last sent, or
     /// after [`MAX_REPORT_WAIT`]. `connected_at` is when the connection that delivered the report was accepted, on the
     /// monotonic clock. Returns `None` if this process no longer leads.
--- a/crates/control/src/appends.rs
+++ b/crates/control/src/appends.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Returns how long appends have failed, in milliseconds; 0 if the last one succeeded.
+    pub(crate) fn append_failing_ms(&self) -> u64 {
+        lock(&self.append_failing_since).map_or(0, |since| now_ms().saturating_sub(since))
+    }
+
     /// Returns how long the store has rejected the planner's calls, in milliseconds; 0 if it answers.
     pub fn store_failing_ms(&self) -> u64 {
         lock(&self.store_failures).lasting_ms(now_ms())
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -130,6 +130,14 @@
         let response = match result {
             RequestResult::Reply(Reply::Cancelled(true)) => Response::new(StatusCode::OK).json(&json!({})),
             RequestResult::Reply(Reply::Cancelled(false)) => refuse(StatusCode::GONE, "no such job"),
+            // A peer of an earlier version can't tell the two apart.
+            RequestResult::Reply(
+                Reply::NotRun { retry_after_ms } | Reply::Refused { retry_after_ms, .. },
+            ) => refuse(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the job is not known, and its cancel can't be stored now",
+            )
+            .with_retry_after_ms(retry_after_ms),
             other => unanswered("cancel", job, &other),
         };
         let (status, took_ms) = (response.status.as_u16(), began.elapsed().as_millis());
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -65,14 +65,15 @@
         /// Time after which the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
-    /// Nothing of the job is stored or will be: the store doesn't answer. It has not run.
+    /// Nothing of the job is stored or will be: the store doesn't answer. It has not run. As the reply to a cancel: the job is
+    /// unknown, and the cancel can't be stored.
     NotRun {
         /// Time after which the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
     /// State of the job; `None` if no such job exists.
     State(Option<JobState>),
-    /// Whether such a job exists; if so, its cancellation is stored.
+    /// Whether such a job exists. Its cancellation is stored either way, so that a submission on its way finds it.
     Cancelled(bool),
     /// Number of jobs that have not started.
     Pending(u64),
--- /dev/null
+++ b/crates/control/src/cancels.rs
@@ -0,0 +1,47 @@
+//! Cancels jobs for callers. Every final answer is stored before it is given, so that it holds at later leaders and for
+//! submissions on their way, and a superseded leader gives none.
+
+use std::time::Duration;
+
+use sorrelland_fleet::cancels::Cancellation;
+
+use crate::absence::outage_rest_ms;
+use crate::active_planner::ActivePlanner;
+use crate::calls::PlannerReply as Reply;
+use crate::clock::{now_ms, wall_ms};
+use crate::lock;
+
+impl ActivePlanner {
+    /// Cancels a job and waits at most `wait` until that is stored.
+    pub(crate) async fn cancel(&self, job: &str, wait: Duration) -> Reply {
+        if *self.store_unavailable.borrow() && !lock(&self.planner).knows(job) {
+            return self.refuse_cancel(
+                job,
+                outage_rest_ms(self.append_failing_ms()),
+                "the store does not answer",
+            );
+        }
+        let cancellation = lock(&self.planner).cancel(now_ms(), wall_ms(), job);
+        let (known, change) = match cancellation {
+            Cancellation::Known { change } => (true, change),
+            Cancellation::Unknown { change } => (false, change),
+            Cancellation::TooMany { retry_after_ms } => {
+                return self.refuse_cancel(job, retry_after_ms, "too many cancels of unknown jobs");
+            }
+        };
+        self.request_pass(change);
+        let is_stored = self.wait_stored(change, wait).await;
+        let epoch = self.leader.epoch;
+        log::info!("event=cancel_decided job={job} epoch={epoch} known={known} stored={is_stored}");
+        if is_stored { Reply::Cancelled(known) } else { Reply::Unresolved }
+    }
+
+    /// Answers that the cancel of an unknown job can't be stored, so that nothing is known of submissions on their way.
+    fn refuse_cancel(&self, job: &str, retry_after_ms: u64, why: &str) -> Reply {
+        let epoch = self.leader.epoch;
+        log::warn!(
+            "event=cancel_refused job={job} epoch={epoch} retry_after_ms={retry_after_ms} why=\"{why}\""
+        );
+        Reply::NotRun { retry_after_ms }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod appends;
 pub mod callers;
 pub mod calls;
+mod cancels;
 pub mod clock;
 pub mod election;
 pub mod entry;
--- a/crates/control/src/stored.rs
+++ b/crates/control/src/stored.rs
@@ -97,6 +97,16 @@
     }
 }
 
+/// What a new planner knows from the store.
+#[derive(Debug)]
+pub(crate) struct Loaded {
+    pub(crate) jobs: Vec<Job>,
+    /// Cancels of unknown jobs, with their times in milliseconds since 1970.
+    pub(crate) cancels: BTreeMap<String, u64>,
+    /// What the last planner had learned.
+    pub(crate) digest: Option<Digest>,
+}
+
 /// Brings a snapshot up to date, or reads a new one.
 async fn refresh(store: &Store, earlier: Option<Snapshot>) -> Result<Snapshot> {
     let Some(mut snapshot) = earlier else { return Snapshot::read(store).await };
@@ -114,7 +124,7 @@
     store: &Store,
     writer: &mut Writer,
     mut earlier: Option<Snapshot>,
-) -> Option<(Vec<Job>, Option<Digest>)> {
+) -> Option<Loaded> {
     let mut fenced = false;
     for _ in 0..MAX_LOAD_ATTEMPTS {
         if !fenced {
@@ -132,12 +142,14 @@
                 Ok(snapshot) => {
                     writer.sequence = 1;
                     let (jobs, findings) = record::read(snapshot.records());
+                    let (cancels, unreadable) = record::read_cancels(snapshot.records(), wall_ms());
                     let (digest, finding) = Digest::read(snapshot.records(), wall_ms());
-                    for finding in findings.into_iter().chain(finding) {
+                    for finding in findings.into_iter().chain(unreadable).chain(finding) {
                         log::error!("event=record_skipped topic={JOBS} cause=\"{finding}\"");
                     }
-                    log::info!("event=jobs_loaded epoch={} jobs={}", writer.epoch, jobs.len());
-                    return Some((jobs, digest));
+                    let (epoch, job_count, cancel_count) = (writer.epoch, jobs.len(), cancels.len());
+                    log::info!("event=jobs_loaded epoch={epoch} jobs={job_count} cancels={cancel_count}");
+                    return Some(Loaded { jobs, cancels, digest });
                 }
                 Err(e) => log::warn!("event=load_retried cause=\"{e}\""),
             }
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -95,7 +95,7 @@
     /// Answers that a job has not run and will not, since the store doesn't answer.
     fn not_run(&self, sub: &Submission, call: u64) -> Reply {
         lock(&self.answered_calls).record(now_ms(), call);
-        let failing_ms = lock(&self.append_failing_since).map_or(0, |since| now_ms().saturating_sub(since));
+        let failing_ms = self.append_failing_ms();
         let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, self.priority(sub));
         log::info!("event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}", sub.job);
         Reply::NotRun { retry_after_ms }
--- a/crates/fleet/src/changes.rs
+++ b/crates/fleet/src/changes.rs
@@ -11,12 +11,17 @@
 pub(crate) struct Changes {
     pub(crate) new_jobs: BTreeSet<String>,
     pub(crate) changed_jobs: BTreeSet<String>,
+    /// Jobs that were cancelled while they were unknown.
+    pub(crate) new_cancels: BTreeSet<String>,
     pub(crate) removals: Vec<Record>,
 }
 
 impl Changes {
     fn is_empty(&self) -> bool {
-        self.new_jobs.is_empty() && self.changed_jobs.is_empty() && self.removals.is_empty()
+        self.new_jobs.is_empty()
+            && self.changed_jobs.is_empty()
+            && self.new_cancels.is_empty()
+            && self.removals.is_empty()
     }
 }
 
@@ -27,14 +32,17 @@
             return None;
         }
         self.taken = std::mem::take(&mut self.untaken);
-        let Changes { new_jobs: submitted, changed_jobs: changed, removals } = &self.taken;
+        let Changes { new_jobs: submitted, changed_jobs: changed, new_cancels, removals } = &self.taken;
         let mut records = removals.clone();
         records.extend(self.digest_record.take());
         let jobs = |names: &BTreeSet<String>| {
             names.iter().filter_map(|name| self.jobs.get(name)).collect::<Vec<_>>()
         };
+        let cancels = new_cancels.iter().filter_map(|name| Some((name, self.cancels.get(name)?)));
+        let cancels = cancels.map(|(name, cancel)| record::cancel(name, cancel.at_ms));
         let encoded = jobs(submitted).into_iter().map(record::submission);
-        let encoded = encoded.chain(jobs(changed).into_iter().map(record::progress)).collect::<Vec<_>>();
+        let encoded = encoded.chain(jobs(changed).into_iter().map(record::progress));
+        let encoded = encoded.chain(cancels).collect::<Vec<_>>();
         for record in encoded {
             match record {
                 Ok(record) => records.push(record),
@@ -58,11 +66,13 @@
 
     /// Takes back the changes that were taken last, none of which is or will be stored. The next ones contain them.
     pub fn return_changes(&mut self) {
-        let Changes { mut new_jobs, mut changed_jobs, mut removals } = std::mem::take(&mut self.taken);
+        let Changes { mut new_jobs, mut changed_jobs, mut new_cancels, mut removals } =
+            std::mem::take(&mut self.taken);
         new_jobs.append(&mut self.untaken.new_jobs);
         changed_jobs.append(&mut self.untaken.changed_jobs);
+        new_cancels.append(&mut self.untaken.new_cancels);
         removals.append(&mut self.untaken.removals);
-        self.untaken = Changes { new_jobs, changed_jobs, removals };
+        self.untaken = Changes { new_jobs, changed_jobs, new_cancels, removals };
     }
 
     /// Forgets a job that was submitted if nothing of it is stored or being stored; returns whether it did. Nothing of such
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod assign;
 pub mod assignments;
 pub mod bounds;
+pub mod cancels;
 mod changes;
 pub mod choose;
 pub mod claims;
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -8,6 +8,7 @@
 use crate::account_counts::{AccountCounts, AccountEvent};
 use crate::admit;
 use crate::approvals::Approvals;
+use crate::cancels::Cancels;
 use crate::changes::Changes;
 use crate::claims::Claims;
 use crate::crash::Crashes;
@@ -94,6 +95,7 @@
     /// Failure domains that the operators evacuate.
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) jobs: BTreeMap<String, Job>,
+    pub(crate) cancels: Cancels,
     pub(crate) workers: BTreeMap<String, Worker>,
     pub(crate) claims: Claims,
     pub(crate) holds: Holds,
@@ -174,6 +176,7 @@
             desired,
             evacuated: BTreeSet::new(),
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
+            cancels: Cancels::new(),
             workers: BTreeMap::new(),
             claims: Claims::default(),
             holds: Holds::default(),
@@ -267,6 +270,9 @@
         if let Some(job) = self.jobs.get(&sub.job) {
             return Admission::Accepted { change: job.accepted_in };
         }
+        if let Some(admission) = self.submit_cancelled(wall, sub) {
+            return admission;
+        }
         if let Err(refusal) = admit::check_admission(self, now, wall, sub) {
             self.account_counts.record(now, &sub.account, AccountEvent::Refused);
             self.record_refusal(wall, sub, &refusal.reason, refusal.retry_after_ms);
@@ -296,16 +302,6 @@
         self.jobs.contains_key(name)
     }
 
-    /// Cancels a job and returns the change that must be stored; `None` if the job is unknown.
-    pub fn cancel(&mut self, now: u64, wall: u64, name: &str) -> Option<u64> {
-        let job = self.jobs.get(name)?;
-        if job.outcome.is_some() {
-            return Some(job.ended_in);
-        }
-        self.end_job(now, wall, name, Outcome::Cancelled);
-        Some(self.change)
-    }
-
     /// Returns the state of a job as callers may see it: acceptance and outcome become visible once they are stored.
     pub fn state(&self, name: &str) -> Option<JobState> {
         let job = self.jobs.get(name).filter(|job| job.accepted_in <= self.stored)?;
@@ -430,6 +426,7 @@
         self.expire_leases(now, wall);
         self.create_due_occurrences(now, wall);
         self.remove_old_jobs(wall);
+        self.remove_old_cancels(wall);
         self.judge_suspects(now, wall);
         self.set_paces(now);
         self.update_forecasts(now);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,4 +1,5 @@
-//! Stored form of jobs: two keyed records for each job, so that no snapshots are needed.
+//! Stored form of jobs: two keyed records for each job, so that no snapshots are needed, and one for each cancel of a job
+//! that was not known.
 
 use std::collections::BTreeMap;
 
@@ -33,6 +34,9 @@
 /// Key prefix of progress records; written whenever a job changes.
 const PROGRESS_PREFIX: &str = "s/";
 
+/// Key prefix of cancels of unknown jobs; written once for each. Builds before landing 13 ignore them.
+const CANCEL_PREFIX: &str = "c/";
+
 /// A record for the store; an empty value deletes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -46,6 +50,12 @@
     accepted_ms: u64,
 }
 
+#[derive(Serialize, Deserialize)]
+struct Cancelled {
+    /// When the cancel arrived, in milliseconds since 1970.
+    at_ms: u64,
+}
+
 #[derive(Default, Serialize, Deserialize)]
 struct Progress {
     outcome: Option<Outcome>,
@@ -99,6 +109,42 @@
     Ok(Record { key: format!("{PROGRESS_PREFIX}{}", job.sub.job), value: serde_json::to_vec(&value)? })
 }
 
+/// Encodes the cancel of an unknown job.
+///
+/// # Errors
+///
+/// Returns an error if the cancel can't be serialized.
+pub fn cancel(job: &str, at_ms: u64) -> Result<Record> {
+    let value = serde_json::to_vec(&Cancelled { at_ms })?;
+    Ok(Record { key: format!("{CANCEL_PREFIX}{job}"), value })
+}
+
+/// Returns the record that deletes the cancel of an unknown job from the store.
+pub fn cancel_deletion(job: &str) -> Record {
+    Record { key: format!("{CANCEL_PREFIX}{job}"), value: Vec::new() }
+}
+
+/// Decodes the cancels of unknown jobs: names, with the times in milliseconds since 1970. Also returns a message for each
+/// record that can't be read. Such a cancel counts as one of `wall`, since it was answered.
+pub fn read_cancels<'a>(
+    records: impl Iterator<Item = (&'a str, &'a [u8])>,
+    wall: u64,
+) -> (BTreeMap<String, u64>, Vec<String>) {
+    let (mut cancels, mut unreadable) = (BTreeMap::new(), Vec::new());
+    for (key, value) in records {
+        let Some(name) = key.strip_prefix(CANCEL_PREFIX) else { continue };
+        let at_ms = match serde_json::from_slice::<Cancelled>(value) {
+            Ok(read) => read.at_ms.min(wall),
+            Err(e) => {
+                unreadable.push(format!("{key}: {e}"));
+                wall
+            }
+        };
+        cancels.insert(name.to_owned(), at_ms);
+    }
+    (cancels, unreadable)
+}
+
 /// Returns the records that delete a job from the store.
 pub fn deletions(job: &str) -> [Record; 2] {
     [SUBMISSION_PREFIX, PROGRESS_PREFIX]
