Confirm with the store that a leader still leads before final answers from memory

Callers could be told 410 for a job, or be refused a repeated submission, although another entry had accepted the job: by a leader that had been suspended or cut off and did not know of its successor.

Cause: only answers that need an append were fenced. GET of an unknown job and a refusal need none.

Change: such an answer waits for a read of the claims that begins after the request; waiting requests share one read. If a later claim is there, the leader steps down and the entry asks its successor. Without an answer of the store there is no 410.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -15,6 +15,7 @@
 use crate::absence::AnsweredCalls;
 use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest};
 use crate::clock::{now_ms, wall_ms};
+use crate::confirmation::Confirmations;
 use crate::planner_load::PlannerLoad;
 use crate::store_failures::StoreFailures;
 use crate::stored::{Loaded, PRODUCER, Snapshot, load_jobs};
@@ -61,6 +62,7 @@
     pub(crate) stored: watch::Sender<u64>,
     stepped_down: watch::Sender<bool>,
     agents: Mutex<BTreeMap<String, AgentSlot>>,
+    pub(crate) confirmations: Confirmations,
 }
 
 /// Newest report number and last assignments of an agent, and how to wake its waiting call.
@@ -105,11 +107,13 @@
             stored: watch::Sender::new(0),
             stepped_down: watch::Sender::new(false),
             agents: Mutex::default(),
+            confirmations: Confirmations::default(),
         });
         log::info!("event=office_taken epoch={}", active.leader.epoch);
         tokio::spawn(active.clone().run_passes());
         tokio::spawn(active.clone().run_appends(store.clone(), writer));
         tokio::spawn(active.clone().run_renewals(store.clone()));
+        tokio::spawn(active.clone().run_confirmations(store.clone()));
         if let Some(policy) = policy {
             tokio::spawn(active.clone().run_approval_requests(policy));
         }
@@ -287,7 +291,7 @@
         }
         match request {
             PlannerRequest::Submit { sub, call } => self.submit(&sub, call, wait).await,
-            PlannerRequest::State(job) => Reply::State(lock(&self.planner).state(&job)),
+            PlannerRequest::State(job) => self.job_state(&job, wait).await,
             PlannerRequest::Pending(queue) => Reply::Pending(lock(&self.planner).pending(&queue) as u64),
             PlannerRequest::View(query) => {
                 Reply::View(lock(&self.planner).view(&query, now_ms(), wall_ms()).to_string())
@@ -300,6 +304,15 @@
         }
     }
 
+    /// Returns the state of a job. That there is none is a final answer, so it is confirmed within `wait`.
+    async fn job_state(&self, job: &str, wait: Duration) -> Reply {
+        let state = lock(&self.planner).state(job);
+        if state.is_some() || self.confirm_leadership(wait).await {
+            return Reply::State(state);
+        }
+        if self.has_stepped_down() { Reply::NotPlanner(None) } else { Reply::Unresolved }
+    }
+
     /// Applies an agent's report and returns the assignments of its worker once they differ from those last sent, or
     /// after [`MAX_REPORT_WAIT`]. `connected_at` is when the connection that delivered the report was accepted, on the
     /// monotonic clock. Returns `None` if this process no longer leads.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use sorrelland_fleet::record::Record;
 use sorrelland_platform::Store;
-use sorrelland_platform::store::{Error, encode_keyed};
+use sorrelland_platform::store::{Error, LatestRecord, encode_keyed};
 use tokio::sync::watch;
 
 use crate::calls::Leader;
@@ -310,6 +310,11 @@
     }
 }
 
+/// Returns the epoch of the newest claim; 0 if there is none.
+pub(crate) fn newest_epoch(claims: &[LatestRecord]) -> u64 {
+    claims.iter().filter(|item| item.key == KEY).map(|item| item.offset + 1).max().unwrap_or(0)
+}
+
 /// Claims the leadership; returns the leader if it is now this process. Appends no claim if another one came after
 /// `epoch`, whose leader has timed out.
 pub async fn claim(store: &Store, leadership: &Leadership, me: &Leader, epoch: u64) -> Option<Leader> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod calls;
 mod cancels;
 pub mod clock;
+mod confirmation;
 pub mod election;
 pub mod entry;
 pub mod follow;
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -23,7 +23,7 @@
         let admission = lock(&self.planner).submit(now_ms(), wall_ms(), sub);
         let change = match admission {
             Admission::Refused { reason, retry_after_ms } => {
-                return self.refuse(sub, call, reason, retry_after_ms);
+                return self.confirm_refusal(sub, call, reason, retry_after_ms, wait).await;
             }
             Admission::Accepted { change } => change,
         };
@@ -77,6 +77,29 @@
         Reply::Accepted
     }
 
+    /// Refuses a job once it is certain, at most `wait` from now, that no later leader has accepted it for an earlier
+    /// attempt.
+    async fn confirm_refusal(
+        &self,
+        sub: &Submission,
+        call: u64,
+        why: String,
+        retry_after_ms: u64,
+        wait: Duration,
+    ) -> Reply {
+        let mut unavailable = self.store_unavailable.subscribe();
+        let is_confirmed = tokio::select! {
+            is_confirmed = self.confirm_leadership(wait) => is_confirmed,
+            // The sender exists as long as this planner.
+            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => return self.not_run(sub, call),
+        };
+        match is_confirmed {
+            true => self.refuse(sub, call, why, retry_after_ms),
+            false if self.has_stepped_down() => Reply::NotPlanner(None),
+            false => Reply::Unresolved,
+        }
+    }
+
     fn refuse(&self, sub: &Submission, call: u64, why: String, retry_after_ms: u64) -> Reply {
         lock(&self.answered_calls).record(now_ms(), call);
         let value = lock(&self.planner).value_in_time(sub);
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -292,3 +292,51 @@
     assert!(tokio::time::timeout(Duration::from_millis(800), outdated).await.is_err());
     assert_eq!(incarnation(planner.report(report(1), connected_at + 1).await), "w-1");
 }
+
+/// Stores a claim as another entry does.
+async fn claim_as(store: &Store, epoch: u64, incarnation: u64) {
+    let leadership = Leadership::default();
+    let claimed = election::claim(store, &leadership, &leader(0, incarnation), epoch - 1).await;
+    assert_eq!(claimed.map(|leader| leader.epoch), Some(epoch));
+}
+
+/// Guards against final answers about jobs that a successor has accepted, by a leader that doesn't know of it.
+#[yare::parameterized(
+    state = { PlannerRequest::State("00000000000000a1".to_owned()) },
+    cancel = { PlannerRequest::Cancel("00000000000000a1".to_owned()) },
+    refusal = { PlannerRequest::Submit { sub: submission_that_never_fits(), call: 1 } },
+)]
+#[test_macro(tokio::test)]
+async fn superseded_leader_gives_no_final_answer(request: PlannerRequest) {
+    let (_, store) = start_store().await;
+    claim_as(&store, 1, 1).await;
+    let old = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
+    let before = old.handle_request(request.clone(), Duration::from_secs(1)).await;
+    assert!(is_final(&before), "{before:?}");
+    claim_as(&store, 2, 2).await;
+    let _new = ActivePlanner::start(&store, None, leader(2, 2), TIMING, desired(), None).await.unwrap();
+    let other = match request {
+        PlannerRequest::Cancel(_) => PlannerRequest::Cancel("00000000000000a2".to_owned()),
+        PlannerRequest::Submit { sub, .. } => PlannerRequest::Submit { sub, call: 2 },
+        request => request,
+    };
+    let reply = old.handle_request(other, Duration::from_secs(1)).await;
+    assert!(!is_final(&reply), "{reply:?}");
+    assert!(old.has_stepped_down());
+}
+
+fn is_final(reply: &PlannerReply) -> bool {
+    matches!(
+        reply,
+        PlannerReply::State(_)
+            | PlannerReply::Cancelled(_)
+            | PlannerReply::Refused { .. }
+            | PlannerReply::NotRun { .. }
+    )
+}
+
+fn submission_that_never_fits() -> Submission {
+    let mut sub = submission("00000000000000a1");
+    sub.steps[0].count = 0;
+    sub
+}
