Let a worker's own service replace one that another writer announced first

Cause: the worker's answer to a call confirms its id, not the service in the announcement. Each later announcement of another service was ignored, also the worker's own, until the agent started again.

Evidence: the agent logs `announcement_ignored reason=other_service` for each of the worker's own announcements; the planner shows the worker with the other service.

Change: `AnnouncedService` counts announcements by service. One that is announced twice replaces one that was announced once; a confirmed one is replaced only by announcements over 2.5 s without its own in between, which the worker repeats every 1.5 s.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -10,6 +10,7 @@
 use sorrelland_fleet::{Task, incarnation};
 use sorrelland_platform::worker::Announcement;
 
+use crate::announced_service::AnnouncedService;
 use crate::announcement_order::{AnnouncementOrder, Position};
 use crate::presence::{AnnouncementEffect, Presence, Summary};
 
@@ -51,6 +52,8 @@
     announced: Option<Announcement>,
     /// Numbers of the current incarnation's announcements.
     order: AnnouncementOrder,
+    /// Services that they name.
+    service: AnnouncedService,
     presence: Presence,
     epoch: u64,
     assignments: Option<Assignments>,
@@ -120,7 +123,13 @@
         let current = self.announced.as_mut().filter(|known| known.info.incarnation == *incarnation);
         let Some(known) = current else { return AnnouncementEffect::Unconfirmed };
         if announcement.info.service != known.info.service {
-            return AnnouncementEffect::OtherService;
+            if !self.service.record_other(now, &announcement.info.service, announcement.sequence) {
+                return AnnouncementEffect::OtherService;
+            }
+            *known = announcement.clone();
+            (self.order, self.service) =
+                (AnnouncementOrder::new(announcement.sequence), AnnouncedService::new());
+            return self.effect(AnnouncementEffect::Updated);
         }
         match self.order.record(now, announcement.sequence) {
             Position::Newest => (),
@@ -128,12 +137,16 @@
             Position::Older => return AnnouncementEffect::OlderSequence,
             Position::Jump => return AnnouncementEffect::SequenceJump,
         }
+        self.service.record_known();
         let changed = known.info != announcement.info;
         *known = announcement.clone();
-        if self.presence != Presence::Present {
-            return AnnouncementEffect::Unconfirmed;
-        }
-        if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged }
+        self.effect(if changed { AnnouncementEffect::Updated } else { AnnouncementEffect::Unchanged })
+    }
+
+    /// Returns the effect of an announcement that was applied: the return of a worker that leaves or is silent has to be
+    /// confirmed.
+    fn effect(&self, applied: AnnouncementEffect) -> AnnouncementEffect {
+        if self.presence == Presence::Present { applied } else { AnnouncementEffect::Unconfirmed }
     }
 
     /// Makes an incarnation the current one and ends the one before. The worker has answered a call that names it.
@@ -149,6 +162,7 @@
         // An earlier incarnation of this agent may have extended leases that are unknown to this one.
         self.leased_until = now + self.max_lease_ms;
         self.order = AnnouncementOrder::new(announcement.sequence);
+        self.service = AnnouncedService::new();
         self.announced = Some(announcement);
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod active_planner;
 pub mod adaptive_timeout;
 pub mod agent;
+mod announced_service;
 mod announcement_order;
 mod appends;
 pub mod callers;
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -279,6 +279,53 @@
     assert_eq!((worker.service.as_str(), worker.draining), ("svc", false));
 }
 
+fn announce_service(state: &mut WorkerState, now: u64, sequence: u64, service: &str) -> String {
+    let mut announced = announcement(sequence);
+    announced.info.service = service.to_owned();
+    state.apply_announcement(now, &announced);
+    state.build_report("agent", 1, 1).worker.unwrap().service
+}
+
+/// Guards against a worker that is hidden for good by another writer's announcement that came before its own.
+#[test]
+fn apply_announcement_of_the_workers_own_service_replaces_that_of_another_writer() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    let mut other = announcement(1);
+    other.info.service = "elsewhere".to_owned();
+    state.adopt_incarnation(0, other);
+    announce_service(&mut state, 1_500, 1, "svc");
+    assert_eq!(announce_service(&mut state, 3_000, 2, "svc"), "svc");
+    assert_eq!(announce_service(&mut state, 4_500, 3, "svc"), "svc");
+}
+
+/// Guards against the same if the other writer repeats its announcement before the worker sends one.
+#[test]
+fn apply_announcement_replaces_a_service_that_only_another_writer_has_repeated() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    let mut other = announcement(1);
+    other.info.service = "elsewhere".to_owned();
+    state.adopt_incarnation(0, other);
+    announce_service(&mut state, 10, 2, "elsewhere");
+    let services = [1_500, 3_000, 4_500].map(|now| announce_service(&mut state, now, now, "svc"));
+    assert_eq!(services, ["elsewhere", "elsewhere", "svc"]);
+}
+
+/// Guards against a writer that takes a worker from its service by many announcements.
+#[test]
+fn apply_announcement_keeps_the_service_that_the_worker_goes_on_announcing() {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    announce_service(&mut state, 1_500, 2, "svc");
+    let mut sequence = 1_000;
+    for now in (1_510..20_000).step_by(100) {
+        sequence += 1;
+        assert_eq!(announce_service(&mut state, now, sequence, "elsewhere"), "svc", "at {now}");
+        if now % 1_500 == 10 {
+            announce_service(&mut state, now + 1, now / 1_500 + 2, "svc");
+        }
+    }
+}
+
 #[test]
 fn apply_announcement_of_silent_worker_takes_no_work() {
     let (mut state, now) = silent_worker();
--- a/crates/sorrelland/tests/odd_announcements.rs
+++ b/crates/sorrelland/tests/odd_announcements.rs
@@ -94,3 +94,22 @@
     platform.await_state(&job(1), "completed", Duration::from_secs(10)).await;
     assert_eq!(panics(&platform), Vec::<String>::new());
 }
+
+/// Guards against a worker that is hidden by an announcement for an unknown service, until its agent starts again.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcement_for_an_unknown_service_before_the_workers_own_hides_no_worker() {
+    let mut platform = Platform::start(1, 1).await;
+    platform.env.kill("agent-1");
+    platform.start_agent(1);
+    let mut odd = announcement(1);
+    odd["service"] = json!("inventory");
+    platform.announce_once_up(1, WORKER, &odd).await;
+    // The planner learns of it, so that it places nothing by what it knew before.
+    eventually(Duration::from_secs(2), "the announcement is reported", async || {
+        workers(&platform).await.contains("inventory")
+    })
+    .await;
+    platform.submit_until_accepted(&job(1), &json!([step(2)]), "run_ms=100").await;
+    // Two announcements of the worker, and the job.
+    platform.await_state(&job(1), "completed", Duration::from_secs(6)).await;
+}
