Let an append that is due anyway confirm the leadership

A refusal or an unknown job cost a read of the claims each time, also while appends that the store fences go on all the time. An append that begins after the request and succeeds at its first try shows as well that there is no successor.

--- a/crates/control/src/appends.rs
+++ b/crates/control/src/appends.rs
@@ -78,6 +78,7 @@
         let mut tries = 0_u32;
         while !self.has_stepped_down() {
             let (began, began_ms) = (Instant::now(), now_ms());
+            let number = self.confirmations.begin();
             let appended = store.append_as(JOBS, writer, part, append_timeout.wait()).await;
             metrics::record_append(append_outcome(&appended), began);
             lock(&self.store_failures).record(now_ms(), &appended);
@@ -88,6 +89,10 @@
             }
             match appended {
                 Ok(_) => {
+                    // The answer to a repeated append may be that to an earlier try.
+                    if !unanswered {
+                        self.confirmations.record(number);
+                    }
                     writer.sequence += 1;
                     return Appended::Stored;
                 }
