Let callers of the soak cancel jobs whose submission is on its way

The soak cancelled jobs only after they were accepted, so it could not show a cancel that overtakes its submission. Every other job that is to be cancelled now gets its cancel 50 ms after the submission is sent, on a connection of its own; the draws of a seed stay as they were. A cancel that was answered with 410 now counts as acknowledged in the check of later starts, which was missing.

Tests of the crate pass.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -35,6 +35,9 @@
 /// Cancels are sent together, at multiples of this time.
 const CANCEL_WAVE_MS: u64 = 5_000;
 
+/// Time after which a caller cancels a job whose submission has no answer yet.
+const EARLY_CANCEL_DELAY: Duration = Duration::from_millis(50);
+
 /// The callers of a run.
 pub struct Callers {
     pub deployment: Arc<Deployment>,
@@ -100,7 +103,9 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let entry = rng.random_range(1..=self.deployment.entries);
         let mut connection = Connection { client: Client::new(TIMEOUT), entry };
-        let Some(accepted_ms) = self.submit(&mut connection, &job, &mut rng).await else { return };
+        let (accepted_ms, ()) =
+            tokio::join!(self.submit(&mut connection, &job, &mut rng), self.cancel_early(&job, entry));
+        let Some(accepted_ms) = accepted_ms else { return };
         let mut repeat_at = rng.random_bool(0.2).then(|| accepted_ms + rng.random_range(500..5_000));
         let mut cancel_at = job.cancelled_after_ms.map(|after_ms| {
             let at = accepted_ms + after_ms;
@@ -118,7 +123,7 @@
             }
             if cancel_at.is_some_and(|at| wall_ms() >= at) {
                 let call = self.call(&mut connection, Method::DELETE, &job).await;
-                if call.is_success() || call.status == 410 {
+                if call.is_cancel_acknowledged() {
                     cancel_at = None;
                 }
                 self.record(&job.id, |record| record.cancels.push(call));
@@ -153,6 +158,25 @@
         None
     }
 
+    /// Cancels every other one of the jobs that are to be cancelled while its submission is on its way.
+    async fn cancel_early(&self, job: &Job, entry: usize) {
+        let is_odd = job.id.bytes().last().is_some_and(|digit| digit % 2 == 1);
+        if job.cancelled_after_ms.is_none() || !is_odd {
+            return;
+        }
+        let mut connection = Connection { client: Client::new(TIMEOUT), entry };
+        tokio::time::sleep(EARLY_CANCEL_DELAY).await;
+        for _ in 0..MAX_SUBMITS {
+            let call = self.call(&mut connection, Method::DELETE, job).await;
+            let is_definite = call.is_cancel_acknowledged();
+            self.record(&job.id, |record| record.cancels.push(call));
+            if is_definite || !*self.running.borrow() {
+                return;
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
     fn record(&self, job: &str, update: impl FnOnce(&mut Record)) {
         if let Some(record) = lock(&self.ledger).get_mut(job) {
             update(record);
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -145,6 +145,11 @@
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
+
+    /// Returns whether the call, a cancel, was acknowledged.
+    pub fn is_cancel_acknowledged(&self) -> bool {
+        self.is_success() || self.status == 410
+    }
 }
 
 /// What callers have seen of a job.
@@ -171,9 +176,10 @@
         !self.submits.is_empty() && self.submits.iter().all(|call| matches!(call.status, 429 | 503))
     }
 
-    /// Returns when a cancel was first acknowledged.
+    /// Returns when a cancel was first acknowledged. That no such job exists is an acknowledgement, too.
     pub fn cancelled_ms(&self) -> Option<u64> {
-        self.cancels.iter().filter(|call| call.is_success()).map(|call| call.answered_ms).min()
+        let acknowledged = self.cancels.iter().filter(|call| call.is_cancel_acknowledged());
+        acknowledged.map(|call| call.answered_ms).min()
     }
 
     /// Returns when the job was first shown in `state`.
