Claim the leadership as soon as the desired state is known

After the loss of all machines an entry that could claim at once, as the next process of the leader, but didn't know the desired state yet, looked again only 60 ms later. Agents that connected meanwhile had their first reports ignored, since their connections are older than the planner, and repeated them 1.4 s later; so a start that is 1 ms slower delayed the takeover.

Change: the entry waits for the desired state, at most as long as before.

Process tests `recovery` (6) and `handover` (5) pass.

--- a/crates/control/src/handover.rs
+++ b/crates/control/src/handover.rs
@@ -109,10 +109,17 @@
             election::wait_until_claimable(&self.store, &self.leadership, &self.me, claim_delay_ms);
         tokio::select! {
             epoch = claimable => {
-                if *self.stopping.borrow() || self.desired.borrow().version == 0 {
+                if *self.stopping.borrow() {
                     tokio::time::sleep(CLAIM_RETRY_DELAY).await;
                     return (None, None);
                 }
+                if self.desired.borrow().version == 0 {
+                    let mut desired = self.desired.subscribe();
+                    let known = desired.wait_for(|desired| desired.version > 0);
+                    // The claim is checked again in any case: another entry may lead by then.
+                    let _ = tokio::time::timeout(CLAIM_RETRY_DELAY, known).await;
+                    return (None, None);
+                }
                 (election::claim(&self.store, &self.leadership, &self.me, epoch).await, None)
             }
             // The sender exists as long as this entry.
