Let the stand-in of a worker exit while its handlers wait for its lock

Cause, by reading: from `left` on the stand-in holds the lock of its state, so that nothing starts any more, and sends its notice on the runtime whose threads serve its calls. Calls of the agent wait for that lock and block these threads; if one of them drives the runtime's sockets and timers, neither the answer to the notice nor its time-out arrives. The daemon has no part in it.

Change: the notice is sent on a thread and a runtime of its own.

The failure was seen once and was not provoked again, so the cause is not shown by a test.

--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -43,6 +43,9 @@
 const DRAIN_MS: u64 = 2_000;
 const UNACKNOWLEDGED_DRAIN_MS: u64 = 5_000;
 
+/// Time-out of an announcement, and of the notice that the worker leaves.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Ends listed at a time; the others follow once these are acknowledged.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -252,7 +255,7 @@
 }
 
 async fn announce_loop(worker: Arc<Worker>, address: String) {
-    let client = Client::new(Duration::from_secs(1));
+    let client = Client::new(NOTICE_TIMEOUT);
     let Setup { incarnation, agent_address, rack, .. } = &worker.setup;
     let url = format!("http://{agent_address}/instances/{incarnation}");
     let mut terminate = signal(SignalKind::terminate()).expect("handler for SIGTERM");
@@ -292,12 +295,17 @@
     let state = lock(&worker.state);
     worker.print(wall_ms(), "event=left");
     state.running.values().filter_map(|run| run.gang.as_ref()).for_each(|gang| gang.leave("lapsed"));
-    let exit = async {
+    // Handlers that wait for the lock may block all threads of this runtime, so the notice has one of its own.
+    let exit = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         // The worker exits whether or not its notice arrives.
-        let _ = client.send(Method::DELETE, &url, &[], Bytes::new()).await;
+        if let Ok(runtime) = runtime {
+            let client = Client::new(NOTICE_TIMEOUT);
+            let _ = runtime.block_on(client.send(Method::DELETE, &url, &[], Bytes::new()));
+        }
         std::process::exit(0);
     };
-    tokio::task::block_in_place(|| tokio::runtime::Handle::current().block_on(exit))
+    let _ = std::thread::spawn(exit).join();
 }
 
 fn respond(status: StatusCode, body: &Value) -> Result<Response<Body>> {
