Let entries of this build lead in place of earlier builds, and give no answer that those don't store

Cause: leaders of landings 8 to 12 answer the cancel of a job that they don't know from memory. An entry of a later build passed that answer on, and such a leader went on for as long as its machine wasn't replaced.

Change: version 3 of the calls tells a stored cancel from one that isn't; an entry of this build claims the leadership from an earlier build; a submission carries the newest epoch that its entry knew, and one from before the first leader that stores cancels is not run. A leader of this build prefers entries of this build as successors.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -1,6 +1,7 @@
 //! The active planner: connects the planning decisions with real clocks, the store and the agents.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -63,6 +64,10 @@
     stepped_down: watch::Sender<bool>,
     agents: Mutex<BTreeMap<String, AgentSlot>>,
     pub(crate) confirmations: Confirmations,
+    /// Epoch since which every leader has stored the cancels of unknown jobs.
+    pub(crate) cancels_stored_since: AtomicU64,
+    /// When this planner started, on the monotonic clock.
+    pub(crate) started_at: u64,
 }
 
 /// Newest report number and last assignments of an agent, and how to wake its waiting call.
@@ -108,6 +113,8 @@
             stepped_down: watch::Sender::new(false),
             agents: Mutex::default(),
             confirmations: Confirmations::default(),
+            cancels_stored_since: AtomicU64::default(),
+            started_at: now_ms(),
         });
         log::info!("event=office_taken epoch={}", active.leader.epoch);
         tokio::spawn(active.clone().run_passes());
@@ -120,6 +127,11 @@
         Some(active)
     }
 
+    /// Sets the epoch since which every leader has stored the cancels of unknown jobs, as this leader's claim says.
+    pub fn set_cancels_stored_since(&self, epoch: Option<u64>) {
+        self.cancels_stored_since.store(epoch.unwrap_or(self.leader.epoch), Ordering::Relaxed);
+    }
+
     pub fn has_stepped_down(&self) -> bool {
         *self.stepped_down.borrow()
     }
@@ -290,7 +302,9 @@
             return Reply::NotPlanner(None);
         }
         match request {
-            PlannerRequest::Submit { sub, call } => self.submit(&sub, call, wait).await,
+            PlannerRequest::Submit { sub, call, known_epoch } => {
+                self.submit(&sub, call, known_epoch, wait).await
+            }
             PlannerRequest::State(job) => self.job_state(&job, wait).await,
             PlannerRequest::Pending(queue) => Reply::Pending(lock(&self.planner).pending(&queue) as u64),
             PlannerRequest::View(query) => {
--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -24,7 +24,7 @@
 use crate::lease::WorkerState;
 use crate::presence::Summary;
 use crate::signals::{self, wait_for_stop};
-use crate::{Error as RunError, Result, follow, lock, metrics, reload};
+use crate::{Error as RunError, Result, follow, lock, metrics, reload, versions};
 
 /// Wait of one read of the claims. Long, because there are many agents and they also learn of the leader from
 /// entries.
@@ -213,6 +213,7 @@
                 leader: self.leadership.leader(),
                 version: u64::MAX,
                 can_lead: false,
+                calls: versions::NEWEST,
             };
             call(&self.pool, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await
         });
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -23,8 +23,11 @@
 
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Further delay after a leader of an earlier build has stored nothing: an entry of this build takes its place soon.
+const EARLIER_BUILD_DELAY: Duration = Duration::from_millis(100);
+
 /// Default and maximum wait of a caller, in milliseconds.
-const MAX_WAIT_MS: u64 = 3_000;
+pub(crate) const MAX_WAIT_MS: u64 = 3_000;
 
 /// Part of a caller's wait that is reserved for the delivery of the reply, in milliseconds.
 const REPLY_MARGIN_MS: u64 = 150;
@@ -83,16 +86,15 @@
             }
         };
         let began = Instant::now();
-        let response = match self
-            .request_planner(PlannerRequest::Submit { sub, call: rand::random() }, http_request)
-            .await
-        {
+        let known_epoch = Some(self.leadership.epoch());
+        let req = PlannerRequest::Submit { sub, call: rand::random(), known_epoch };
+        let response = match self.request_planner(req, http_request).await {
             RequestResult::Reply(Reply::Accepted) => Response::new(StatusCode::OK).json(&json!({})),
             RequestResult::Reply(Reply::Refused { why, retry_after_ms }) => {
                 refuse(StatusCode::TOO_MANY_REQUESTS, &why).with_retry_after_ms(retry_after_ms)
             }
             RequestResult::Reply(Reply::NotRun { retry_after_ms }) => {
-                refuse(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer; the job has not run")
+                refuse(StatusCode::SERVICE_UNAVAILABLE, "the job can't be stored now; it has not run")
                     .with_retry_after_ms(retry_after_ms)
             }
             RequestResult::NeverSent { retry_after_ms } => {
@@ -179,6 +181,10 @@
             match self.request_once(request.clone(), remaining.min(ATTEMPT_TIMEOUT)).await {
                 RequestResult::Reply(Reply::NotPlanner(leader)) => self.leadership.update_leader(leader),
                 RequestResult::Reply(Reply::Unresolved) | RequestResult::Unresolved => unresolved = true,
+                RequestResult::Reply(Reply::CancelNotStored) => {
+                    unresolved = true;
+                    tokio::time::sleep(EARLIER_BUILD_DELAY).await;
+                }
                 RequestResult::NeverSent { .. } if !unresolved => {
                     let left_ms = deadline.saturating_duration_since(tokio::time::Instant::now()).as_millis();
                     if let Some(retry_after_ms) = self.absence(left_ms as u64).retry_after_ms() {
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -37,6 +37,8 @@
         /// Number that all attempts of one call have in common. Once one of them is answered with "not run", a copy that
         /// arrives later is, too.
         call: u64,
+        /// Epoch of the newest leader that the entry knew when the caller's request arrived; `None` from an earlier build.
+        known_epoch: Option<u64>,
     },
     /// Reads the state of a job.
     State(String),
@@ -82,6 +84,10 @@
     View(String),
     /// The change was not confirmed in time; it may be stored already or later.
     Unresolved,
+    /// A leader of an earlier build doesn't know the job that it was asked to cancel. It has stored nothing, so a submission
+    /// on its way may still be accepted. Never sent.
+    #[serde(skip)]
+    CancelNotStored,
 }
 
 /// Reply to an agent's report.
@@ -116,6 +122,8 @@
     pub version: u64,
     /// Whether the sender can lead.
     pub can_lead: bool,
+    /// Newest version of the calls that the sender speaks.
+    pub calls: u16,
 }
 
 /// Reply to a ping.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -53,7 +53,7 @@
 
 /// Time for which an entry that defers to others waits for their claim, in milliseconds. It covers the delays that
 /// spread their claims, and a claim's way through the store.
-const DEFER_MS: u64 = 400;
+pub(crate) const DEFER_MS: u64 = 400;
 
 /// Maximum wait of one read of the renewals while the leadership may soon be claimed.
 const REFUSING_READ_WAIT: Duration = Duration::from_millis(200);
@@ -69,6 +69,17 @@
     address: String,
     #[serde(rename = "life")]
     incarnation: u64,
+    /// Epoch since which every leader has stored the cancels of unknown jobs, 0 if there was no leader before; earlier builds
+    /// write none.
+    #[serde(default)]
+    cancels_stored_since: Option<u64>,
+}
+
+/// What the newest claim in the store says beside who leads.
+#[derive(Clone, Copy, Debug, Default)]
+struct NewestClaim {
+    epoch: u64,
+    cancels_stored_since: Option<u64>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -88,6 +99,7 @@
     defers: Arc<AtomicBool>,
     /// Epoch of the leader whose calls the store rejects; 0 for none.
     rejected: watch::Sender<u64>,
+    newest_claim: watch::Sender<NewestClaim>,
 }
 
 impl Default for Leadership {
@@ -97,6 +109,7 @@
             refused: Arc::default(),
             defers: Arc::default(),
             rejected: watch::Sender::new(0),
+            newest_claim: watch::Sender::new(NewestClaim::default()),
         }
     }
 }
@@ -171,7 +184,8 @@
         self.defers.store(defers, Ordering::Relaxed);
     }
 
-    fn defers(&self) -> bool {
+    /// Returns whether this process lets other entries claim first.
+    pub(crate) fn defers(&self) -> bool {
         self.defers.load(Ordering::Relaxed)
     }
 
@@ -181,13 +195,39 @@
             return;
         }
         match serde_json::from_slice::<Claim>(value) {
-            Ok(Claim { instance, address, incarnation }) => {
+            Ok(Claim { instance, address, incarnation, cancels_stored_since }) => {
+                self.record_claim(NewestClaim { epoch: offset + 1, cancels_stored_since });
                 self.update_leader(Some(Leader { epoch: offset + 1, instance, address, incarnation }));
             }
             Err(e) => log::warn!("event=record_skipped topic={CLAIMS} offset={offset} cause=\"{e}\""),
         }
     }
 
+    fn record_claim(&self, claim: NewestClaim) {
+        self.newest_claim.send_if_modified(|known| {
+            let is_newer = known.epoch < claim.epoch;
+            if is_newer {
+                *known = claim;
+            }
+            is_newer
+        });
+    }
+
+    /// Returns the epoch since which every leader has stored the cancels of unknown jobs, as the newest claim says; the
+    /// leader may be of an earlier build if there is none.
+    pub fn cancels_stored_since(&self) -> Option<u64> {
+        self.newest_claim.borrow().cancels_stored_since
+    }
+
+    /// Waits until the newest claim is that of a leader of an earlier build, which doesn't store the cancels of unknown jobs;
+    /// returns its epoch.
+    pub(crate) async fn wait_for_leader_of_earlier_build(&self) -> u64 {
+        let mut claims = self.newest_claim.subscribe();
+        let is_earlier = |claim: &NewestClaim| claim.epoch > 0 && claim.cancels_stored_since.is_none();
+        // The sender exists as long as `self`.
+        claims.wait_for(is_earlier).await.map_or(0, |claim| claim.epoch)
+    }
+
     /// Returns a receiver of every new leader.
     pub fn subscribe(&self) -> watch::Receiver<Option<Leader>> {
         self.tx.subscribe()
@@ -333,14 +373,24 @@
     if leadership.epoch() != epoch {
         return None;
     }
-    let claim =
-        Claim { instance: me.instance.clone(), address: me.address.clone(), incarnation: me.incarnation };
+    let mine = Leader { epoch: end + 1, ..me.clone() };
+    let cancels_stored_since = match end {
+        0 => 0,
+        _ => leadership.cancels_stored_since().unwrap_or(mine.epoch),
+    };
+    let claim = Claim {
+        instance: me.instance.clone(),
+        address: me.address.clone(),
+        incarnation: me.incarnation,
+        cancels_stored_since: Some(cancels_stored_since),
+    };
     let value = serde_json::to_vec(&claim).ok()?;
     let record = encode_keyed(&Record { key: KEY.to_owned(), value });
-    let mine = Leader { epoch: end + 1, ..me.clone() };
     match store.append(CLAIMS, &[record], Some(end)).await {
         Ok(offset) => {
             let mine = Leader { epoch: offset + 1, ..mine };
+            let cancels_stored_since = Some(cancels_stored_since);
+            leadership.record_claim(NewestClaim { epoch: mine.epoch, cancels_stored_since });
             leadership.update_leader(Some(mine.clone()));
             Some(mine)
         }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -27,7 +27,7 @@
 use crate::clock::now_ms;
 use crate::election::{CLAIMS, Leadership, MAX_STORE_OUTAGE_MS};
 use crate::handover::Offer;
-use crate::peers::{FailedHandovers, Listed, Peers};
+use crate::peers::{FailedHandovers, Listed, Peers, Pinging};
 use crate::signals::{self, wait_for_stop};
 use crate::{Error, Result, follow, lock, metrics, reload, versions};
 
@@ -204,7 +204,8 @@
         let entry = self.entry;
         entry.leadership.update_leader(ping.leader);
         if !ping.address.is_empty() {
-            lock(&entry.peers).record_ping(now_ms(), ping.address, ping.millicores, ping.can_lead);
+            let sender = Pinging { millicores: ping.millicores, can_lead: ping.can_lead, calls: ping.calls };
+            lock(&entry.peers).record_ping(now_ms(), ping.address, sender);
         }
         let newer = entry.desired.borrow().version > ping.version;
         Pong {
@@ -357,6 +358,7 @@
             leader: self.leadership.leader(),
             version,
             can_lead: self.can_lead(),
+            calls: versions::NEWEST,
         };
         let pong = call(&self.pool, address, PING_TIMEOUT, async |rpc, cx| rpc.ping(cx, ping).await).await;
         match pong {
--- a/crates/control/src/handover.rs
+++ b/crates/control/src/handover.rs
@@ -13,15 +13,19 @@
 use crate::active_planner::ActivePlanner;
 use crate::calls::{Leader, OfferReply, call};
 use crate::clock::now_ms;
-use crate::election::{self, MIN_REJECTED_MS};
+use crate::election::{self, DEFER_MS, MIN_REJECTED_MS};
 use crate::entry::Entry;
 use crate::lock;
 use crate::peers::HANDOVER_RATIO;
 use crate::stored::Snapshot;
+use crate::versions::NEWEST;
 
 /// Delay after which an entry that is stopping or lacks the desired state checks again whether it may claim.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Delay after which an entry that can't lead in place of an earlier build checks again whether it can.
+const SUPERSEDE_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Upper bound of the delays that spread the claims of the entries, in milliseconds.
 const MAX_CLAIM_DELAY_MS: u64 = 300;
 
@@ -84,6 +88,7 @@
             let policy = self.settings.policy_address.as_deref().map(PolicyClient::new);
             let started = ActivePlanner::start(&self.store, policy, leader, self.timing(), desired, jobs);
             let Some(active) = started.await else { continue };
+            active.set_cancels_stored_since(self.leadership.cancels_stored_since());
             *lock(&self.active_planner) = Some(active.clone());
             // A newer version may have arrived while the jobs were read.
             active.set_desired(self.desired.borrow().clone());
@@ -122,6 +127,10 @@
                 }
                 (election::claim(&self.store, &self.leadership, &self.me, epoch).await, None)
             }
+            (epoch, jobs) = self.wait_to_supersede_earlier_build(claim_delay_ms) => {
+                log::info!("event=superseding_earlier_build epoch={epoch}");
+                (election::claim(&self.store, &self.leadership, &self.me, epoch).await, Some(jobs))
+            }
             // The sender exists as long as this entry.
             Some(offer) = offers.recv() => {
                 let leader = election::claim(&self.store, &self.leadership, &self.me, offer.epoch).await;
@@ -134,6 +143,24 @@
         }
     }
 
+    /// Waits until a leader of an earlier build is known, which answers cancels of unknown jobs without storing them, and this
+    /// entry can lead in its place. Returns that leader's epoch, and the jobs.
+    async fn wait_to_supersede_earlier_build(&self, claim_delay_ms: u64) -> (u64, Snapshot) {
+        loop {
+            let epoch = self.leadership.wait_for_leader_of_earlier_build().await;
+            let delay_ms = if self.leadership.defers() { claim_delay_ms + DEFER_MS } else { claim_delay_ms };
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            if self.can_lead() && self.leadership.epoch() == epoch {
+                match tokio::time::timeout(PREPARE_TIMEOUT, Snapshot::read(&self.store)).await {
+                    Ok(Ok(jobs)) => return (epoch, jobs),
+                    Ok(Err(e)) => log::warn!("event=jobs_unread epoch={epoch} cause=\"{e}\""),
+                    Err(_) => log::warn!("event=jobs_unread epoch={epoch} cause=\"the store is too slow\""),
+                }
+            }
+            tokio::time::sleep(SUPERSEDE_RETRY_DELAY).await;
+        }
+    }
+
     /// Claims the leadership that the leader with `epoch` offers, unless this entry can't lead.
     pub(crate) async fn consider_offer(&self, epoch: u64) -> OfferReply {
         let declined = |why: &str| {
@@ -165,13 +192,14 @@
         let larger = self.settings.millicores.max(1) * HANDOVER_RATIO;
         loop {
             tokio::time::sleep(HANDOVER_CHECK_INTERVAL).await;
-            let (min_millicores, why) = match active.store_failing_ms() {
-                ms if ms >= MIN_REJECTED_MS => (0, "the store rejects this entry"),
-                _ if began.elapsed() >= MIN_TENURE => (larger, "it has more processor"),
+            let (min_millicores, min_calls, why) = match active.store_failing_ms() {
+                ms if ms >= MIN_REJECTED_MS => (0, 0, "the store rejects this entry"),
+                // An entry of this build would take the leadership back from one of an earlier build.
+                _ if began.elapsed() >= MIN_TENURE => (larger, NEWEST, "it has more processor"),
                 _ => continue,
             };
             let now = now_ms();
-            let successors = lock(&self.peers).successors(now, min_millicores);
+            let successors = lock(&self.peers).successors(now, min_millicores, min_calls);
             let may_try = |address: &String| lock(&self.failed_handovers).may_try(now, address);
             if let Some(address) = successors.into_iter().find(may_try)
                 && self.offer_leadership(active, &address, why).await
@@ -228,7 +256,7 @@
     /// as soon as it notices.
     pub(crate) async fn release_leadership(&self) {
         let Some(active) = self.planner() else { return };
-        let successors = lock(&self.peers).successors(now_ms(), 0);
+        let successors = lock(&self.peers).successors(now_ms(), 0, 0);
         let search = async {
             for address in successors {
                 if self.offer_leadership(&active, &address, "the process is stopping").await {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -35,14 +35,25 @@
     pub can_lead: bool,
 }
 
+/// An entry as its ping to this one shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Pinging {
+    /// Its share of a processor, in thousandths of a core.
+    pub millicores: u64,
+    /// Whether it can lead.
+    pub can_lead: bool,
+    /// Newest version of the calls that it speaks.
+    pub calls: u16,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     millicores: u64,
     can_lead: bool,
     /// When it last pinged any entry, on the monotonic clock.
     seen_at: u64,
-    /// When it last pinged this entry; `None` if it never did.
-    pinged_at: Option<u64>,
+    /// When it last pinged this entry, and the version of the calls that it spoke then; `None` if it never did.
+    pinged_at: Option<(u64, u16)>,
 }
 
 /// Other entries by address. Times are in milliseconds on the monotonic clock.
@@ -53,8 +64,10 @@
 
 impl Peers {
     /// Records a ping of another entry.
-    pub fn record_ping(&mut self, now: u64, address: String, millicores: u64, can_lead: bool) {
-        self.by_address.insert(address, Peer { millicores, can_lead, seen_at: now, pinged_at: Some(now) });
+    pub fn record_ping(&mut self, now: u64, address: String, sender: Pinging) {
+        let Pinging { millicores, can_lead, calls } = sender;
+        let pinged_at = Some((now, calls));
+        self.by_address.insert(address, Peer { millicores, can_lead, seen_at: now, pinged_at });
     }
 
     /// Records that another entry lists a third one.
@@ -91,17 +104,19 @@
         self.by_address.values().any(|peer| is_live(peer) && peer.millicores > millicores)
     }
 
-    /// Returns the addresses of the entries that may take over from this one, largest first: those with at least
-    /// `min_millicores` that have just pinged this entry and can lead.
-    pub fn successors(&self, now: u64, min_millicores: u64) -> Vec<String> {
-        let may_succeed = |peer: &Peer| {
-            peer.can_lead
-                && peer.millicores >= min_millicores
-                && peer.pinged_at.is_some_and(|at| at + SUCCESSOR_AGE_MS >= now)
-        };
-        let mut successors: Vec<_> = self.by_address.iter().filter(|(_, peer)| may_succeed(peer)).collect();
-        successors.sort_by_key(|(_, peer)| std::cmp::Reverse(peer.millicores));
-        successors.into_iter().map(|(address, _)| address.clone()).collect()
+    /// Returns the addresses of the entries that may take over from this one: those with at least `min_millicores` that
+    /// have just pinged this entry, speak at least the version `min_calls` of the calls and can lead. Those of the newest
+    /// build come first, of these the largest.
+    pub fn successors(&self, now: u64, min_millicores: u64, min_calls: u16) -> Vec<String> {
+        let mut successors: Vec<_> = self
+            .by_address
+            .iter()
+            .filter(|(_, peer)| peer.can_lead && peer.millicores >= min_millicores)
+            .filter_map(|(address, peer)| Some((peer.pinged_at?, peer.millicores, address)))
+            .filter(|((at, calls), ..)| at + SUCCESSOR_AGE_MS >= now && *calls >= min_calls)
+            .collect();
+        successors.sort_by_key(|((_, calls), millicores, _)| std::cmp::Reverse((*calls, *millicores)));
+        successors.into_iter().map(|(.., address)| address.clone()).collect()
     }
 }
 
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -1,5 +1,6 @@
 //! Submits jobs to the planner and waits until they are stored, or answers with "not run" while the store is away.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use sorrelland_fleet::Resources;
@@ -8,14 +9,28 @@
 
 use crate::absence::{outage_rest_ms, spread_retry_ms};
 use crate::active_planner::ActivePlanner;
+use crate::callers::MAX_WAIT_MS;
 use crate::calls::PlannerReply as Reply;
 use crate::clock::{now_ms, wall_ms};
 use crate::lock;
 
+/// Time after which a caller may submit a job again that a cancel may have preceded, in milliseconds: by then all entries
+/// know the new leader.
+const RESUBMIT_MS: u64 = 500;
+
 impl ActivePlanner {
     /// Submits a job of a call and waits at most `wait` until it is stored. A job that can't be stored is withdrawn if no
     /// append contains it yet.
-    pub(crate) async fn submit(&self, sub: &Submission, call: u64, wait: Duration) -> Reply {
+    pub(crate) async fn submit(
+        &self,
+        sub: &Submission,
+        call: u64,
+        known_epoch: Option<u64>,
+        wait: Duration,
+    ) -> Reply {
+        if self.may_have_lost_cancel(known_epoch) && !lock(&self.planner).knows(&sub.job) {
+            return self.reject_older_than_cancels(sub, call, known_epoch);
+        }
         let is_answered = lock(&self.answered_calls).contains(call);
         if is_answered || (*self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job)) {
             return self.not_run(sub, call);
@@ -60,6 +75,29 @@
         }
     }
 
+    /// Returns whether a submission may have arrived while a leader of an earlier build led, which answers the cancel of a job
+    /// that it doesn't know and stores nothing.
+    fn may_have_lost_cancel(&self, known_epoch: Option<u64>) -> bool {
+        let since = self.cancels_stored_since.load(Ordering::Relaxed);
+        match known_epoch {
+            Some(epoch) => epoch < since,
+            // An entry of an earlier build; it retries a submission for as long as a caller waits.
+            None => since == self.leader.epoch && now_ms() < self.started_at + MAX_WAIT_MS,
+        }
+    }
+
+    /// Answers that a job has not run and will not, since a cancel of it may have been answered without being stored.
+    fn reject_older_than_cancels(&self, sub: &Submission, call: u64, known_epoch: Option<u64>) -> Reply {
+        lock(&self.answered_calls).record(now_ms(), call);
+        log::info!(
+            "event=not_run job={} epoch={} known_epoch={known_epoch:?} retry_after_ms={RESUBMIT_MS} \
+             why=\"it may have been cancelled at a leader of an earlier build\"",
+            sub.job,
+            self.leader.epoch
+        );
+        Reply::NotRun { retry_after_ms: RESUBMIT_MS }
+    }
+
     /// Returns whether the job of a submission is stored and was not withdrawn.
     fn is_job_stored(&self, sub: &Submission) -> bool {
         lock(&self.planner).state(&sub.job).is_some()
--- a/crates/control/src/versions.rs
+++ b/crates/control/src/versions.rs
@@ -5,6 +5,7 @@
 //! message that only one version can read.
 
 mod first;
+mod second;
 
 use std::io;
 use std::pin::Pin;
@@ -24,7 +25,7 @@
 use crate::calls::{Ping, PlanRpcClient, PlanRpcRequest, PlanRpcResponse};
 
 /// The newest version of the calls: the types in [`crate::calls`].
-pub const NEWEST: u16 = 2;
+pub const NEWEST: u16 = 3;
 
 /// Time-out of the call that tries a version.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,8 +35,10 @@
 pub enum Version {
     /// Landings 8 and 9.
     First,
-    /// Landing 10 and this build.
+    /// Landings 10 to 13.
     Second,
+    /// This build.
+    Third,
 }
 
 impl Version {
@@ -43,7 +46,8 @@
     pub fn negotiated(announced: u16) -> Self {
         match announced.min(NEWEST) {
             0 | 1 => Self::First,
-            _ => Self::Second,
+            2 => Self::Second,
+            _ => Self::Third,
         }
     }
 
@@ -51,6 +55,7 @@
         match self {
             Self::First => 1,
             Self::Second => 2,
+            Self::Third => 3,
         }
     }
 }
@@ -67,13 +72,13 @@
     io::Error::new(io::ErrorKind::Unsupported, "the peer's build doesn't know the call")
 }
 
-fn decode_request(version: Version, src: &BytesMut) -> io::Result<ClientMessage<PlanRpcRequest>> {
-    if version == Version::Second {
-        return decode(src);
-    }
-    Ok(match decode(src)? {
+/// Decodes a request whose message is of type `T` in the version of the connection.
+fn decode_request_as<T>(src: &BytesMut) -> io::Result<ClientMessage<PlanRpcRequest>>
+where
+    T: DeserializeOwned + Unpin + Into<PlanRpcRequest>,
+{
+    Ok(match decode::<ClientMessage<T>>(src)? {
         ClientMessage::Request(Request { context, id, message }) => {
-            let message: first::Call = message;
             ClientMessage::Request(Request { context, id, message: message.into() })
         }
         ClientMessage::Cancel { trace_context, request_id } => {
@@ -83,26 +88,56 @@
     })
 }
 
-fn encode_request(version: Version, message: &ClientMessage<PlanRpcRequest>) -> io::Result<Bytes> {
+fn decode_request(version: Version, src: &BytesMut) -> io::Result<ClientMessage<PlanRpcRequest>> {
+    match version {
+        Version::First => decode_request_as::<first::Call>(src),
+        Version::Second => decode_request_as::<second::Call>(src),
+        Version::Third => decode(src),
+    }
+}
+
+/// Encodes a request with the encoding of its message in an earlier version; `None` if that can't express it.
+fn encode_request_as<T: Serialize + Unpin>(
+    message: &ClientMessage<PlanRpcRequest>,
+    encode_message: impl FnOnce(&PlanRpcRequest) -> Option<T>,
+) -> io::Result<Bytes> {
     match message {
-        ClientMessage::Request(Request { context, id, message }) if version == Version::First => {
-            let message = first::encode_request(message).ok_or_else(inexpressible)?;
+        ClientMessage::Request(Request { context, id, message }) => {
+            let message = encode_message(message).ok_or_else(inexpressible)?;
             encode(&ClientMessage::Request(Request { context: *context, id: *id, message }))
         }
         message => encode(message),
     }
 }
 
-fn decode_response(version: Version, src: &BytesMut) -> io::Result<Response<PlanRpcResponse>> {
-    if version == Version::Second {
-        return decode(src);
+fn encode_request(version: Version, message: &ClientMessage<PlanRpcRequest>) -> io::Result<Bytes> {
+    match version {
+        Version::First => encode_request_as(message, first::encode_request),
+        Version::Second => encode_request_as(message, second::encode_request),
+        Version::Third => encode(message),
     }
-    let Response::<first::Response> { request_id, message } = decode(src)?;
+}
+
+/// Decodes a response whose message is of type `T` in the version of the connection.
+fn decode_response_as<T>(src: &BytesMut) -> io::Result<Response<PlanRpcResponse>>
+where
+    T: DeserializeOwned + Unpin + Into<PlanRpcResponse>,
+{
+    let Response::<T> { request_id, message } = decode(src)?;
     Ok(Response { request_id, message: message.map(Into::into) })
 }
 
+fn decode_response(version: Version, src: &BytesMut) -> io::Result<Response<PlanRpcResponse>> {
+    match version {
+        Version::First => decode_response_as::<first::Response>(src),
+        Version::Second => decode_response_as::<second::Response>(src),
+        Version::Third => decode(src),
+    }
+}
+
 fn encode_response(version: Version, response: &Response<PlanRpcResponse>) -> io::Result<Bytes> {
-    if version == Version::Second {
+    // The second and third version differ in what they read, not in what they write.
+    if version != Version::First {
         return encode(response);
     }
     let message = match &response.message {
@@ -191,8 +226,14 @@
 /// connection.
 async fn understands(client: &PlanRpcClient) -> io::Result<bool> {
     // As from an agent that knows nothing.
-    let ping =
-        Ping { address: String::new(), millicores: 0, leader: None, version: u64::MAX, can_lead: false };
+    let ping = Ping {
+        address: String::new(),
+        millicores: 0,
+        leader: None,
+        version: u64::MAX,
+        can_lead: false,
+        calls: NEWEST,
+    };
     let cx = call_context(TRIAL_TIMEOUT);
     match tokio::time::timeout(TRIAL_TIMEOUT, client.ping(cx, ping)).await {
         Ok(Ok(_)) => Ok(true),
--- a/crates/control/src/versions/first.rs
+++ b/crates/control/src/versions/first.rs
@@ -102,7 +102,7 @@
 
 fn encode_planner_request(req: NewPlannerRequest) -> Option<PlannerRequest> {
     Some(match req {
-        NewPlannerRequest::Submit { sub, call: _ } => PlannerRequest::Submit(sub),
+        NewPlannerRequest::Submit { sub, .. } => PlannerRequest::Submit(sub),
         NewPlannerRequest::State(job) => PlannerRequest::State(job),
         NewPlannerRequest::Cancel(job) => PlannerRequest::Cancel(job),
         NewPlannerRequest::Pending(queue) => PlannerRequest::Pending(queue),
@@ -126,7 +126,7 @@
     fn from(req: PlannerRequest) -> Self {
         match req {
             // Each attempt counts as a call of its own.
-            PlannerRequest::Submit(sub) => Self::Submit { sub, call: rand::random() },
+            PlannerRequest::Submit(sub) => Self::Submit { sub, call: rand::random(), known_epoch: None },
             PlannerRequest::State(job) => Self::State(job),
             PlannerRequest::Cancel(job) => Self::Cancel(job),
             PlannerRequest::Pending(queue) => Self::Pending(queue),
@@ -175,7 +175,7 @@
 
 impl From<NewPing> for Ping {
     fn from(ping: NewPing) -> Self {
-        let NewPing { address, millicores, leader, version, can_lead: _ } = ping;
+        let NewPing { address, millicores, leader, version, .. } = ping;
         Self { address, millicores, leader, version }
     }
 }
@@ -184,7 +184,7 @@
     fn from(ping: Ping) -> Self {
         let Ping { address, millicores, leader, version } = ping;
         // It can't be offered the leadership, only claim it once the leader has resigned.
-        Self { address, millicores, leader, version, can_lead: false }
+        Self { address, millicores, leader, version, can_lead: false, calls: 1 }
     }
 }
 
@@ -221,7 +221,7 @@
             NewPlannerReply::Cancelled(is_known) => Self::Cancelled(is_known),
             NewPlannerReply::Pending(count) => Self::Pending(count),
             NewPlannerReply::View(view) => Self::View(view),
-            NewPlannerReply::Unresolved => Self::Unresolved,
+            NewPlannerReply::Unresolved | NewPlannerReply::CancelNotStored => Self::Unresolved,
         }
     }
 }
@@ -233,7 +233,8 @@
             PlannerReply::Accepted => Self::Accepted,
             PlannerReply::Refused { why, retry_after_ms } => Self::Refused { why, retry_after_ms },
             PlannerReply::State(state) => Self::State(state),
-            PlannerReply::Cancelled(is_known) => Self::Cancelled(is_known),
+            PlannerReply::Cancelled(true) => Self::Cancelled(true),
+            PlannerReply::Cancelled(false) => Self::CancelNotStored,
             PlannerReply::Pending(count) => Self::Pending(count),
             PlannerReply::View(view) => Self::View(view),
             PlannerReply::Unresolved => Self::Unresolved,
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -61,9 +61,14 @@
 
 /// Appends a desired state to the store at `address`, as an operator does; returns whether it was acknowledged.
 pub async fn publish(address: &str, desired: &Value) -> bool {
-    let mut record = vec![6];
-    record.extend(b"config");
-    record.extend(desired.to_string().as_bytes());
+    publish_record(address, "config", desired).await
+}
+
+/// Appends a record to the operators' topic of the store at `address`; returns whether it was acknowledged.
+pub async fn publish_record(address: &str, key: &str, value: &Value) -> bool {
+    let mut record = vec![key.len() as u8];
+    record.extend(key.as_bytes());
+    record.extend(value.to_string().as_bytes());
     let mut body = (record.len() as u32).to_be_bytes().to_vec();
     body.extend(record);
     let url = format!("http://{address}/log-append?topic=keyed.op&part=0");
