Send no start that could outlive the cancel of its job

What callers could see: a subtask started more than 3 s after the cancel of its job was answered with 200.

Cause: an agent sent an assigned start for as long as its grant had 1 s left, up to 3.8 or 4 s after the sending of its newest answered report, and the call could take 0.7 s more. If the worker refuses a start for a while, and the leader answers the cancel after that report and then ends, nobody tells the agent.

Fix: the reply to a report reflects every cancel that was answered before the report was sent. So no start is sent unless its call ends 300 ms before cancel_ms after the sending of the newest report that the leader of the newest epoch has answered with assignments; the call's time-out ends there too. The start stays assigned, and the next leader's reply makes it due again. A healthy leader answers a report within 0.5 s, so a start then has 1.7 s or more, beyond the 0.7 s of a call.

Not bounded: a start that was sent in time and that the network or a suspended worker delivers later.

--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -96,7 +96,10 @@
         leadership: Leadership::default(),
         pool: EntryPool::new(&settings.store_address),
         worker: WorkerClient::new(&worker.to_string()),
-        worker_state: Mutex::new(WorkerState::new(settings.bounds.max_lease_ms, settings.bounds.stop_ms)),
+        worker_state: Mutex::new(
+            WorkerState::new(settings.bounds.max_lease_ms, settings.bounds.stop_ms)
+                .with_cancel_ms(settings.bounds.cancel_ms),
+        ),
         entries: Mutex::default(),
         replied_epoch: AtomicU64::default(),
         unconfirmed,
@@ -264,15 +267,16 @@
 
     /// Sends a start; returns whether the answer was final.
     async fn send_start(&self, incarnation: &str, start: &Start) -> bool {
-        let (token, lease_end_ms) = {
+        let (token, lease_end_ms, max_wait) = {
             let mut state = lock(&self.worker_state);
+            let now = now_ms();
             // The assignments may have changed while earlier calls were in flight.
-            if !state.is_due(now_ms(), start) {
+            if !state.is_due(now, start) {
                 return true;
             }
-            let Some(lease_end_ms) = state.extend_lease(now_ms()) else { return false };
+            let Some(lease_end_ms) = state.extend_lease(now) else { return false };
             state.record_start_attempt(start);
-            (state.epoch(), lease_end_ms)
+            (state.epoch(), lease_end_ms, Duration::from_millis(state.start_time_left_ms(now)))
         };
         let request = StartRequest {
             task: &start.task,
@@ -284,7 +288,7 @@
             token,
         };
         let (job, task, run) = (&start.task.job, &start.task, start.run);
-        match self.worker.start(incarnation, &request).await {
+        match self.worker.start(incarnation, &request, max_wait).await {
             Ok((StartOutcome::Running, clock_ms)) => {
                 log::info!(
                     "event=started job={job} task={task} run={run} worker={incarnation} token={token}"
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -8,6 +8,7 @@
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
 use sorrelland_fleet::report::{End, FirstMark, NotStarted, Report, Running, WORKER_CRASHED, WorkerInfo};
 use sorrelland_fleet::{Task, incarnation};
+use sorrelland_platform::settings::DEFAULT_CANCEL_MS;
 use sorrelland_platform::worker::Announcement;
 
 use crate::announced_service::AnnouncedService;
@@ -17,6 +18,17 @@
 /// Remaining time of a grant below which nothing is started: a shorter lease would end before the next report.
 const MIN_START_GRANT_MS: u64 = 1_000;
 
+/// Time that is left of `cancel_ms` after the end of a start's call, in milliseconds: for a start that is on its way to the
+/// worker when the call ends, and for clocks that run at different speeds.
+const START_MARGIN_MS: u64 = 300;
+
+/// Shortest time for the call of a start, in milliseconds: with less, calls would end before a worker can answer.
+const MIN_START_CALL_MS: u64 = 200;
+
+/// Lower limit of the time after a report in which starts may be sent, in milliseconds: a healthy leader answers within
+/// 500 ms, and the next report takes as long again.
+const MIN_START_WINDOW_MS: u64 = 1_500;
+
 /// A worker's clock may run slow by up to this percentage.
 const CLOCK_LAG_PERCENT: u64 = 2;
 
@@ -49,6 +61,8 @@
     max_lease_ms: u64,
     /// Longest time that a stop takes.
     stop_ms: u64,
+    /// Time from an answered cancel until none of its job's subtasks starts any more.
+    cancel_ms: u64,
     announced: Option<Announcement>,
     /// Numbers of the current incarnation's announcements.
     order: AnnouncementOrder,
@@ -57,6 +71,9 @@
     presence: Presence,
     epoch: u64,
     assignments: Option<Assignments>,
+    /// When the newest report was sent that the leader of `epoch` has answered with assignments, on the agent's clock. They
+    /// reflect every cancel that was answered before.
+    reported_at: u64,
     /// When the newest grant ends, on the agent's clock.
     granted_until: u64,
     /// Latest end that any lease on the worker may have, on the agent's clock.
@@ -112,7 +129,13 @@
 impl WorkerState {
     /// Creates the state of a worker that has not announced itself yet.
     pub fn new(max_lease_ms: u64, stop_ms: u64) -> Self {
-        Self { max_lease_ms, stop_ms, ..Self::default() }
+        Self { max_lease_ms, stop_ms, cancel_ms: DEFAULT_CANCEL_MS, ..Self::default() }
+    }
+
+    /// Sets the time from an answered cancel until none of its job's subtasks starts any more.
+    pub fn with_cancel_ms(mut self, cancel_ms: u64) -> Self {
+        self.cancel_ms = cancel_ms;
+        self
     }
 
     /// Applies an announcement that arrives at `now` and returns its effect. Only the current incarnation can change: an announcement may
@@ -193,7 +216,7 @@
             granted_until: self.granted_until,
             polls_begun: self.polls_begun,
             failing_since: self.failing_since,
-            ..Self::new(self.max_lease_ms, self.stop_ms)
+            ..Self::new(self.max_lease_ms, self.stop_ms).with_cancel_ms(self.cancel_ms)
         };
     }
 
@@ -348,6 +371,7 @@
         if epoch > self.epoch {
             self.epoch = epoch;
             self.assignments = None;
+            self.reported_at = 0;
         }
         let Some(assignments) = assignments else { return true };
         if self.incarnation() != Some(&assignments.incarnation) {
@@ -356,6 +380,7 @@
         if self.assignments.as_ref().is_some_and(|known| known.number >= assignments.number) {
             return false;
         }
+        self.reported_at = self.reported_at.max(sent);
         self.granted_until = self.granted_until.max(sent.saturating_add(assignments.grant_ms));
         let assigned = |run: &RunKey| {
             assignments.starts.iter().any(|start| start.task == run.0 && start.run == run.1)
@@ -406,6 +431,13 @@
         self.clock_reading.is_some()
     }
 
+    /// Returns the time within which the call of a start has to end, in milliseconds. A leader that ends, or can't be reached
+    /// any more, may have answered a cancel right after the newest report was sent.
+    pub fn start_time_left_ms(&self, now: u64) -> u64 {
+        let window_ms = self.cancel_ms.saturating_sub(START_MARGIN_MS).max(MIN_START_WINDOW_MS);
+        self.reported_at.saturating_add(window_ms).saturating_sub(now)
+    }
+
     /// Returns the starts to send now.
     pub fn due_starts(&self, now: u64) -> Vec<Start> {
         let Some(assignments) = self.assignments.as_ref().filter(|_| self.may_start(now)) else {
@@ -430,7 +462,7 @@
         if draining || self.presence != Presence::Present || now + MIN_START_GRANT_MS > self.granted_until {
             return false;
         }
-        if self.may_have_unknown_ends() {
+        if self.may_have_unknown_ends() || self.start_time_left_ms(now) < MIN_START_CALL_MS {
             return false;
         }
         // The starts were placed before the planner knew that the worker's capacity has shrunk.
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -11,6 +11,9 @@
 const MAX_LEASE_MS: u64 = 6_000;
 const STOP_MS: u64 = 400;
 
+/// Time from an answered cancel until none of its job's subtasks starts any more.
+const CANCEL_MS: u64 = 3_000;
+
 fn announcement(sequence: u64) -> Announcement {
     let info = WorkerInfo {
         incarnation: INCARNATION.to_owned(),
@@ -485,3 +488,41 @@
         state.summary(20_000);
     }
 }
+
+/// Returns the state of a present worker without runs.
+fn idle_worker() -> WorkerState {
+    let mut state = WorkerState::new(MAX_LEASE_MS, STOP_MS);
+    state.adopt_incarnation(0, announcement(1));
+    let poll = state.begin_poll();
+    state.apply_listing(10, poll, INCARNATION, Listing { running: Vec::new(), ..listing(500) });
+    state
+}
+
+/// Guards against a start after a cancel of which the agent doesn't hear, since the leader ends once it has answered it.
+#[test]
+fn due_starts_ends_in_time_for_a_cancel_that_the_agent_does_not_hear_of() {
+    let mut state = idle_worker();
+    let sent = 1_000;
+    state.apply_assignments(sent, 1, Some(start_assignments(1, &[2])));
+    let start = &start_assignments(1, &[2]).starts[0];
+    // A healthy leader answers the next report before this.
+    assert!(state.is_due(sent + 1_500, start));
+    for now in (sent + CANCEL_MS..sent + 8_000).step_by(50) {
+        assert_eq!(state.due_starts(now), Vec::new(), "{} ms after the report", now - sent);
+        assert!(!state.is_due(now, start), "{} ms after the report", now - sent);
+    }
+    // The next leader assigns it again.
+    state.apply_assignments(sent + 5_000, 2, Some(start_assignments(1, &[2])));
+    assert!(state.is_due(sent + 5_010, start));
+}
+
+/// Guards against assignments of a new leader that count as being as recent as the last reply of the one before.
+#[test]
+fn due_starts_ends_in_time_for_a_cancel_at_the_next_leader() {
+    let mut state = idle_worker();
+    state.apply_assignments(2_000, 1, Some(start_assignments(9, &[2])));
+    // The report was sent first, but answered last.
+    state.apply_assignments(1_000, 2, Some(start_assignments(1, &[2])));
+    assert_eq!(state.due_starts(2_500).len(), 1);
+    assert_eq!(state.due_starts(1_000 + CANCEL_MS), Vec::new());
+}
--- a/crates/sorrelland/tests/cancels.rs
+++ b/crates/sorrelland/tests/cancels.rs
@@ -3,9 +3,10 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use common::eventually;
 use common::platform::{Callers, KEY, PREFIX, Platform, step};
 use http::Method;
 use nix::sys::signal::Signal;
@@ -152,3 +153,44 @@
     }
     platform.set_store_faults(json!({})).await;
 }
+
+/// Guards against a start that an agent still sends after a cancel of which it doesn't hear, since it is suspended until the
+/// leader has answered the cancel and ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_leader_after_cancel_starts_nothing_late() {
+    const WORKERS: usize = 6;
+    /// Longest time that a report waits at the leader, and some more, so that the agents have replies with the starts.
+    const SUSPENSION: Duration = Duration::from_millis(510);
+    let mut platform = Platform::start(1, WORKERS).await;
+    for index in 1..=WORKERS {
+        platform.set_worker_faults(index, json!({"refuse_starts": true})).await;
+    }
+    let mut whole = step(WORKERS as u32);
+    whole["gpu"] = json!(8);
+    assert_eq!(platform.submit(1, &job(1), json!([whole]), "run_ms=100").await, 200);
+    eventually(Duration::from_secs(10), "every agent has sent its start", async || {
+        let refused = platform.job_events(&job(1)).into_iter().filter(|(event, _)| event == "start_delayed");
+        let tasks =
+            refused.filter_map(|(_, line)| Some(line.split("task=").nth(1)?.split(' ').next()?.to_owned()));
+        tasks.collect::<BTreeSet<_>>().len() == WORKERS
+    })
+    .await;
+    let signal_agents = |platform: &Platform, signal: Signal| {
+        (1..=WORKERS).for_each(|index| platform.env.signal(&format!("agent-{index}"), signal));
+    };
+    signal_agents(&platform, Signal::SIGSTOP);
+    tokio::time::sleep(SUSPENSION).await;
+    let path = format!("{PREFIX}{}", job(1));
+    let (status, _) = platform.call(1, Method::DELETE, &path, KEY, &Value::Null).await;
+    let answered_at = wall_ms();
+    platform.env.kill("entry-1");
+    signal_agents(&platform, Signal::SIGCONT);
+    assert_eq!(status, 200);
+    tokio::time::sleep(Duration::from_millis(CANCEL_MS + 10)).await;
+    for index in 1..=WORKERS {
+        platform.set_worker_faults(index, json!({})).await;
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let late = late_starts(&platform, &[(job(1), answered_at)].into()).await;
+    assert!(late.is_empty(), "{} subtasks started late: {late:?}", late.len());
+}
--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -315,6 +315,11 @@
         self.env.set_faults(&self.store_address(), faults).await;
     }
 
+    /// Sets the faults of a worker.
+    pub async fn set_worker_faults(&self, index: usize, faults: Value) {
+        self.env.set_faults(&self.env.address(100 + index, 8_000), faults).await;
+    }
+
     pub async fn call(
         &self,
         index: usize,
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -115,6 +115,7 @@
     acknowledged: u64,
     /// As in [`Setup::capacity`]; it may change while the worker runs.
     capacity: (i64, i64, i64),
+    faults: Faults,
     history: Vec<Value>,
 }
 
@@ -223,6 +224,7 @@
     api.register(hold).expect("registered once");
     api.register(history).expect("registered once");
     api.register(set_capacity).expect("registered once");
+    api.register(set_faults).expect("registered once");
     let capacity = setup.capacity;
     let worker = Arc::new(Worker {
         setup,
@@ -366,6 +368,9 @@
     if state.highest_run.get(&task).is_some_and(|highest| *highest >= run) {
         return respond(StatusCode::CONFLICT, &json!({"clock_ms": clock_ms, "reason": "old"}));
     }
+    if state.faults.refuse_starts {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, &json!({"clock_ms": clock_ms}));
+    }
     if clock_ms >= state.lease_end_ms {
         return respond(StatusCode::CONFLICT, &json!({"clock_ms": clock_ms, "reason": "late"}));
     }
@@ -420,6 +425,20 @@
     Ok(HttpResponseOk(()))
 }
 
+/// Faults that a test injects.
+#[derive(Clone, Copy, Default, Deserialize, JsonSchema)]
+struct Faults {
+    /// Starts are refused with 503, and nothing is done.
+    #[serde(default)]
+    refuse_starts: bool,
+}
+
+#[endpoint { method = PUT, path = "/v1/faults" }]
+async fn set_faults(cx: RequestContext<Arc<Worker>>, body: TypedBody<Faults>) -> Result<HttpResponseOk<()>> {
+    lock(&cx.context().state).faults = body.into_inner();
+    Ok(HttpResponseOk(()))
+}
+
 #[endpoint { method = POST, path = "/run-stop" }]
 async fn run_stop(cx: RequestContext<Arc<Worker>>, body: UntypedBody) -> Result<Response<Body>> {
     let request = match accept_request(&cx, &body) {
