Keep ended jobs and cancels for the retention on the leader's own clock

What callers could see: where the clocks of two entries differ by the 240 s for which ended jobs are kept, or one steps by that, GET answers 410 for a job that has just ended, a repeated submission of it runs again, and a submission that was cancelled before it arrived runs.

Cause: remove_old_jobs and remove_old_cancels compared the leader's wall clock with a wall time that another leader had stored. A clock behind kept both for as long as it was behind.

Fix: each leader counts the retention on its monotonic clock from when it learned of an end or a cancel. Stored times and their form stay as they are. Both a wrong clock and a full table are needed to lose something early.

--- a/crates/fleet/src/cancels.rs
+++ b/crates/fleet/src/cancels.rs
@@ -39,8 +39,10 @@
 /// A cancel of an unknown job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Cancel {
-    /// When it arrived, in milliseconds since 1970.
+    /// When it arrived, in milliseconds since 1970 on the clock of the leader that it arrived at.
     pub(crate) at_ms: u64,
+    /// When this planner learned of it, on the monotonic clock.
+    pub(crate) learned_at: u64,
     /// Number of the change that stores it; 0 if an earlier planner did.
     pub(crate) change: u64,
 }
@@ -52,7 +54,9 @@
     /// Restores the cancels of unknown jobs that earlier planners have stored: names, with the times in milliseconds since
     /// 1970.
     pub fn with_cancels(mut self, cancels: BTreeMap<String, u64>) -> Self {
-        self.cancels = cancels.into_iter().map(|(name, at_ms)| (name, Cancel { at_ms, change: 0 })).collect();
+        let learned_at = self.created_at;
+        let cancel = |(name, at_ms)| (name, Cancel { at_ms, learned_at, change: 0 });
+        self.cancels = cancels.into_iter().map(cancel).collect();
         self
     }
 
@@ -68,23 +72,26 @@
         if let Some(cancel) = self.cancels.get(name) {
             return Cancellation::Unknown { change: cancel.change };
         }
+        if self.cancels.len() >= MAX_CANCELS {
+            self.remove_inherited_cancels(wall);
+        }
         if self.cancels.len() >= MAX_CANCELS {
             return Cancellation::TooMany { retry_after_ms: RETRY_AFTER_MS };
         }
         let change = self.change;
-        self.cancels.insert(name.to_owned(), Cancel { at_ms: wall, change });
+        self.cancels.insert(name.to_owned(), Cancel { at_ms: wall, learned_at: now, change });
         self.untaken.new_cancels.insert(name.to_owned());
         Cancellation::Unknown { change }
     }
 
     /// Accepts a job that was cancelled before it arrived, as one that has ended; `None` if it wasn't.
-    pub(crate) fn submit_cancelled(&mut self, wall: u64, sub: &Submission) -> Option<Admission> {
+    pub(crate) fn submit_cancelled(&mut self, now: u64, wall: u64, sub: &Submission) -> Option<Admission> {
         let cancel = self.cancels.get(&sub.job)?;
         let cancelled_ms_ago = wall.saturating_sub(cancel.at_ms);
         let change = self.change;
         let mut job = new_job(sub.clone(), wall);
         job.outcome = Some(Outcome::Cancelled);
-        job.ended_ms = wall;
+        (job.ended_ms, job.ended_at) = (wall, now);
         (job.accepted_in, job.ended_in) = (change, change);
         self.jobs.insert(sub.job.clone(), job);
         self.untaken.new_jobs.insert(sub.job.clone());
@@ -96,11 +103,22 @@
         Some(Admission::Accepted { change })
     }
 
-    /// Forgets the cancels that are older than ended jobs are kept.
-    pub(crate) fn remove_old_cancels(&mut self, wall: u64) {
+    /// Forgets the cancels that this planner has kept for as long as ended jobs. It counts from when it learned of them, since
+    /// the clocks of two leaders may differ.
+    pub(crate) fn remove_old_cancels(&mut self, now: u64) {
         let retention_ms = self.timing.ended_retention_ms;
-        let old = self.cancels.extract_if(.., |_, cancel| wall > cancel.at_ms.saturating_add(retention_ms));
-        for (name, _) in old {
+        self.remove_cancels(|cancel| now > cancel.learned_at + retention_ms);
+    }
+
+    /// Forgets the cancels of earlier planners that are older than the retention by this leader's wall clock: where hand-overs
+    /// are more frequent than the retention is long, each planner has kept them for less.
+    fn remove_inherited_cancels(&mut self, wall: u64) {
+        let retention_ms = self.timing.ended_retention_ms;
+        self.remove_cancels(|cancel| cancel.change == 0 && wall > cancel.at_ms.saturating_add(retention_ms));
+    }
+
+    fn remove_cancels(&mut self, is_old: impl Fn(&Cancel) -> bool) {
+        for (name, _) in self.cancels.extract_if(.., |_, cancel| is_old(cancel)) {
             self.untaken.new_cancels.remove(&name);
             self.untaken.removals.push(record::cancel_deletion(&name));
         }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -126,8 +126,10 @@
     pub units: BTreeMap<UnitKey, Unit>,
     /// Final outcome; `None` until the job has ended.
     pub outcome: Option<Outcome>,
-    /// When it ended, in milliseconds since 1970.
+    /// When it ended, in milliseconds since 1970 on the clock of the leader then.
     pub ended_ms: u64,
+    /// When the planner learned of its end, in milliseconds on the monotonic clock.
+    pub ended_at: u64,
     /// Whether any subtask has ever started.
     pub started: bool,
     /// Number of the change that must be stored before callers may see the outcome.
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -36,6 +36,10 @@
 /// often.
 const DELAYED_AFTER_MS: u64 = 500;
 
+/// Ended jobs of earlier planners above which those are forgotten that are older than the retention by this leader's wall
+/// clock: hand-overs that are more frequent than the retention is long would keep them for ever.
+pub const MAX_ENDED_JOBS: usize = 4_096;
+
 /// Deployment-specific durations, in milliseconds, and factors.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -154,7 +158,8 @@
 
 impl Planner {
     /// Creates a planner from the stored jobs.
-    pub fn new(timing: Timing, desired: Arc<Desired>, jobs: Vec<Job>, now: u64) -> Self {
+    pub fn new(timing: Timing, desired: Arc<Desired>, mut jobs: Vec<Job>, now: u64) -> Self {
+        jobs.iter_mut().for_each(|job| job.ended_at = now);
         let crashes = Crashes::new(&jobs);
         let mut unreported = BTreeMap::new();
         let mut live = BTreeSet::new();
@@ -270,7 +275,7 @@
         if let Some(job) = self.jobs.get(&sub.job) {
             return Admission::Accepted { change: job.accepted_in };
         }
-        if let Some(admission) = self.submit_cancelled(wall, sub) {
+        if let Some(admission) = self.submit_cancelled(now, wall, sub) {
             return admission;
         }
         if let Err(refusal) = admit::check_admission(self, now, wall, sub) {
@@ -353,7 +358,7 @@
         let change = self.change;
         let Some(job) = self.jobs.get_mut(name).filter(|job| job.outcome.is_none()) else { return };
         job.outcome = Some(outcome);
-        job.ended_ms = wall;
+        (job.ended_ms, job.ended_at) = (wall, now);
         job.ended_in = change;
         for unit in job.units.values_mut() {
             mark_ending(unit, now);
@@ -425,8 +430,8 @@
         self.discount_own_delay(now);
         self.expire_leases(now, wall);
         self.create_due_occurrences(now, wall);
-        self.remove_old_jobs(wall);
-        self.remove_old_cancels(wall);
+        self.remove_old_jobs(now, wall);
+        self.remove_old_cancels(now);
         self.judge_suspects(now, wall);
         self.set_paces(now);
         self.update_forecasts(now);
@@ -493,11 +498,24 @@
         self.untaken.changed_jobs.extend(changed);
     }
 
-    fn remove_old_jobs(&mut self, wall: u64) {
+    /// Forgets the jobs that this planner has kept for the retention since it learned of their ends: the clocks of two leaders
+    /// may differ. A hand-over begins the time anew, so the number of those that earlier planners have kept is limited.
+    fn remove_old_jobs(&mut self, now: u64, wall: u64) {
         let retention_ms = self.timing.ended_retention_ms;
-        let old = |job: &&Job| job.outcome.is_some() && wall > job.ended_ms + retention_ms;
-        let old: Vec<String> = self.jobs.values().filter(old).map(|job| job.sub.job.clone()).collect();
-        for name in old.into_iter().filter(|name| !self.live.contains(name)) {
+        let ended = |job: &&Job| job.outcome.is_some() && !self.live.contains(&job.sub.job);
+        let is_old = |job: &&Job| now > job.ended_at + retention_ms;
+        let name = |job: &Job| job.sub.job.clone();
+        let mut old: Vec<String> = self.jobs.values().filter(is_old).filter(ended).map(name).collect();
+        let excess = self.jobs.len().saturating_sub(self.live.len() + old.len() + MAX_ENDED_JOBS);
+        if excess > 0 {
+            // Only the jobs that this planner has read have no change in which they ended.
+            let is_inherited = |job: &&Job| job.ended_in == 0 && wall > job.ended_ms + retention_ms;
+            let mut inherited: Vec<&Job> =
+                self.jobs.values().filter(|job| !is_old(job)).filter(ended).filter(is_inherited).collect();
+            inherited.sort_by_key(|job| job.ended_ms);
+            old.extend(inherited.into_iter().take(excess).map(name));
+        }
+        for name in old {
             self.jobs.remove(&name);
             self.untaken.changed_jobs.remove(&name);
             self.untaken.removals.extend(record::deletions(&name));
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -205,6 +205,7 @@
         units: Default::default(),
         outcome: None,
         ended_ms: 0,
+        ended_at: 0,
         started: false,
         ended_in: 0,
         accepted_in: 0,
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -14,14 +14,14 @@
 const JOB: &str = "00000000000000a1";
 
 fn cancel(fleet: &mut Fleet, job: &str) -> Cancellation {
-    fleet.planner.cancel(fleet.now, fleet.now, job)
+    fleet.planner.cancel(fleet.now, fleet.wall(), job)
 }
 
 /// Replaces the planner by one that knows what is stored.
 fn take_over(fleet: &mut Fleet) {
     let records = fleet.stored.iter().map(|(key, value)| (key.as_str(), value.as_slice()));
     let (jobs, findings) = record::read(records.clone());
-    let (cancels, unreadable) = record::read_cancels(records, fleet.now);
+    let (cancels, unreadable) = record::read_cancels(records, fleet.wall());
     assert!(findings.is_empty() && unreadable.is_empty(), "{findings:?} {unreadable:?}");
     fleet.planner = Planner::new(TIMING, Arc::new(desired()), jobs, fleet.now).with_cancels(cancels);
 }
@@ -112,3 +112,51 @@
     let (jobs, findings) = record::read(rows.into_iter());
     assert!(jobs.is_empty() && findings.is_empty(), "{findings:?}");
 }
+
+const HOUR_MS: i64 = 3_600_000;
+
+/// Guards against a cancel that is forgotten at once, or kept for hours, since the clocks of two leaders differ or one steps.
+#[yare::parameterized(
+    next_leader_ahead = { HOUR_MS, true },
+    next_leader_behind = { -HOUR_MS, true },
+    step_ahead = { HOUR_MS, false },
+    step_behind = { -HOUR_MS, false },
+)]
+fn tick_keeps_cancels_for_the_retention_whatever_the_wall_clock(ahead_ms: i64, is_taken_over: bool) {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(2 * HOUR_MS as u64);
+    cancel(&mut fleet, JOB);
+    fleet.store();
+    fleet.wall_ahead_ms = ahead_ms;
+    if is_taken_over {
+        take_over(&mut fleet);
+    }
+    fleet.advance(TIMING.ended_retention_ms - 1_000);
+    let key = format!("c/{JOB}");
+    assert!(fleet.stored.contains_key(&key), "the cancel is forgotten");
+    let mut submitted = fleet.clone();
+    submit(&mut submitted);
+    assert_eq!(submitted.planner.state(JOB), Some(JobState::Ended(Outcome::Cancelled)));
+    fleet.advance(1_001);
+    assert!(!fleet.stored.contains_key(&key), "the cancel is kept");
+}
+
+/// Guards against callers whose cancels are refused for as long as hand-overs are more frequent than the retention is long.
+#[test]
+fn cancel_replaces_old_ones_of_earlier_leaders() {
+    let mut fleet = Fleet::new(1);
+    for number in 0..MAX_CANCELS {
+        cancel(&mut fleet, &format!("{:016x}", 0xb000 + number));
+    }
+    fleet.store();
+    take_over(&mut fleet);
+    fleet.advance(TIMING.ended_retention_ms - 1_000);
+    let refused = cancel(&mut fleet, JOB);
+    assert!(matches!(refused, Cancellation::TooMany { .. }), "a cancel within the retention is forgotten");
+    take_over(&mut fleet);
+    fleet.advance(1_001);
+    assert!(matches!(cancel(&mut fleet, JOB), Cancellation::Unknown { .. }));
+    fleet.store();
+    let kept = fleet.stored.keys().filter(|key| key.starts_with("c/")).count();
+    assert!(kept <= MAX_CANCELS && fleet.stored.contains_key(&format!("c/{JOB}")), "{kept}");
+}
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -48,9 +48,12 @@
 }
 
 /// A planner, and the newest report of each agent.
+#[derive(Clone)]
 pub struct Fleet {
     pub planner: Planner,
     pub now: u64,
+    /// Wall clock of the leader, relative to `now`, in milliseconds.
+    pub wall_ahead_ms: i64,
     pub seq: u64,
     pub reports: Vec<Report>,
     /// Newest stored record of each key.
@@ -75,6 +78,7 @@
         let mut fleet = Self {
             planner,
             now: 1_000,
+            wall_ahead_ms: 0,
             seq: 0,
             reports: (0..workers).map(report).collect(),
             stored: BTreeMap::new(),
@@ -83,16 +87,22 @@
         fleet
     }
 
+    /// Returns the leader's wall clock, in milliseconds since 1970.
+    pub fn wall(&self) -> u64 {
+        self.now.checked_add_signed(self.wall_ahead_ms).expect("the wall clock starts before 1970")
+    }
+
     /// Advances the clock, passes on every agent's report over a new connection, runs the planner, and stores its
     /// changes; returns the assignments of every agent.
     pub fn advance(&mut self, ms: u64) -> Vec<Assignments> {
         self.now += ms;
         self.seq += 1;
+        let wall = self.wall();
         for report in &mut self.reports {
             report.seq = self.seq;
-            self.planner.apply_report(self.now, self.now, self.now, report);
+            self.planner.apply_report(self.now, wall, self.now, report);
         }
-        self.planner.tick(self.now, self.now);
+        self.planner.tick(self.now, wall);
         self.store();
         let agents: Vec<String> = self.reports.iter().map(|report| report.agent.clone()).collect();
         agents.iter().filter_map(|agent| self.planner.assignments(self.now, agent)).collect()
@@ -119,7 +129,7 @@
             steps,
             ..Submission::default()
         };
-        self.planner.submit(self.now, self.now, &sub)
+        self.planner.submit(self.now, self.wall(), &sub)
     }
 
     /// Adds every start to the runs that its agent reports.
