Separate the decisions on submissions, cancels and appends from their tasks

The decisions on a submission, a cancel and a try of an append are plain functions of a planner, the answered calls and what the leader knows, so that tests can play interleavings of them in virtual time. The planner and the answered calls are locked together: a copy of a call can't be accepted between a withdrawal and its record as answered. That race was found by reading; no test shows it.

--- a/crates/control/src/appends.rs
+++ b/crates/control/src/appends.rs
@@ -4,11 +4,12 @@
 use std::time::Instant;
 
 use sorrelland_platform::Store;
-use sorrelland_platform::store::{Error, Writer, encode_keyed};
+use sorrelland_platform::store::{Writer, encode_keyed};
 
 use crate::active_planner::ActivePlanner;
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::clock::now_ms;
+use crate::decisions::{Tried, Tries};
 use crate::election::{MAX_STORE_OUTAGE_MS, RENEWAL_INTERVAL, renew};
 use crate::stored::{APPEND_RETRY_DELAY, JOBS, append_outcome, split_into_appends};
 use crate::{lock, metrics};
@@ -73,9 +74,7 @@
         part: &[Vec<u8>],
         may_return: bool,
     ) -> Appended {
-        // Set once an append without an answer may have been carried out.
-        let mut unanswered = false;
-        let mut tries = 0_u32;
+        let (mut tries, mut failed) = (Tries::default(), 0_u32);
         while !self.has_stepped_down() {
             let (began, began_ms) = (Instant::now(), now_ms());
             let number = self.confirmations.begin();
@@ -87,35 +86,27 @@
                 Err(e) if !e.not_applied() => append_timeout.record_timeout(),
                 _ => append_timeout.record_reply(began.elapsed()),
             }
-            match appended {
-                Ok(_) => {
-                    // The answer to a repeated append may be that to an earlier try.
-                    if !unanswered {
+            match tries.record(writer, &appended, may_return) {
+                Tried::Stored { confirms_leadership } => {
+                    if confirms_leadership {
                         self.confirmations.record(number);
                     }
-                    writer.sequence += 1;
                     return Appended::Stored;
                 }
-                Err(Error::Fenced) => {
-                    self.step_down("a writer with a higher epoch has taken over");
+                Tried::Ended(why) => {
+                    self.step_down(&why);
                     return Appended::Ended;
                 }
-                Err(Error::Sequence { expected: Some(next) }) if !unanswered && next != writer.sequence => {
-                    log::warn!("event=sequence_set from={} to={next}", writer.sequence);
-                    writer.sequence = next;
-                }
-                Err(e @ Error::Sequence { .. }) => {
-                    self.step_down(&format!("append sequence lost: {e}"));
-                    return Appended::Ended;
-                }
-                Err(e) => {
-                    unanswered |= !e.not_applied();
-                    tries += 1;
-                    if tries == 1 || tries.is_multiple_of(TRIES_PER_LOG_LINE) {
+                Tried::Renumbered => (),
+                tried @ (Tried::Rejected | Tried::Retry) => {
+                    failed += 1;
+                    if let Err(e) = &appended
+                        && (failed == 1 || failed.is_multiple_of(TRIES_PER_LOG_LINE))
+                    {
                         let sequence = writer.sequence;
-                        log::warn!("event=append_retried sequence={sequence} tries={tries} cause=\"{e}\"");
+                        log::warn!("event=append_retried sequence={sequence} tries={failed} cause=\"{e}\"");
                     }
-                    if may_return && !unanswered {
+                    if tried == Tried::Rejected {
                         return Appended::Rejected;
                     }
                     tokio::time::sleep(APPEND_RETRY_DELAY).await;
--- a/crates/control/src/cancels.rs
+++ b/crates/control/src/cancels.rs
@@ -3,29 +3,24 @@
 
 use std::time::Duration;
 
-use sorrelland_fleet::cancels::Cancellation;
-
 use crate::absence::outage_rest_ms;
 use crate::active_planner::ActivePlanner;
 use crate::calls::PlannerReply as Reply;
-use crate::clock::{now_ms, wall_ms};
+use crate::decisions::{self, CancelDecision};
 use crate::lock;
 
 impl ActivePlanner {
     /// Cancels a job and waits at most `wait` until that is stored.
     pub(crate) async fn cancel(&self, job: &str, wait: Duration) -> Reply {
-        if *self.store_unavailable.borrow() && !lock(&self.planner).knows(job) {
-            return self.refuse_cancel(
-                job,
-                outage_rest_ms(self.append_failing_ms()),
-                "the store does not answer",
-            );
-        }
-        let cancellation = lock(&self.planner).cancel(now_ms(), wall_ms(), job);
-        let (known, change) = match cancellation {
-            Cancellation::Known { change } => (true, change),
-            Cancellation::Unknown { change } => (false, change),
-            Cancellation::TooMany { retry_after_ms } => {
+        let standing = self.standing();
+        let decision = decisions::cancel(&mut lock(&self.planner), &standing, job);
+        let (known, change) = match decision {
+            CancelDecision::Recorded { change, is_known } => (is_known, change),
+            CancelDecision::StoreUnavailable => {
+                let retry_after_ms = outage_rest_ms(self.append_failing_ms());
+                return self.refuse_cancel(job, retry_after_ms, "the store does not answer");
+            }
+            CancelDecision::TooMany { retry_after_ms } => {
                 return self.refuse_cancel(job, retry_after_ms, "too many cancels of unknown jobs");
             }
         };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod cancels;
 pub mod clock;
 mod confirmation;
+pub mod decisions;
 pub mod election;
 pub mod entry;
 pub mod follow;
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -5,13 +5,12 @@
 
 use sorrelland_fleet::Resources;
 use sorrelland_fleet::job::{Step, Submission};
-use sorrelland_fleet::planner::Admission;
 
 use crate::absence::{outage_rest_ms, spread_retry_ms};
 use crate::active_planner::ActivePlanner;
-use crate::callers::MAX_WAIT_MS;
 use crate::calls::PlannerReply as Reply;
 use crate::clock::{now_ms, wall_ms};
+use crate::decisions::{self, Settled, Standing, Submitted};
 use crate::lock;
 
 /// Time after which a caller may submit a job again that a cancel may have preceded, in milliseconds: by then all entries
@@ -28,19 +27,20 @@
         known_epoch: Option<u64>,
         wait: Duration,
     ) -> Reply {
-        if self.may_have_lost_cancel(known_epoch) && !lock(&self.planner).knows(&sub.job) {
-            return self.reject_older_than_cancels(sub, call, known_epoch);
-        }
-        let is_answered = lock(&self.answered_calls).contains(call);
-        if is_answered || (*self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job)) {
-            return self.not_run(sub, call);
-        }
-        let admission = lock(&self.planner).submit(now_ms(), wall_ms(), sub);
-        let change = match admission {
-            Admission::Refused { reason, retry_after_ms } => {
+        let standing = self.standing();
+        let submitted = {
+            // Taken together, and in this order, so that no copy of a call comes between a decision and its record.
+            let mut answered_calls = lock(&self.answered_calls);
+            let mut planner = lock(&self.planner);
+            decisions::submit(&mut planner, &mut answered_calls, &standing, sub, call, known_epoch)
+        };
+        let change = match submitted {
+            Submitted::OlderThanCancels => return self.reject_older_than_cancels(sub, known_epoch),
+            Submitted::NotRun => return self.not_run(sub),
+            Submitted::Refused { reason, retry_after_ms } => {
                 return self.confirm_refusal(sub, call, reason, retry_after_ms, wait).await;
             }
-            Admission::Accepted { change } => change,
+            Submitted::Accepted { change } => change,
         };
         // The pass places the job, so that one append stores both the job and its placement.
         self.request_pass(change);
@@ -51,44 +51,43 @@
             // The sender exists as long as this planner.
             Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => false,
         };
-        // Another attempt of the caller may have withdrawn the job.
-        if is_stored && self.is_job_stored(sub) {
-            return self.accept(sub);
-        }
-        if is_stored && lock(&self.planner).knows(&sub.job) {
-            // It was submitted anew, and that is not stored yet.
-            return Reply::Unresolved;
-        }
-        if is_stored || lock(&self.planner).withdraw(&sub.job) {
-            // The next leader may accept it at once.
-            return if self.has_stepped_down() { Reply::NotPlanner(None) } else { self.not_run(sub, call) };
-        }
-        let left = deadline.saturating_duration_since(tokio::time::Instant::now());
-        if self.has_stepped_down() || !self.wait_stored(change, left).await {
-            // The append may have been carried out even if the leadership has ended.
-            return Reply::Unresolved;
-        }
-        match self.is_job_stored(sub) {
-            true => self.accept(sub),
-            // Another attempt has withdrawn it meanwhile, and may have submitted it anew.
-            false => Reply::Unresolved,
+        let settled = {
+            let mut answered_calls = lock(&self.answered_calls);
+            let mut planner = lock(&self.planner);
+            let has_stepped_down = self.has_stepped_down();
+            let (planner, answered_calls) = (&mut planner, &mut answered_calls);
+            decisions::settle(planner, answered_calls, now_ms(), &sub.job, call, is_stored, has_stepped_down)
+        };
+        let settled = match settled {
+            Settled::Appended => {
+                let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+                let is_stored = self.wait_stored(change, left).await;
+                decisions::settle_appended(&lock(&self.planner), &sub.job, is_stored)
+            }
+            settled => settled,
+        };
+        match settled {
+            Settled::Accepted => self.accept(sub),
+            Settled::NotRun => self.not_run(sub),
+            Settled::NotPlanner => Reply::NotPlanner(None),
+            Settled::Unresolved | Settled::Appended => Reply::Unresolved,
         }
     }
 
-    /// Returns whether a submission may have arrived while a leader of an earlier build led, which answers the cancel of a job
-    /// that it doesn't know and stores nothing.
-    fn may_have_lost_cancel(&self, known_epoch: Option<u64>) -> bool {
-        let since = self.cancels_stored_since.load(Ordering::Relaxed);
-        match known_epoch {
-            Some(epoch) => epoch < since,
-            // An entry of an earlier build; it retries a submission for as long as a caller waits.
-            None => since == self.leader.epoch && now_ms() < self.started_at + MAX_WAIT_MS,
+    /// Returns what this leader knows of itself and the store.
+    pub(crate) fn standing(&self) -> Standing {
+        Standing {
+            now: now_ms(),
+            wall: wall_ms(),
+            epoch: self.leader.epoch,
+            started_at: self.started_at,
+            cancels_stored_since: self.cancels_stored_since.load(Ordering::Relaxed),
+            store_unavailable: *self.store_unavailable.borrow(),
         }
     }
 
     /// Answers that a job has not run and will not, since a cancel of it may have been answered without being stored.
-    fn reject_older_than_cancels(&self, sub: &Submission, call: u64, known_epoch: Option<u64>) -> Reply {
-        lock(&self.answered_calls).record(now_ms(), call);
+    fn reject_older_than_cancels(&self, sub: &Submission, known_epoch: Option<u64>) -> Reply {
         log::info!(
             "event=not_run job={} epoch={} known_epoch={known_epoch:?} retry_after_ms={RESUBMIT_MS} \
              why=\"it may have been cancelled at a leader of an earlier build\"",
@@ -98,11 +97,6 @@
         Reply::NotRun { retry_after_ms: RESUBMIT_MS }
     }
 
-    /// Returns whether the job of a submission is stored and was not withdrawn.
-    fn is_job_stored(&self, sub: &Submission) -> bool {
-        lock(&self.planner).state(&sub.job).is_some()
-    }
-
     fn accept(&self, sub: &Submission) -> Reply {
         log::info!(
             "event=accepted job={} queue={} account={} priority={} {}",
@@ -129,7 +123,10 @@
         let is_confirmed = tokio::select! {
             is_confirmed = self.confirm_leadership(wait) => is_confirmed,
             // The sender exists as long as this planner.
-            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => return self.not_run(sub, call),
+            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => {
+                lock(&self.answered_calls).record(now_ms(), call);
+                return self.not_run(sub);
+            }
         };
         match is_confirmed {
             true => self.refuse(sub, call, why, retry_after_ms),
@@ -154,8 +151,7 @@
     }
 
     /// Answers that a job has not run and will not, since the store doesn't answer.
-    fn not_run(&self, sub: &Submission, call: u64) -> Reply {
-        lock(&self.answered_calls).record(now_ms(), call);
+    fn not_run(&self, sub: &Submission) -> Reply {
         let failing_ms = self.append_failing_ms();
         let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, self.priority(sub));
         log::info!("event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}", sub.job);
