Confirm the leadership before a stored cancel of an unknown job is answered again

Callers saw 410 ("no such job") to a repeated cancel of a job that another leader had accepted and cancelled. Cause: a cancel of an unknown job that was stored earlier was answered from memory, without an append that a successor would have fenced. The answer now waits for a read of the claims, as that to a GET does. Known jobs that have ended are answered as before: that is final, whoever leads.

--- a/crates/control/src/cancels.rs
+++ b/crates/control/src/cancels.rs
@@ -14,8 +14,10 @@
     pub(crate) async fn cancel(&self, job: &str, wait: Duration) -> Reply {
         let standing = self.standing();
         let decision = decisions::cancel(&mut lock(&self.planner), &standing, job);
-        let (known, change) = match decision {
-            CancelDecision::Recorded { change, is_known } => (is_known, change),
+        let (known, change, needs_confirmation) = match decision {
+            CancelDecision::Recorded { change, is_known, needs_confirmation } => {
+                (is_known, change, needs_confirmation)
+            }
             CancelDecision::StoreUnavailable => {
                 let retry_after_ms = outage_rest_ms(self.append_failing_ms());
                 return self.refuse_cancel(job, retry_after_ms, "the store does not answer");
@@ -25,7 +27,10 @@
             }
         };
         self.request_pass(change);
-        let is_stored = self.wait_stored(change, wait).await;
+        let is_stored = match needs_confirmation {
+            true => self.confirm_leadership(wait).await,
+            false => self.wait_stored(change, wait).await,
+        };
         let epoch = self.leader.epoch;
         log::info!("event=cancel_decided job={job} epoch={epoch} known={known} stored={is_stored}");
         if is_stored { Reply::Cancelled(known) } else { Reply::Unresolved }
--- a/crates/control/src/decisions.rs
+++ b/crates/control/src/decisions.rs
@@ -147,6 +147,8 @@
         change: u64,
         /// Whether such a job exists.
         is_known: bool,
+        /// Whether the leadership has to be confirmed: no append is left to show a successor, which may know the job.
+        needs_confirmation: bool,
     },
 }
 
@@ -156,8 +158,14 @@
         return CancelDecision::StoreUnavailable;
     }
     match planner.cancel(standing.now, standing.wall, job) {
-        Cancellation::Known { change } => CancelDecision::Recorded { change, is_known: true },
-        Cancellation::Unknown { change } => CancelDecision::Recorded { change, is_known: false },
+        // The end of a stored job is final, whoever leads.
+        Cancellation::Known { change } => {
+            CancelDecision::Recorded { change, is_known: true, needs_confirmation: false }
+        }
+        Cancellation::Unknown { change } => {
+            let needs_confirmation = change <= planner.stored();
+            CancelDecision::Recorded { change, is_known: false, needs_confirmation }
+        }
         Cancellation::TooMany { retry_after_ms } => CancelDecision::TooMany { retry_after_ms },
     }
 }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -219,6 +219,12 @@
         self.newest_claim.borrow().cancels_stored_since
     }
 
+    /// Returns the epoch since which every leader has stored the cancels of unknown jobs, for a claim that gets `epoch` and
+    /// follows the newest known one; 0 if there was no leader before.
+    pub fn cancels_stored_since_for_claim(&self, epoch: u64) -> u64 {
+        if epoch <= 1 { 0 } else { self.cancels_stored_since().unwrap_or(epoch) }
+    }
+
     /// Waits until the newest claim is that of a leader of an earlier build, which doesn't store the cancels of unknown jobs;
     /// returns its epoch.
     pub(crate) async fn wait_for_leader_of_earlier_build(&self) -> u64 {
@@ -374,10 +380,7 @@
         return None;
     }
     let mine = Leader { epoch: end + 1, ..me.clone() };
-    let cancels_stored_since = match end {
-        0 => 0,
-        _ => leadership.cancels_stored_since().unwrap_or(mine.epoch),
-    };
+    let cancels_stored_since = leadership.cancels_stored_since_for_claim(mine.epoch);
     let claim = Claim {
         instance: me.instance.clone(),
         address: me.address.clone(),
--- a/crates/control/tests/seat.rs
+++ b/crates/control/tests/seat.rs
@@ -335,6 +335,25 @@
     assert!(old.has_stepped_down());
 }
 
+/// Guards against 410 to a repeated cancel of a job that a successor knows.
+#[tokio::test]
+async fn superseded_leader_does_not_repeat_that_a_cancelled_job_is_unknown() {
+    let (_, store) = start_store().await;
+    claim_as(&store, 1, 1).await;
+    let old = ActivePlanner::start(&store, None, leader(1, 1), TIMING, desired(), None).await.unwrap();
+    let (job, wait) = ("00000000000000a1", Duration::from_secs(1));
+    let cancel = || PlannerRequest::Cancel(job.to_owned());
+    assert_eq!(old.handle_request(cancel(), wait).await, PlannerReply::Cancelled(false));
+    assert_eq!(old.handle_request(cancel(), wait).await, PlannerReply::Cancelled(false));
+    claim_as(&store, 2, 2).await;
+    let new = ActivePlanner::start(&store, None, leader(2, 2), TIMING, desired(), None).await.unwrap();
+    let req = PlannerRequest::Submit { sub: submission(job), call: 1, known_epoch: Some(2) };
+    assert_eq!(new.handle_request(req, wait).await, PlannerReply::Accepted);
+    assert_eq!(new.handle_request(cancel(), wait).await, PlannerReply::Cancelled(true));
+    let reply = old.handle_request(cancel(), wait).await;
+    assert!(!is_final(&reply), "{reply:?}");
+}
+
 fn is_final(reply: &PlannerReply) -> bool {
     matches!(
         reply,
