End open jobs whose cancel is stored when a leader of this build takes over

The cancel of an unknown job is answered with 410 and stored; a leader of an earlier build that leads next ignores the record and accepts the submission. Now it ends the job as cancelled: no leader of this build has an open job beside such a record, since a submission that finds the cancel becomes a job that has ended.

--- a/crates/fleet/src/cancels.rs
+++ b/crates/fleet/src/cancels.rs
@@ -50,8 +50,14 @@
 
 impl Planner {
     /// Restores the cancels of unknown jobs that earlier planners have stored: names, with the times in milliseconds since
-    /// 1970.
+    /// 1970. Jobs of these names that are open end: a leader of an earlier build, which ignores the cancels, has accepted
+    /// them.
     pub fn with_cancels(mut self, cancels: BTreeMap<String, u64>) -> Self {
+        let now = self.created_at;
+        for (name, at_ms) in &cancels {
+            let accepted_ms = self.jobs.get(name).map_or(0, |job| job.accepted_ms);
+            self.end_job(now, accepted_ms.max(*at_ms), name, Outcome::Cancelled);
+        }
         self.cancels = cancels.into_iter().map(|(name, at_ms)| (name, Cancel { at_ms, change: 0 })).collect();
         self
     }
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -112,3 +112,18 @@
     let (jobs, findings) = record::read(rows.into_iter());
     assert!(jobs.is_empty() && findings.is_empty(), "{findings:?}");
 }
+
+/// Guards against a job that runs on though its cancel is stored: a leader of an earlier build, which ignores the cancel, has
+/// accepted it.
+#[test]
+fn with_cancels_ends_open_jobs() {
+    let mut fleet = Fleet::new(1);
+    submit(&mut fleet);
+    let cancel = record::cancel(JOB, fleet.now).unwrap();
+    fleet.stored.insert(cancel.key, cancel.value);
+    take_over(&mut fleet);
+    let assignments = fleet.advance(20);
+    assert!(assignments.iter().all(|assigned| assigned.starts.is_empty()), "{assignments:?}");
+    assert_eq!(fleet.planner.state(JOB), Some(JobState::Ended(Outcome::Cancelled)));
+    assert_eq!(fleet.planner.live_jobs(), 0);
+}
