--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -92,7 +92,6 @@
         let mut writer = Writer { producer: PRODUCER.to_owned(), epoch: leader.epoch, sequence: 0 };
         let Loaded { jobs, cancels, digest } = load_jobs(store, &mut writer, earlier).await?;
         let mut planner = Planner::new(timing, desired, jobs, now_ms()).with_cancels(cancels);
-        planner.cancel_accepted_since(now_ms(), wall_ms());
         if let Some(digest) = digest {
             planner.restore(now_ms(), wall_ms(), digest);
         }
--- a/crates/fleet/src/cancels.rs
+++ b/crates/fleet/src/cancels.rs
@@ -52,26 +52,19 @@
 
 impl Planner {
     /// Restores the cancels of unknown jobs that earlier planners have stored: names, with the times in milliseconds since
-    /// 1970.
+    /// 1970. Jobs of these names that are open end: a leader of an earlier build, which ignores the cancels, has accepted
+    /// them.
     pub fn with_cancels(mut self, cancels: BTreeMap<String, u64>) -> Self {
         let learned_at = self.created_at;
+        for (name, at_ms) in &cancels {
+            let accepted_ms = self.jobs.get(name).map_or(0, |job| job.accepted_ms);
+            self.end_job(learned_at, accepted_ms.max(*at_ms), name, Outcome::Cancelled);
+        }
         let cancel = |(name, at_ms)| (name, Cancel { at_ms, learned_at, change: 0 });
         self.cancels = cancels.into_iter().map(cancel).collect();
         self
     }
 
-    /// Cancels the live jobs whose cancel is stored: a planner of an earlier build, which ignores such cancels, has accepted
-    /// them since.
-    pub fn cancel_accepted_since(&mut self, now: u64, wall: u64) {
-        let live = self.live.iter().filter(|name| self.cancels.contains_key(*name));
-        for name in live.cloned().collect::<Vec<_>>() {
-            if self.jobs.get(&name).is_some_and(|job| job.outcome.is_none()) {
-                self.log_line(format!("event=cancelled_before job={name} accepted_by_earlier_build=true"));
-                self.end_job(now, wall, &name, Outcome::Cancelled);
-            }
-        }
-    }
-
     /// Cancels a job, whether it is known or not.
     pub fn cancel(&mut self, now: u64, wall: u64, name: &str) -> Cancellation {
         if let Some(job) = self.jobs.get(name) {
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -69,7 +69,6 @@
     submit(&mut fleet);
     assert_eq!(fleet.planner.state(JOB), Some(JobState::Queued));
     take_over(&mut fleet);
-    fleet.planner.cancel_accepted_since(fleet.now, fleet.now);
     let assignments = fleet.advance(2_000);
     assert!(assignments.iter().all(|assigned| assigned.starts.is_empty()), "{assignments:?}");
     fleet.store();
