Let the soak stop entries while the store is silent, with callers that change entries

The soak missed it: entries were never stopped while the store drops its responses, callers kept to one entry, and a caller whose early cancel was answered with 410 cancelled again as soon as its job was accepted, which hid that the first cancel had no effect.

A job gets one cancel, also from the callers that were there before. The chains need no accelerators, so they don't lengthen the time in which the other jobs must end.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -1,5 +1,6 @@
 //! Callers: each has a connection to one entry until that entry fails, submits jobs, repeats what had no definite
-//! answer at other entries under the same name, cancels some jobs and polls their states.
+//! answer at other entries under the same name, cancels some jobs and polls their states. Some callers send each call to
+//! another entry and cancel at any moment, also before the submission is answered.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -38,6 +39,10 @@
 /// Time after which a caller cancels a job whose submission has no answer yet.
 const EARLY_CANCEL_DELAY: Duration = Duration::from_millis(50);
 
+/// Number of the first caller that changes entries, and mean time between two of its jobs.
+const FIRST_CHANGING: usize = 0x800;
+const CHANGING_INTERVAL: Duration = Duration::from_millis(400);
+
 /// The callers of a run.
 pub struct Callers {
     pub deployment: Arc<Deployment>,
@@ -56,13 +61,21 @@
 struct Connection {
     client: Client,
     entry: usize,
+    /// Whether it moves to the next entry with each call.
+    changes: bool,
+}
+
+impl Connection {
+    fn new(job: &Job, entry: usize) -> Self {
+        Self { client: Client::new(TIMEOUT), entry, changes: job.changes_entries }
+    }
 }
 
 impl Callers {
-    /// Runs `count` callers until all their jobs have ended or the run has.
-    pub async fn run(self: Arc<Self>, count: usize) {
+    /// Runs `count` callers, and `changing` that change entries, until all their jobs have ended or the run has.
+    pub async fn run(self: Arc<Self>, count: usize, changing: usize) {
         let mut callers = JoinSet::new();
-        for number in 0..count {
+        for number in (0..count).chain((FIRST_CHANGING..).take(changing)) {
             callers.spawn(self.clone().run_one(number));
         }
         while callers.join_next().await.is_some() {}
@@ -71,14 +84,17 @@
     async fn run_one(self: Arc<Self>, number: usize) {
         let mut rng = StdRng::seed_from_u64(self.seed * 1_000 + number as u64);
         let mut followers = JoinSet::new();
+        let changes = number >= FIRST_CHANGING;
+        let interval = if changes { CHANGING_INTERVAL } else { self.interval };
         for job in 0_u32.. {
-            let pause = rng.random_range(0..2 * self.interval.as_millis() as u64);
+            let pause = rng.random_range(0..2 * interval.as_millis() as u64);
             tokio::time::sleep(Duration::from_millis(pause)).await;
             if !*self.submitting.borrow() {
                 break;
             }
             let id = format!("{:08x}{number:03x}{job:05x}", self.seed as u32);
-            let job = Job::draw(&mut rng, id.clone(), &PREFIXES);
+            let draw = if changes { Job::chain } else { Job::draw };
+            let job = draw(&mut rng, id.clone(), &PREFIXES);
             lock(&self.ledger).insert(id, Record::new(job.clone()));
             let seed = rng.random();
             followers.spawn(self.clone().follow(job, seed));
@@ -98,16 +114,20 @@
         while followers.join_next().await.is_some() {}
     }
 
-    /// Submits a job, then polls it until it has ended.
+    /// Follows a job until it has ended.
     async fn follow(self: Arc<Self>, job: Job, seed: u64) {
         let mut rng = StdRng::seed_from_u64(seed);
         let entry = rng.random_range(1..=self.deployment.entries);
-        let mut connection = Connection { client: Client::new(TIMEOUT), entry };
-        let (accepted_ms, ()) =
-            tokio::join!(self.submit(&mut connection, &job, &mut rng), self.cancel_early(&job, entry));
-        let Some(accepted_ms) = accepted_ms else { return };
+        tokio::join!(self.submit_and_poll(&job, entry, &mut rng), self.cancel_early(&job, entry));
+    }
+
+    /// Submits a job, then polls it until it has ended.
+    async fn submit_and_poll(&self, job: &Job, entry: usize, rng: &mut StdRng) {
+        let mut connection = Connection::new(job, entry);
+        let Some(accepted_ms) = self.submit(&mut connection, job, rng).await else { return };
         let mut repeat_at = rng.random_bool(0.2).then(|| accepted_ms + rng.random_range(500..5_000));
-        let mut cancel_at = job.cancelled_after_ms.map(|after_ms| {
+        // A second cancel would hide that the first one had no effect.
+        let mut cancel_at = job.cancelled_after_ms.filter(|_| !is_cancelled_early(job)).map(|after_ms| {
             let at = accepted_ms + after_ms;
             if rng.random_bool(0.5) { at.next_multiple_of(CANCEL_WAVE_MS) } else { at }
         });
@@ -117,19 +137,18 @@
             if repeat_at.is_some_and(|at| wall_ms() >= at) {
                 repeat_at = None;
                 let other = connection.entry % self.deployment.entries + 1;
-                let mut connection = Connection { client: Client::new(TIMEOUT), entry: other };
-                let call = self.call(&mut connection, Method::POST, &job).await;
+                let call = self.call(&mut Connection::new(job, other), Method::POST, job).await;
                 self.record(&job.id, |record| record.submits.push(call));
             }
             if cancel_at.is_some_and(|at| wall_ms() >= at) {
-                let call = self.call(&mut connection, Method::DELETE, &job).await;
+                let call = self.call(&mut connection, Method::DELETE, job).await;
                 if call.is_cancel_acknowledged() {
                     cancel_at = None;
                 }
                 self.record(&job.id, |record| record.cancels.push(call));
                 continue;
             }
-            let call = self.call(&mut connection, Method::GET, &job).await;
+            let call = self.call(&mut connection, Method::GET, job).await;
             self.record(&job.id, |record| {
                 record.polls.push(call);
                 late_polls += usize::from(record.has_ended());
@@ -139,16 +158,16 @@
 
     /// Submits a job until there is a definite answer; returns when it was accepted.
     async fn submit(&self, connection: &mut Connection, job: &Job, rng: &mut StdRng) -> Option<u64> {
-        let is_probe = !job.label.is_empty();
-        for _ in 0..if is_probe { usize::MAX } else { MAX_SUBMITS } {
+        let persists = !job.label.is_empty() || job.changes_entries;
+        for _ in 0..if persists { usize::MAX } else { MAX_SUBMITS } {
             let call = self.call(connection, Method::POST, job).await;
             let (status, answered_ms) = (call.status, call.answered_ms);
             self.record(&job.id, |record| record.submits.push(call));
             match status {
                 200..300 => return Some(answered_ms),
-                429 if !is_probe => return None,
+                429 if !persists => return None,
                 // Most callers try again, as the answer asks them to.
-                503 if !is_probe && rng.random_bool(0.3) => return None,
+                503 if !persists && rng.random_bool(0.3) => return None,
                 _ => tokio::time::sleep(RETRY_DELAY).await,
             }
             if !*self.running.borrow() {
@@ -158,15 +177,17 @@
         None
     }
 
-    /// Cancels every other one of the jobs that are to be cancelled while its submission is on its way.
+    /// Cancels every other one of the jobs that are to be cancelled while its submission is on its way; a caller that
+    /// changes entries cancels each of them at its time.
     async fn cancel_early(&self, job: &Job, entry: usize) {
-        let is_odd = job.id.bytes().last().is_some_and(|digit| digit % 2 == 1);
-        if job.cancelled_after_ms.is_none() || !is_odd {
-            return;
-        }
-        let mut connection = Connection { client: Client::new(TIMEOUT), entry };
-        tokio::time::sleep(EARLY_CANCEL_DELAY).await;
-        for _ in 0..MAX_SUBMITS {
+        let Some(after_ms) = job.cancelled_after_ms.filter(|_| is_cancelled_early(job)) else { return };
+        let (entry, delay) = match job.changes_entries {
+            true => (1 + after_ms as usize % self.deployment.entries, Duration::from_millis(after_ms)),
+            false => (entry, EARLY_CANCEL_DELAY),
+        };
+        let mut connection = Connection::new(job, entry);
+        tokio::time::sleep(delay).await;
+        loop {
             let call = self.call(&mut connection, Method::DELETE, job).await;
             let is_definite = call.is_cancel_acknowledged();
             self.record(&job.id, |record| record.cancels.push(call));
@@ -202,7 +223,7 @@
             }
             Err(_) => (0, String::new()),
         };
-        if status == 0 || status >= 500 {
+        if status == 0 || status >= 500 || connection.changes {
             connection.entry = entry % self.deployment.entries + 1;
         }
         Call { entry, sent_ms, answered_ms: wall_ms(), status, state }
@@ -216,7 +237,7 @@
             accepted.map(|record| record.job.clone()).collect()
         };
         for entry in 1..=self.deployment.entries {
-            let mut connection = Connection { client: Client::new(TIMEOUT), entry };
+            let mut connection = Connection { client: Client::new(TIMEOUT), entry, changes: false };
             for job in &jobs {
                 connection.entry = entry;
                 let call = self.call(&mut connection, Method::GET, job).await;
@@ -225,3 +246,8 @@
         }
     }
 }
+
+/// Returns whether a job's caller cancels it without waiting for the answer to its submission.
+fn is_cancelled_early(job: &Job) -> bool {
+    job.changes_entries || job.id.bytes().last().is_some_and(|digit| digit % 2 == 1)
+}
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -259,6 +259,17 @@
         lock(&self.lives).iter().filter(|life| life.worker == worker).count()
     }
 
+    /// Returns the index of the entry that became the leader last, by the logs.
+    pub fn leader(&self) -> usize {
+        let last_epoch = |index: &usize| {
+            let path = self.processes.dir().join(format!("{}.log", Machine::Entry(*index)));
+            let log = fs::read_to_string(path).unwrap_or_default();
+            let epochs = log.lines().filter_map(|line| line.split("event=office_taken epoch=").nth(1));
+            epochs.filter_map(|text| text.split(' ').next()?.parse::<u64>().ok()).max()
+        };
+        (1..=self.entries).max_by_key(last_epoch).unwrap_or(1)
+    }
+
     /// Publishes the next version of the desired state, with additional keys and queues; returns whether the store
     /// acknowledged it.
     pub async fn publish_next(&self, keys: &[String], queues: &[String]) -> bool {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -22,6 +22,16 @@
 /// Share of the seeds in which a group of faults occurs, in percent.
 const GROUP_PERCENT: u32 = 60;
 
+/// Share of the seeds with a series of stops while the store is silent.
+const SILENT_SHARE: f64 = 0.5;
+
+/// Time for which the store is silent around a stop of an entry, and that before the stop, in milliseconds.
+const SILENCE_MS: u64 = 1_200;
+const BEFORE_STOP_MS: u64 = 200;
+
+/// Time from a stop in such a series until the entry is started again, in milliseconds.
+const SILENT_GAP_MS: u64 = 1_000;
+
 /// Share of late check-ins among the unexpected ones.
 const LATE_CHECKIN_SHARE: f64 = 0.3;
 
@@ -67,6 +77,9 @@
     Stop { machines: Vec<Machine>, how: Stop, step_ms: u64, gap_ms: u64 },
     /// Suspends machines, each some time after the one before.
     Suspend { machines: Vec<Machine>, step_ms: u64, ms: u64 },
+    /// Stops an entry, or else the leader, some time after the store falls silent: requests pass, responses don't, and
+    /// the connections are reset at the end. The entry is suspended if `how` is missing.
+    SilentStop { entry: Option<usize>, how: Option<Stop>, gap_ms: u64, before_ms: u64, ms: u64 },
     /// Sets faults of the store.
     Store { faults: Value, ms: u64 },
     /// Sets rules of a proxy.
@@ -90,6 +103,8 @@
         match self {
             Self::Stop { machines, how, .. } => format!("{}-{how:?}", kinds(machines)),
             Self::Suspend { machines, .. } => format!("{}-suspend", kinds(machines)),
+            Self::SilentStop { how: Some(how), .. } => format!("silent-{how:?}"),
+            Self::SilentStop { how: None, .. } => "silent-suspend".to_owned(),
             Self::Store { .. } => "store-fault".to_owned(),
             Self::Link { side: Side::Store, .. } => "store-link".to_owned(),
             Self::Link { side: Side::Calls(_), .. } => "calls-link".to_owned(),
@@ -140,11 +155,41 @@
         plan.push((at_ms, draw_shrink(&mut rng, workers)));
         at_ms += rng.random_range(mean_ms / 4..mean_ms * 2);
     }
+    plan.extend(silent_stops(seed, entries, length_ms));
     plan.retain(|(_, fault)| !without.iter().any(|name| fault.name().starts_with(name)));
     plan.sort_by_key(|(at_ms, _)| *at_ms);
     plan
 }
 
+/// Returns the stops of entries in turn, or of the leader each time, while the store is silent.
+fn silent_stops(seed: u64, entries: usize, length_ms: u64) -> Plan {
+    let mut rng = StdRng::seed_from_u64(seed.swap_bytes());
+    let mut plan = Plan::new();
+    if !rng.random_bool(SILENT_SHARE) {
+        return plan;
+    }
+    let in_turn = rng.random_bool(0.5);
+    let mut at_ms = FIRST_MS;
+    while at_ms < length_ms {
+        let how = match rng.random_range(0..5) {
+            0..=2 => Some(Stop::Terminate),
+            3 => Some(Stop::Kill),
+            _ => None,
+        };
+        let entry = in_turn.then(|| 1 + plan.len() % entries);
+        let fault = Fault::SilentStop {
+            entry,
+            how,
+            gap_ms: SILENT_GAP_MS,
+            before_ms: BEFORE_STOP_MS,
+            ms: SILENCE_MS,
+        };
+        plan.push((at_ms, fault));
+        at_ms += rng.random_range(5_000..9_000);
+    }
+    plan
+}
+
 fn draw_entries(rng: &mut StdRng, entries: usize, _: usize) -> Fault {
     draw_processes(rng, (1..=entries).map(Machine::Entry).collect())
 }
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -15,6 +15,10 @@
 /// Run time of the job that shows whether a worker is usable, in milliseconds.
 const PROBE_MS: u64 = 100;
 
+/// Run time of a step of a job whose caller changes entries, in milliseconds, and the number of its steps.
+const CHAIN_STEP_MS: u64 = 3_000;
+const CHAIN_STEPS: u64 = 3;
+
 /// Text of a job whose subtasks crash each worker that starts them.
 const CRASHES: &str = " crashes";
 
@@ -46,8 +50,10 @@
     pub spec: String,
     /// Label that its workers must have; empty for none.
     pub label: String,
-    /// Whether its caller cancels it some time after it was accepted.
+    /// Whether its caller cancels it, some time after it was accepted, or sent if the caller changes entries.
     pub cancelled_after_ms: Option<u64>,
+    /// Whether its caller sends each call to another entry and repeats it until it is answered.
+    pub changes_entries: bool,
 }
 
 impl Job {
@@ -98,7 +104,7 @@
         let queue = queues[rng.random_range(0..queues.len())];
         let cancelled_after_ms = rng.random_bool(0.15).then(|| rng.random_range(0..4_000));
         let (spec, label) = (format!("job={id} run_ms={run_ms}{note}"), String::new());
-        Self { id, queue, steps, run_ms, spec, label, cancelled_after_ms }
+        Self { id, queue, steps, run_ms, spec, label, cancelled_after_ms, changes_entries: false }
     }
 
     /// Returns a short job that only the worker with this label can run.
@@ -106,7 +112,35 @@
         let steps =
             vec![Step { count: 1, needs: (100, 10, 0), after: Vec::new(), gang: false, one_rack: false }];
         let spec = format!("job={id} run_ms={PROBE_MS}");
-        Self { id, queue, steps, run_ms: PROBE_MS, spec, label, cancelled_after_ms: None }
+        let cancelled_after_ms = None;
+        Self { id, queue, steps, run_ms: PROBE_MS, spec, label, cancelled_after_ms, changes_entries: false }
+    }
+
+    /// Draws a job of steps that follow each other, without accelerators, whose caller changes entries.
+    pub fn chain(rng: &mut StdRng, id: String, queues: &[&'static str]) -> Self {
+        let steps = (0..CHAIN_STEPS).map(|number| Step {
+            count: 1,
+            needs: (100, 10, 0),
+            after: number.checked_sub(1).into_iter().collect(),
+            gang: false,
+            one_rack: false,
+        });
+        // Many cancels meet the submission on its way.
+        let cancelled_after_ms = match rng.random_range(0..4) {
+            0 => None,
+            1 => Some(rng.random_range(0..CHAIN_STEP_MS * CHAIN_STEPS)),
+            _ => Some(rng.random_range(0..500)),
+        };
+        Self {
+            queue: queues[rng.random_range(0..queues.len())],
+            steps: steps.collect(),
+            run_ms: CHAIN_STEP_MS,
+            spec: format!("job={id} run_ms={CHAIN_STEP_MS}"),
+            label: String::new(),
+            cancelled_after_ms,
+            changes_entries: true,
+            id,
+        }
     }
 
     pub fn body(&self) -> Value {
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -26,6 +26,9 @@
 /// Longest time that a draining worker may take, after which it is killed.
 const DRAIN_GRACE: Duration = Duration::from_secs(12);
 
+/// Time for which a proxy resets connections, so that each of its tasks learns of it.
+const RESET_TIME: Duration = Duration::from_millis(50);
+
 /// Longest time until a crashed worker is back, and time between two checks for crashed workers.
 const MAX_CRASH_GAP_MS: u64 = 3_000;
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -110,6 +113,17 @@
             Fault::Suspend { machines, step_ms, ms } => {
                 self.play_in_turn(machines, step_ms, |machine| self.suspend(machine, ms)).await
             }
+            Fault::SilentStop { entry, how, gap_ms, before_ms, ms } => {
+                let stop = async {
+                    tokio::time::sleep(Duration::from_millis(before_ms)).await;
+                    let entry = Machine::Entry(entry.unwrap_or_else(|| self.deployment.leader()));
+                    match how {
+                        Some(how) => self.stop(entry, how, gap_ms).await,
+                        None => self.suspend(entry, gap_ms).await,
+                    }
+                };
+                tokio::join!(self.silence_store(ms), stop).1
+            }
             Fault::Store { faults, ms } => {
                 self.impair("store-fault", STORE, async {
                     let set = self.deployment.set_store_faults(&faults).await;
@@ -222,6 +236,20 @@
         .await
     }
 
+    /// Drops what the store responds for some time, then resets the connections; returns whether it could.
+    async fn silence_store(&self, ms: u64) -> bool {
+        let proxy = self.deployment.proxy(Side::Store);
+        let silent = Rules { hold_responses: true, ..Rules::default() };
+        self.impair(&format!("{:?}", Side::Store), STORE, async {
+            proxy.set(silent);
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            proxy.set(Rules { reset: true, ..silent });
+            tokio::time::sleep(RESET_TIME).await;
+            proxy.set(Rules::default());
+        })
+        .await
+    }
+
     async fn suspend(&self, machine: Machine, ms: u64) -> bool {
         let name = machine.to_string();
         self.impair(&name, &name, async {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 use crate::checks::Evidence;
 use crate::clients::Callers;
 use crate::deployment::{Deployment, MAX_ATTEMPTS, WORKER_CAPACITY};
-use crate::faults;
+use crate::faults::{self, Fault};
 use crate::history::History;
 use crate::impairments::Impairments;
 use crate::jobs::{Ledger, WORKER_GPUS};
@@ -35,6 +35,9 @@
 /// Mean time between two jobs of a caller. With a caller for each worker, about a third of the accelerators are in use.
 const SUBMIT_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Callers that change entries, in runs with stops of entries while the store is silent.
+const CHANGING_CALLERS: usize = 2;
+
 /// What is run, besides the seed.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -97,7 +100,9 @@
         submitting: submitting.subscribe(),
         running: running.subscribe(),
     });
-    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2)));
+    let has_silent_stops = plan.iter().any(|(_, fault)| matches!(fault, Fault::SilentStop { .. }));
+    let changing = if has_silent_stops { CHANGING_CALLERS } else { 0 };
+    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2), changing));
     let restarting = {
         let player = player.clone();
         tokio::spawn(async move { player.restart_crashed_workers().await })
@@ -159,7 +164,9 @@
     let open = ledger.values().filter(|record| !record.has_ended() && !record.is_rejected());
     let jobs: Vec<_> = open.map(|record| &record.job).collect();
     let attempts = |spec: &str| if spec.contains("fails") { MAX_ATTEMPTS as u64 } else { 1 };
-    let work_ms: u64 = jobs.iter().map(|job| job.work_ms() * attempts(&job.spec)).sum();
+    // Chains use no accelerators, so they wait for no work.
+    let waiting = jobs.iter().filter(|job| !job.changes_entries);
+    let work_ms: u64 = waiting.map(|job| job.work_ms() * attempts(&job.spec)).sum();
     let chains = jobs.iter().map(|job| job.run_ms * job.steps.len() as u64 * attempts(&job.spec));
     let usable = workers as u64 * WORKER_GPUS * BACKLOG_PERCENT;
     let crashes_ms = jobs.iter().filter(|job| job.crashes_workers()).count() as u64 * MAX_CRASHES_MS;
@@ -168,12 +175,14 @@
 
 fn summarize(ledger: &Ledger, history: &History, player: &Player, took_ms: u64) -> String {
     let accepted = ledger.values().filter(|record| record.accepted_ms().is_some()).count();
+    let unknown =
+        ledger.values().filter(|record| record.cancels.iter().any(|call| call.status == 410)).count();
     let shown = |state: &str| ledger.values().filter(|record| record.shown_ms(state).is_some()).count();
     let played: Vec<String> =
         lock(&player.played).iter().map(|(name, count)| format!("{name} {count}")).collect();
     format!(
-        "{} jobs, {accepted} accepted, {} completed, {} failed, {} cancelled, {} runs, ended {took_ms} ms after the \
-         faults; faults: {}",
+        "{} jobs, {accepted} accepted, {} completed, {} failed, {} cancelled, {unknown} cancelled \
+         with 410, {} runs, ended {took_ms} ms after the faults; faults: {}",
         ledger.len(),
         shown("completed"),
         shown("failed"),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -31,6 +31,7 @@
         spec: "run_ms=100".to_owned(),
         label: String::new(),
         cancelled_after_ms: None,
+        changes_entries: false,
     };
     Record { submits: vec![call(10_000, 200, "")], ..Record::new(job) }
 }
