Close gaps of the soak's checks of cancels, unknown jobs and rejections

- That nothing of a cancelled job runs on was checked only until the last GET of that job.
A job whose submission was never answered has none, so its runs were not checked at all.
A run that has ended counts until its end now, one without an end until the last call of any caller.
- A GET answered with 410, or showing `cancelled`, counted only if the job was never cancelled.
It counts now if it was answered before the first cancel was sent.
- A submission rejected with 401, 403 or 404 counts like one with 429 or 503: if all were rejected, nothing may start.

Answers of 410 to cancels, also those before any submission was accepted, were counted in the check of later starts already; a test shows it now. The four new tests failed before.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -13,6 +13,9 @@
 /// Time after a cancel's acknowledgement from which nothing of the job starts.
 const CANCEL_MS: u64 = 3_000;
 
+/// Time without an impairment after which a cancel that waits for its acknowledgement counts like an acknowledged one.
+const ACK_MS: u64 = 4_000;
+
 /// Longest time that a stop takes.
 const STOP_MS: u64 = 400;
 
@@ -188,16 +191,17 @@
     /// Checks the states that callers were shown. An answer 410 counts only from an entry in touch.
     fn check_states(&self, record: &Record, runs: &[&Run], broken: &mut Vec<String>) {
         let (id, steps, polls) = (&record.job.id, &record.job.steps, &record.polls);
-        let uncancelled = record.cancels.is_empty();
+        let cancel_sent_ms = record.cancels.iter().map(|call| call.sent_ms).min().unwrap_or(u64::MAX);
         let unknown = polls.iter().find(|call| {
             let known_from = record.accepted_ms().map_or(u64::MAX, |at| at + VISIBLE_MS);
             let known_until = record.ended_ms().map_or(u64::MAX, |at| at + STATUS_MS);
             let entry = [Machine::Entry(call.entry).to_string()];
             call.status == 410
+                && call.answered_ms < cancel_sent_ms
                 && (known_from..known_until).contains(&call.sent_ms)
                 && self.impairments.is_in_touch(&entry, call.sent_ms, call.answered_ms)
         });
-        if let Some(call) = unknown.filter(|_| uncancelled) {
+        if let Some(call) = unknown {
             broken.push(format!("LOST: {id} is unknown to entry-{} at {}", call.entry, call.answered_ms));
         }
         if let Some(shown_ms) = record.shown_ms("completed") {
@@ -223,24 +227,35 @@
         if let Some(shown_ms) = record.shown_ms("failed").filter(|at| !has_failed(*at)) {
             broken.push(format!("LOST: {id} is shown as failed at {shown_ms} without cause"));
         }
-        if let Some(shown_ms) = record.shown_ms("cancelled").filter(|_| uncancelled) {
+        if let Some(shown_ms) = record.shown_ms("cancelled").filter(|at| *at < cancel_sent_ms) {
             broken.push(format!("LOST: {id} is shown as cancelled at {shown_ms} without cause"));
         }
     }
 
+    /// Returns when the cancel of a job counts: once it was acknowledged, or has waited for [`ACK_MS`] of calm for that.
+    fn cancelled_ms(&self, record: &Record) -> Option<u64> {
+        let acknowledged_ms = record.cancelled_ms();
+        let sent_ms = record.cancels.iter().map(|call| call.sent_ms).min()?;
+        let last_ms = acknowledged_ms.or(record.cancels.iter().map(|call| call.answered_ms).max())?;
+        let mut waits = (sent_ms..last_ms.saturating_sub(ACK_MS)).step_by(STRETCH_STEP_MS as usize);
+        let waited = waits.find(|at| self.impairments.is_calm_everywhere(*at, at + ACK_MS));
+        waited.map(|at| at + ACK_MS).or(acknowledged_ms)
+    }
+
     /// Checks that a cancelled job starts nothing later than [`CANCEL_MS`] on a worker in touch, and that nothing of it
     /// is left after a stretch of [`CANCEL_MS`] and [`STOP_MS`] without an impairment anywhere.
     fn check_cancel(&self, record: &Record, runs: &[&Run], broken: &mut Vec<String>) {
-        let Some(cancelled_ms) = record.cancelled_ms() else { return };
+        let Some(cancelled_ms) = self.cancelled_ms(record) else { return };
+        // A run without an end was there at the last call of any caller.
+        let calls = self.ledger.values().flat_map(|record| [&record.submits, &record.cancels, &record.polls]);
+        let last_seen_ms = calls.flatten().map(|call| call.answered_ms).max().unwrap_or(cancelled_ms);
         for run in runs {
             if run.start_ms > cancelled_ms + CANCEL_MS && self.starts_in_touch(run) {
                 broken.push(format!("UNASKED: {run}, cancelled at {cancelled_ms}"));
             }
             let stretch_ms = CANCEL_MS + STOP_MS;
             let first = cancelled_ms.max(run.start_ms);
-            // A run without an end was there at the last call of a caller.
-            let last_seen_ms = record.polls.last().map_or(first, |call| call.answered_ms);
-            let last = run.end_ms().min(last_seen_ms).saturating_sub(stretch_ms);
+            let last = run.end.as_ref().map_or(last_seen_ms, |end| end.at_ms).saturating_sub(stretch_ms);
             let mut stretches = (first..last).step_by(STRETCH_STEP_MS as usize);
             if let Some(at) = stretches.find(|at| self.impairments.is_calm_everywhere(*at, at + stretch_ms)) {
                 let end = run.ending();
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -207,7 +207,8 @@
 
     /// Returns whether the job was certainly not accepted: every attempt was rejected.
     pub fn is_rejected(&self) -> bool {
-        !self.submits.is_empty() && self.submits.iter().all(|call| matches!(call.status, 429 | 503))
+        !self.submits.is_empty()
+            && self.submits.iter().all(|call| matches!(call.status, 401 | 403 | 404 | 429 | 503))
     }
 
     /// Returns when a cancel was first acknowledged. That no such job exists is an acknowledgement, too.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -185,6 +185,59 @@
     assert!(broken(&stopped, "", cancelled).is_empty());
 }
 
+#[test]
+fn cancel_answered_with_410_before_the_submission_counts() {
+    let cancelled =
+        Record { submits: vec![call(10_000, 0, "")], cancels: vec![call(9_000, 410, "")], ..record() };
+    let late = started(12_001, &subtask(0), 1) + &ended(12_101, &subtask(0), 1, 1, "done");
+    assert_eq!(broken(&late, "", cancelled.clone()), ["UNASKED"]);
+    let runs_on = started(10_500, &subtask(0), 1) + &ended(20_000, &subtask(0), 1, 1, "done");
+    assert_eq!(broken(&runs_on, "", cancelled.clone()), ["UNASKED"]);
+    // Without an end, it was there at the last call of any caller.
+    let other_job = "00000000000000b2".to_owned();
+    let mut other = Record { polls: vec![call(20_000, 200, "queued")], ..record() };
+    other.job.id.clone_from(&other_job);
+    let history = history(&started(10_500, &subtask(0), 1), "");
+    let ledger = BTreeMap::from([(JOB.to_owned(), cancelled), (other_job, other)]);
+    let impairments = Impairments::default();
+    let capacity = (4_000, 4_096, 2);
+    let evidence = Evidence { history: &history, ledger: &ledger, impairments: &impairments, capacity };
+    assert_eq!(names(&evidence.broken_promises()), ["UNASKED"]);
+}
+
+#[test]
+fn cancel_counts_once_it_has_waited_for_too_long_in_calm() {
+    let waiting = |last_ms| Record {
+        cancels: vec![call(11_000, 0, ""), call(last_ms, 503, "")],
+        polls: vec![call(20_000, 200, "completed")],
+        ..record()
+    };
+    let log = started(18_001, &subtask(0), 1)
+        + &ended(18_101, &subtask(0), 1, 1, "done")
+        + &started(18_102, &subtask(1), 1)
+        + &ended(18_200, &subtask(1), 1, 2, "done");
+    assert!(broken(&log, "", waiting(14_900)).is_empty());
+    assert_eq!(broken(&log, "", waiting(15_100)), ["UNASKED", "UNASKED"]);
+}
+
+#[test]
+fn states_before_a_cancel_count() {
+    let seen = |status, state| {
+        let polls = vec![call(13_001, status, state)];
+        broken("", "", Record { polls, cancels: vec![call(13_002, 200, "")], ..record() })
+    };
+    assert_eq!(seen(410, ""), ["LOST"]);
+    assert_eq!(seen(200, "cancelled"), ["LOST"]);
+    let after = Record { polls: vec![call(13_003, 410, "")], cancels: vec![call(13_002, 0, "")], ..record() };
+    assert!(broken("", "", after).is_empty());
+}
+
+#[test]
+fn start_after_every_attempt_was_refused_as_not_allowed() {
+    let submits = vec![call(10_000, 404, ""), call(10_050, 503, "")];
+    assert_eq!(broken(&started(10_100, &subtask(0), 1), "", Record { submits, ..record() }), ["REFUSED"]);
+}
+
 #[test]
 fn states_that_callers_must_not_see() {
     let seen = |polls| broken("", "", Record { polls, ..record() });
