Name the build in the lines of starts and of the leadership

- `planner_known` has `earlier_build` from the claim; a process that learns of the leader by a ping before it reads the claim logs `unknown`, then `planner_build_known`.

`newest_leader` of the upgrade tests read the epoch up to the end of the `office_taken` line and took any other text for 0; it now reads the first word, and a line without a number fails the test.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -20,7 +20,7 @@
 use crate::planner_load::PlannerLoad;
 use crate::store_failures::StoreFailures;
 use crate::stored::{Loaded, PRODUCER, Snapshot, load_jobs};
-use crate::{lock, metrics};
+use crate::{build, lock, metrics};
 
 /// Time between two planning passes when nothing else triggers one; an occurrence of a scheduled job starts at most
 /// this late.
@@ -116,7 +116,8 @@
             cancels_stored_since: AtomicU64::default(),
             started_at: now_ms(),
         });
-        log::info!("event=office_taken epoch={}", active.leader.epoch);
+        let (epoch, instance) = (active.leader.epoch, &active.leader.instance);
+        log::info!("event=office_taken epoch={epoch} instance={instance} {}", build::THIS);
         tokio::spawn(active.clone().run_passes());
         tokio::spawn(active.clone().run_appends(store.clone(), writer));
         tokio::spawn(active.clone().run_renewals(store.clone()));
--- a/crates/control/src/agent.rs
+++ b/crates/control/src/agent.rs
@@ -24,7 +24,7 @@
 use crate::lease::WorkerState;
 use crate::presence::Summary;
 use crate::signals::{self, wait_for_stop};
-use crate::{Error as RunError, Result, follow, lock, metrics, reload, versions};
+use crate::{Error as RunError, Result, build, follow, lock, metrics, reload, versions};
 
 /// Wait of one read of the claims. Long, because there are many agents and they also learn of the leader from
 /// entries.
@@ -114,7 +114,12 @@
         })
     };
     let server = serve::start(listen, handler)?;
-    log::info!("event=started role=agent instance={} life={}", agent.settings.instance, agent.incarnation);
+    log::info!(
+        "event=started role=agent instance={} life={} {}",
+        agent.settings.instance,
+        agent.incarnation,
+        build::THIS
+    );
     let leadership = agent.leadership.clone();
     let apply_claim = move |key: &str, value: &[u8], offset: u64| leadership.apply_claim(key, value, offset);
     tokio::spawn(async move { follow::follow(&store, CLAIMS, CLAIMS_READ_WAIT, |_| (), apply_claim).await });
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -131,11 +131,13 @@
         self.tx.send_if_modified(|known| {
             let newer = known.as_ref().is_none_or(|known| known.epoch < leader.epoch);
             if newer {
+                let earlier = self.is_of_earlier_build(leader.epoch);
                 log::info!(
-                    "event=planner_known epoch={} instance={} address={}",
+                    "event=planner_known epoch={} instance={} address={} earlier_build={}",
                     leader.epoch,
                     leader.instance,
-                    leader.address
+                    leader.address,
+                    earlier.map_or("unknown", |earlier| if earlier { "true" } else { "false" })
                 );
                 *known = Some(leader);
             }
@@ -204,13 +206,25 @@
     }
 
     fn record_claim(&self, claim: NewestClaim) {
-        self.newest_claim.send_if_modified(|known| {
+        let is_new = self.newest_claim.send_if_modified(|known| {
             let is_newer = known.epoch < claim.epoch;
             if is_newer {
                 *known = claim;
             }
             is_newer
         });
+        if is_new && self.epoch() == claim.epoch {
+            // The leader became known by a ping, which doesn't tell its build.
+            let (epoch, earlier) = (claim.epoch, claim.cancels_stored_since.is_none());
+            log::info!("event=planner_build_known epoch={epoch} earlier_build={earlier}");
+        }
+    }
+
+    /// Returns whether the leader of `epoch` is of a build that doesn't store the cancels of unknown jobs; `None` if its
+    /// claim hasn't been read yet.
+    fn is_of_earlier_build(&self, epoch: u64) -> Option<bool> {
+        let claim = *self.newest_claim.borrow();
+        (claim.epoch == epoch).then_some(claim.cancels_stored_since.is_none())
     }
 
     /// Returns the epoch since which every leader has stored the cancels of unknown jobs, as the newest claim says; the
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -29,7 +29,7 @@
 use crate::handover::Offer;
 use crate::peers::{FailedHandovers, Listed, Peers, Pinging};
 use crate::signals::{self, wait_for_stop};
-use crate::{Error, Result, follow, lock, metrics, reload, versions};
+use crate::{Error, Result, build, follow, lock, metrics, reload, versions};
 
 /// Topic and key of the desired state.
 const DESIRED: (&str, &str) = ("keyed.op", "config");
@@ -131,7 +131,12 @@
         let entry = entry.clone();
         serve::start(callers, Arc::new(move |request| entry.clone().answer(request).boxed()))?
     };
-    log::info!("event=started role=entry instance={} life={}", entry.me.instance, entry.me.incarnation);
+    log::info!(
+        "event=started role=entry instance={} life={} {}",
+        entry.me.instance,
+        entry.me.incarnation,
+        build::THIS
+    );
     tokio::spawn(entry.clone().serve_peers(listener));
     tokio::spawn(entry.clone().follow_desired(store.clone()));
     tokio::spawn(entry.clone().follow_claims(store.clone()));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod announced_service;
 mod announcement_order;
 mod appends;
+pub mod build;
 pub mod callers;
 pub mod calls;
 mod cancels;
--- a/crates/sorrelland/src/bin/sorrellandd.rs
+++ b/crates/sorrelland/src/bin/sorrellandd.rs
@@ -58,7 +58,8 @@
             ExitCode::SUCCESS
         }
         Command::Version => {
-            println!("sorrellandd {}", env!("CARGO_PKG_VERSION"));
+            let build = sorrelland_control::build::THIS;
+            println!("sorrellandd {} (calls {}, commit {})", build.version, build.calls, build.commit);
             ExitCode::SUCCESS
         }
         Command::Check(path) => match Settings::load(&path) {
--- a/crates/sorrelland/tests/upgrades.rs
+++ b/crates/sorrelland/tests/upgrades.rs
@@ -249,7 +249,8 @@
         let log =
             fs::read_to_string(platform.env.dir().join(format!("entry-{index}.log"))).unwrap_or_default();
         let taken = log.lines().filter_map(|line| line.split("event=office_taken epoch=").nth(1));
-        taken.filter_map(|epoch| epoch.trim().parse().ok()).max().unwrap_or(0)
+        let epochs = taken.filter_map(|rest| rest.split_whitespace().next());
+        epochs.map(|epoch| epoch.parse().unwrap()).max().unwrap_or(0)
     };
     (1..=ENTRIES).max_by_key(|index| epoch(*index)).unwrap()
 }
