--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -20,7 +20,7 @@
 use crate::planner_load::PlannerLoad;
 use crate::store_failures::StoreFailures;
 use crate::stored::{Loaded, PRODUCER, Snapshot, load_jobs};
-use crate::{lock, metrics};
+use crate::{build, lock, metrics};
 
 /// Time between two planning passes when nothing else triggers one; an occurrence of a scheduled job starts at most
 /// this late.
@@ -113,7 +113,8 @@
             confirmations: Confirmations::default(),
             cancels_stored: Mutex::default(),
         });
-        log::info!("event=office_taken epoch={}", active.leader.epoch);
+        let (epoch, instance) = (active.leader.epoch, &active.leader.instance);
+        log::info!("event=office_taken epoch={epoch} instance={instance} {}", build::THIS);
         tokio::spawn(active.clone().run_passes());
         tokio::spawn(active.clone().run_appends(store.clone(), writer));
         tokio::spawn(active.clone().run_renewals(store.clone()));
