Give no refusal for a job that another attempt of its call has submitted meanwhile

Callers could see 429 for a job that then ran. A refusal waits until the leadership is confirmed; an earlier attempt of the same call that arrives in that time, when the job fits, is accepted, and the refusal was given nevertheless. The refusal is now decided once more together with the planner and the answered calls: if the job is known, the answer is "not known yet", and the entry asks again. The same holds for "not run" in place of a refusal in an outage.

--- a/crates/control/src/decisions.rs
+++ b/crates/control/src/decisions.rs
@@ -131,6 +131,16 @@
     if is_stored && planner.state(job).is_some() { Settled::Accepted } else { Settled::Unresolved }
 }
 
+/// Returns whether a submission of a call may be refused, or answered with "not run", after a wait; if so, copies of the call
+/// that arrive later are. It may not if another attempt of the caller has been accepted meanwhile.
+pub fn refuse(planner: &Planner, answered_calls: &mut AnsweredCalls, now: u64, job: &str, call: u64) -> bool {
+    let is_refused = !planner.knows(job);
+    if is_refused {
+        answered_calls.record(now, call);
+    }
+    is_refused
+}
+
 /// First decision on a cancel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CancelDecision {
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -121,22 +121,25 @@
     ) -> Reply {
         let mut unavailable = self.store_unavailable.subscribe();
         let is_confirmed = tokio::select! {
-            is_confirmed = self.confirm_leadership(wait) => is_confirmed,
+            is_confirmed = self.confirm_leadership(wait) => Some(is_confirmed),
             // The sender exists as long as this planner.
-            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => {
-                lock(&self.answered_calls).record(now_ms(), call);
-                return self.not_run(sub);
-            }
+            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => None,
+        };
+        if is_confirmed == Some(false) {
+            return if self.has_stepped_down() { Reply::NotPlanner(None) } else { Reply::Unresolved };
+        }
+        let is_refused = {
+            let mut answered_calls = lock(&self.answered_calls);
+            decisions::refuse(&lock(&self.planner), &mut answered_calls, now_ms(), &sub.job, call)
         };
         match is_confirmed {
-            true => self.refuse(sub, call, why, retry_after_ms),
-            false if self.has_stepped_down() => Reply::NotPlanner(None),
-            false => Reply::Unresolved,
+            _ if !is_refused => Reply::Unresolved,
+            Some(_) => self.refuse(sub, why, retry_after_ms),
+            None => self.not_run(sub),
         }
     }
 
-    fn refuse(&self, sub: &Submission, call: u64, why: String, retry_after_ms: u64) -> Reply {
-        lock(&self.answered_calls).record(now_ms(), call);
+    fn refuse(&self, sub: &Submission, why: String, retry_after_ms: u64) -> Reply {
         let value = lock(&self.planner).value_in_time(sub);
         log::info!(
             "event=refused job={} queue={} account={} priority={} value={value:.2} epoch={} \
