Name the leader, the evidence and the epochs of each answer

- `cancel_answered`, `submit_answered` and the new `state_answered` (410 and 504 only) name the leader that replied or may have carried the request out, its epoch and address, the attempts, the newest epochs that the entry knew at arrival and at the answer, and the evidence.
`request_planner` returns this as an `Origin` beside the result.
- `accepted`, `not_run` and `cancelled_before` have the epoch; `not_run` its reason.
- Counters of cancels and of submissions not run, by reason.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -93,7 +93,8 @@
     ) -> Option<Arc<Self>> {
         let mut writer = Writer { producer: PRODUCER.to_owned(), epoch: leader.epoch, sequence: 0 };
         let Loaded { jobs, cancels, digest } = load_jobs(store, &mut writer, earlier).await?;
-        let mut planner = Planner::new(timing, desired, jobs, now_ms()).with_cancels(cancels);
+        let mut planner =
+            Planner::new(timing, desired, jobs, now_ms()).with_cancels(cancels).with_epoch(leader.epoch);
         if let Some(digest) = digest {
             planner.restore(now_ms(), wall_ms(), digest);
         }
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -15,6 +15,7 @@
 use crate::calls::{PlannerReply as Reply, PlannerRequest, call};
 use crate::clock::now_ms;
 use crate::entry::Entry;
+use crate::origin::{Asked, Evidence, Origin};
 use crate::{lock, metrics};
 
 /// Time-out of one attempt: long enough for a slow store, and short enough for a second attempt within the caller's
@@ -88,7 +89,9 @@
         let began = Instant::now();
         let known_epoch = Some(self.leadership.epoch());
         let req = PlannerRequest::Submit { sub, call: rand::random(), known_epoch };
-        let response = match self.request_planner(req, http_request).await {
+        let (result, origin) = self.request_planner(req, http_request).await;
+        let evidence = Evidence::new(&result, &origin);
+        let response = match result {
             RequestResult::Reply(Reply::Accepted) => Response::new(StatusCode::OK).json(&json!({})),
             RequestResult::Reply(Reply::Refused { why, retry_after_ms }) => {
                 refuse(StatusCode::TOO_MANY_REQUESTS, &why).with_retry_after_ms(retry_after_ms)
@@ -105,12 +108,21 @@
             other => unanswered("submit", job, &other),
         };
         let (status, took_ms) = (response.status.as_u16(), began.elapsed().as_millis());
-        log::info!("event=submit_answered job={job} queue={} status={status} took_ms={took_ms}", queue.name);
+        let known_epoch = self.leadership.epoch();
+        log::info!(
+            "event=submit_answered job={job} queue={} status={status} evidence={evidence} {origin} \
+             known_epoch={known_epoch} took_ms={took_ms}",
+            queue.name
+        );
         response
     }
 
     async fn state(&self, job: &str, http_request: &Request) -> Response {
-        match self.request_planner(PlannerRequest::State(job.to_owned()), http_request).await {
+        let began = Instant::now();
+        let (result, origin) =
+            self.request_planner(PlannerRequest::State(job.to_owned()), http_request).await;
+        let evidence = Evidence::new(&result, &origin);
+        let response = match result {
             RequestResult::Reply(Reply::State(Some(state))) => {
                 let text = match state {
                     JobState::Queued => "queued",
@@ -123,12 +135,25 @@
             }
             RequestResult::Reply(Reply::State(None)) => refuse(StatusCode::GONE, "no such job"),
             other => unanswered("state", job, &other),
+        };
+        // Callers ask for the state of a job often; only these answers leave its fate open.
+        if matches!(response.status, StatusCode::GONE | StatusCode::GATEWAY_TIMEOUT) {
+            let (status, took_ms) = (response.status.as_u16(), began.elapsed().as_millis());
+            let known_epoch = self.leadership.epoch();
+            log::info!(
+                "event=state_answered job={job} status={status} evidence={evidence} {origin} \
+                 known_epoch={known_epoch} took_ms={took_ms}"
+            );
         }
+        response
     }
 
     async fn cancel(&self, job: &str, http_request: &Request) -> Response {
         let began = Instant::now();
-        let result = self.request_planner(PlannerRequest::Cancel(job.to_owned()), http_request).await;
+        let (result, origin) =
+            self.request_planner(PlannerRequest::Cancel(job.to_owned()), http_request).await;
+        let evidence = Evidence::new(&result, &origin);
+        metrics::count_cancel(evidence.cancel_reason());
         let response = match result {
             RequestResult::Reply(Reply::Cancelled(true)) => Response::new(StatusCode::OK).json(&json!({})),
             RequestResult::Reply(Reply::Cancelled(false)) => refuse(StatusCode::GONE, "no such job"),
@@ -145,13 +170,14 @@
         let (status, took_ms) = (response.status.as_u16(), began.elapsed().as_millis());
         let known_epoch = self.leadership.epoch();
         log::info!(
-            "event=cancel_answered job={job} status={status} known_epoch={known_epoch} took_ms={took_ms}"
+            "event=cancel_answered job={job} status={status} evidence={evidence} {origin} \
+             known_epoch={known_epoch} took_ms={took_ms}"
         );
         response
     }
 
     async fn pending(&self, queue: &Queue, http_request: &Request) -> Response {
-        match self.request_planner(PlannerRequest::Pending(queue.name.clone()), http_request).await {
+        match self.request_planner(PlannerRequest::Pending(queue.name.clone()), http_request).await.0 {
             RequestResult::Reply(Reply::Pending(count)) => {
                 Response::new(StatusCode::OK).json(&json!({"pending": count}))
             }
@@ -160,11 +186,22 @@
     }
 
     /// Retries a request until the planner replies, none is expected in time, or the caller's wait, less the margin for the
-    /// reply, has passed.
+    /// reply, has passed. Returns the result and where it came from.
     pub(crate) async fn request_planner(
         &self,
         request: PlannerRequest,
         http_request: &Request,
+    ) -> (RequestResult, Origin) {
+        let mut origin = Origin::new(self.leadership.epoch());
+        let result = self.retry_request(request, http_request, &mut origin).await;
+        (result, origin)
+    }
+
+    async fn retry_request(
+        &self,
+        request: PlannerRequest,
+        http_request: &Request,
+        origin: &mut Origin,
     ) -> RequestResult {
         let wait = Duration::from_millis(wait_for_planner_ms(http_request.wait_ms));
         let deadline = tokio::time::Instant::now() + wait;
@@ -178,7 +215,9 @@
                     RequestResult::NeverSent { retry_after_ms: TAKEOVER_MS }
                 };
             }
-            match self.request_once(request.clone(), remaining.min(ATTEMPT_TIMEOUT)).await {
+            let result = self.request_once(request.clone(), remaining.min(ATTEMPT_TIMEOUT), origin).await;
+            origin.record(&result);
+            match result {
                 RequestResult::Reply(Reply::NotPlanner(leader)) => self.leadership.update_leader(leader),
                 RequestResult::Reply(Reply::Unresolved) | RequestResult::Unresolved => unresolved = true,
                 RequestResult::Reply(Reply::CancelNotStored) => {
@@ -208,8 +247,10 @@
         }
     }
 
-    async fn request_once(&self, req: PlannerRequest, wait: Duration) -> RequestResult {
+    /// Passes a request to the leader; records in `origin` who that is.
+    async fn request_once(&self, req: PlannerRequest, wait: Duration, origin: &mut Origin) -> RequestResult {
         if let Some(active) = self.planner() {
+            origin.asked = Some(Asked::this(&active.leader));
             return RequestResult::Reply(active.handle_request(req, wait).await);
         }
         let Some(leader) =
@@ -217,6 +258,7 @@
         else {
             return RequestResult::NeverSent { retry_after_ms: TAKEOVER_MS };
         };
+        origin.asked = Some(Asked::other(&leader));
         let wait_ms = wait.as_millis() as u64;
         let reply =
             call(&self.pool, &leader.address, wait, async |rpc, cx| rpc.request(cx, req, wait_ms).await);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operators;
+mod origin;
 pub mod peers;
 pub mod planner_load;
 pub mod presence;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -29,6 +29,8 @@
     incarnations_ended: Counter<u64>,
     reports_ignored: Counter<u64>,
     submissions_refused: Counter<u64>,
+    submissions_not_run: Counter<u64>,
+    cancels: Counter<u64>,
     request_seconds: Histogram<f64>,
     append_seconds: Histogram<f64>,
     pass_seconds: Histogram<f64>,
@@ -64,6 +66,8 @@
         incarnations_ended: meter.u64_counter("sorrelland_incarnations_ended").build(),
         reports_ignored: meter.u64_counter("sorrelland_reports_ignored").build(),
         submissions_refused: meter.u64_counter("sorrelland_submissions_refused").build(),
+        submissions_not_run: meter.u64_counter("sorrelland_submissions_not_run").build(),
+        cancels: meter.u64_counter("sorrelland_cancels").build(),
         request_seconds: latency("sorrelland_request_seconds"),
         append_seconds: latency("sorrelland_append_seconds"),
         pass_seconds: latency("sorrelland_pass_seconds"),
@@ -134,6 +138,20 @@
     }
 }
 
+/// Counts a submission that the planner answered with "not run", by the reason.
+pub fn count_not_run(reason: &'static str) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.submissions_not_run.add(1, &[KeyValue::new("reason", reason)]);
+    }
+}
+
+/// Counts a cancel that an entry answered, by the reason for the answer.
+pub fn count_cancel(reason: &'static str) {
+    if let Some(metrics) = METRICS.get() {
+        metrics.cancels.add(1, &[KeyValue::new("reason", reason)]);
+    }
+}
+
 /// Records how long the answer to a request took.
 pub fn record_request(operation: &'static str, status: StatusCode, started_at: Instant) {
     if let Some(metrics) = METRICS.get() {
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -70,7 +70,7 @@
             let body = json!({"error": format!("unknown view {view:?}; available views: {available}")});
             return Response::new(StatusCode::NOT_FOUND).json(&body);
         };
-        match self.request_planner(planner_request, &request).await {
+        match self.request_planner(planner_request, &request).await.0 {
             RequestResult::Reply(Reply::View(body)) => Response { body, ..Response::new(StatusCode::OK) },
             result => {
                 log::info!("event=unanswered what=show view={view} asked={result:?}");
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -12,7 +12,7 @@
 use crate::callers::MAX_WAIT_MS;
 use crate::calls::PlannerReply as Reply;
 use crate::clock::{now_ms, wall_ms};
-use crate::lock;
+use crate::{lock, metrics};
 
 /// Time after which a caller may submit a job again that a cancel may have preceded, in milliseconds: by then all entries
 /// know the new leader.
@@ -32,8 +32,11 @@
             return self.reject_older_than_cancels(sub, call, known_epoch);
         }
         let is_answered = lock(&self.answered_calls).contains(call);
-        if is_answered || (*self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job)) {
-            return self.not_run(sub, call);
+        if is_answered {
+            return self.not_run(sub, call, "answered_before");
+        }
+        if *self.store_unavailable.borrow() && !lock(&self.planner).knows(&sub.job) {
+            return self.not_run(sub, call, "store_unavailable");
         }
         let admission = lock(&self.planner).submit(now_ms(), wall_ms(), sub);
         let change = match admission {
@@ -61,7 +64,11 @@
         }
         if is_stored || lock(&self.planner).withdraw(&sub.job) {
             // The next leader may accept it at once.
-            return if self.has_stepped_down() { Reply::NotPlanner(None) } else { self.not_run(sub, call) };
+            return if self.has_stepped_down() {
+                Reply::NotPlanner(None)
+            } else {
+                self.not_run(sub, call, "withdrawn")
+            };
         }
         let left = deadline.saturating_duration_since(tokio::time::Instant::now());
         if self.has_stepped_down() || !self.wait_stored(change, left).await {
@@ -88,9 +95,11 @@
 
     /// Answers that a job has not run and will not, since a cancel of it may have been answered without being stored.
     fn reject_older_than_cancels(&self, sub: &Submission, call: u64, known_epoch: Option<u64>) -> Reply {
+        const REASON: &str = "older_than_cancels";
         lock(&self.answered_calls).record(now_ms(), call);
+        metrics::count_not_run(REASON);
         log::info!(
-            "event=not_run job={} epoch={} known_epoch={known_epoch:?} retry_after_ms={RESUBMIT_MS} \
+            "event=not_run job={} epoch={} reason={REASON} known_epoch={known_epoch:?} retry_after_ms={RESUBMIT_MS} \
              why=\"it may have been cancelled at a leader of an earlier build\"",
             sub.job,
             self.leader.epoch
@@ -105,11 +114,12 @@
 
     fn accept(&self, sub: &Submission) -> Reply {
         log::info!(
-            "event=accepted job={} queue={} account={} priority={} {}",
+            "event=accepted job={} queue={} account={} priority={} epoch={} {}",
             sub.job,
             sub.queue,
             sub.account,
             self.priority(sub),
+            self.leader.epoch,
             shape(sub)
         );
         Reply::Accepted
@@ -129,7 +139,7 @@
         let is_confirmed = tokio::select! {
             is_confirmed = self.confirm_leadership(wait) => is_confirmed,
             // The sender exists as long as this planner.
-            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => return self.not_run(sub, call),
+            Ok(_) = unavailable.wait_for(|unavailable| *unavailable) => return self.not_run(sub, call, "store_unavailable"),
         };
         match is_confirmed {
             true => self.refuse(sub, call, why, retry_after_ms),
@@ -153,12 +163,17 @@
         Reply::Refused { why, retry_after_ms }
     }
 
-    /// Answers that a job has not run and will not, since the store doesn't answer.
-    fn not_run(&self, sub: &Submission, call: u64) -> Reply {
+    /// Answers that a job has not run and will not, since the store doesn't answer or an earlier attempt was answered so.
+    fn not_run(&self, sub: &Submission, call: u64, reason: &'static str) -> Reply {
         lock(&self.answered_calls).record(now_ms(), call);
+        metrics::count_not_run(reason);
         let failing_ms = self.append_failing_ms();
         let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, self.priority(sub));
-        log::info!("event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}", sub.job);
+        log::info!(
+            "event=not_run job={} epoch={} reason={reason} failing_ms={failing_ms} retry_after_ms={retry_after_ms}",
+            sub.job,
+            self.leader.epoch
+        );
         Reply::NotRun { retry_after_ms }
     }
 
--- a/crates/fleet/src/cancels.rs
+++ b/crates/fleet/src/cancels.rs
@@ -90,8 +90,8 @@
         self.untaken.new_jobs.insert(sub.job.clone());
         self.mark_changed(&sub.job);
         self.log_line(format!(
-            "event=cancelled_before job={} queue={} cancelled_ms_ago={cancelled_ms_ago}",
-            sub.job, sub.queue
+            "event=cancelled_before job={} queue={} epoch={} cancelled_ms_ago={cancelled_ms_ago}",
+            sub.job, sub.queue, self.epoch
         ));
         Some(Admission::Accepted { change })
     }
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -87,6 +87,8 @@
 #[derive(Clone, Debug)]
 pub struct Planner {
     pub(crate) timing: Timing,
+    /// Epoch of the leader that runs this planner, for its log lines; 0 if it has none.
+    pub(crate) epoch: u64,
     /// When this planner was created, on the monotonic clock.
     pub(crate) created_at: u64,
     /// When the last tick ran, on the monotonic clock; 0 before the first.
@@ -171,6 +173,7 @@
         }
         Self {
             timing,
+            epoch: 0,
             created_at: now,
             last_tick_at: 0,
             desired,
@@ -214,6 +217,11 @@
         }
     }
 
+    /// Sets the epoch that the log lines name.
+    pub fn with_epoch(self, epoch: u64) -> Self {
+        Self { epoch, ..self }
+    }
+
     /// Replaces the desired state; a version that is not newer is ignored.
     pub fn set_desired(&mut self, desired: Arc<Desired>) {
         if desired.version > self.desired.version {
--- a/crates/sorrelland/tests/platform.rs
+++ b/crates/sorrelland/tests/platform.rs
@@ -353,6 +353,133 @@
     .await;
     let lines = assert_event_order(&platform, &job(1), &["not_run", "accepted", "job_ended"]);
     assert!(lines[0].contains("failing_ms="), "{}", lines[0]);
+    let reason = field(&lines[0], "reason");
+    assert!(matches!(reason, "store_unavailable" | "withdrawn"), "{}", lines[0]);
+    assert!(lines.iter().take(2).all(|line| field(line, "epoch").parse::<u64>().is_ok()), "{lines:#?}");
+    let counter = "sorrelland_submissions_not_run_total";
+    eventually(Duration::from_secs(5), "the counter has the reason", async || {
+        has_counted(&platform, 1, counter, reason).await || has_counted(&platform, 2, counter, reason).await
+    })
+    .await;
+}
+
+/// Returns the value of a field of a log line.
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let prefix = format!("{name}=");
+    let value = line.split(' ').find_map(|field| field.strip_prefix(&prefix));
+    value.unwrap_or_else(|| panic!("no {name} in {line}"))
+}
+
+/// Returns whether a counter of an entry has the reason.
+async fn has_counted(platform: &Platform, entry: usize, counter: &str, reason: &str) -> bool {
+    let url = format!("http://{}/metrics", platform.env.address(10 + entry, 9_464));
+    let client = Client::new(Duration::from_secs(2));
+    let Ok(response) = client.send(Method::GET, &url, &[], Default::default()).await else { return false };
+    let text = String::from_utf8(response.body.to_vec()).unwrap();
+    let label = format!("reason=\"{reason}\"");
+    text.lines().any(|line| line.starts_with(counter) && line.contains(&label))
+}
+
+/// Returns the newest line of an event of a job, which is logged within two seconds.
+async fn await_line(platform: &Platform, job: &str, event: &str) -> String {
+    let newest = || platform.job_events(job).into_iter().rfind(|(name, _)| name == event);
+    eventually(Duration::from_secs(2), event, async || newest().is_some()).await;
+    newest().unwrap().1
+}
+
+fn read_log(platform: &Platform, process: &str) -> String {
+    std::fs::read_to_string(platform.env.dir().join(format!("{process}.log"))).unwrap()
+}
+
+// Guards against lines that don't tell which build and leader answered a cancel, and on what evidence.
+#[tokio::test]
+async fn walk_from_a_cancelled_job_that_ran_on_to_its_cause() {
+    let platform = Platform::start(2, 2).await;
+    let leader = platform.leader();
+    let other = 3 - leader;
+    let leader_log = read_log(&platform, &format!("entry-{leader}"));
+    let taken = leader_log.lines().rfind(|line| line.contains("event=office_taken")).unwrap();
+    let epoch = field(taken, "epoch").to_owned();
+    let build = sorrelland_control::build::THIS.to_string();
+    assert!(taken.contains(&build), "{taken}");
+    for process in ["entry-1", "entry-2", "agent-1", "agent-2"] {
+        let log = read_log(&platform, process);
+        let started = log.lines().find(|line| line.contains("event=started role=")).unwrap();
+        assert!(started.contains(&build), "{process}: {started}");
+        eventually(Duration::from_secs(5), "the build of the leader is known", async || {
+            let log = read_log(&platform, process);
+            let is_named = |line: &str| line.contains("event=planner_known") || line.contains("_build_known");
+            let newest = log.lines().rfind(|line| is_named(line) && field(line, "epoch") == epoch);
+            newest.is_some_and(|line| field(line, "earlier_build") == "false")
+        })
+        .await;
+    }
+
+    // The cancel of an unknown job, and a submission after it.
+    let call = async |index: usize, method: Method, number: u32| {
+        platform.call(index, method, &format!("{PREFIX}{}", job(number)), KEY, &Value::Null).await.0
+    };
+    assert_eq!(call(other, Method::DELETE, 1).await, 410);
+    assert_eq!(platform.submit(other, &job(1), json!([step(1)]), "run_ms=50").await, 200);
+    platform.await_state(&job(1), "cancelled", Duration::from_secs(5)).await;
+    let decided = await_line(&platform, &job(1), "cancel_decided").await;
+    assert_eq!(["epoch", "known", "stored"].map(|key| field(&decided, key)), [&epoch, "false", "true"]);
+    let address = platform.env.address(10 + leader, 7_000);
+    let from_other = |line: &str, evidence: &str| {
+        let expected = [evidence, &format!("entry-{leader}"), &epoch, &address, &epoch, &epoch];
+        let keys = ["evidence", "leader", "epoch", "at", "arrival_epoch", "known_epoch"];
+        assert_eq!(keys.map(|key| field(line, key)), expected, "{line}");
+        assert!(field(line, "attempts").parse::<u32>().is_ok_and(|attempts| attempts > 0), "{line}");
+    };
+    from_other(&await_line(&platform, &job(1), "cancel_answered").await, "stored");
+    from_other(&await_line(&platform, &job(1), "submit_answered").await, "stored");
+    let before = await_line(&platform, &job(1), "cancelled_before").await;
+    assert_eq!(field(&before, "epoch"), epoch);
+    assert_eq!(field(&await_line(&platform, &job(1), "accepted").await, "epoch"), epoch);
+    assert!(platform.job_events(&job(1)).iter().all(|(event, _)| event != "started"));
+
+    // The cancel of a known job.
+    assert_eq!(platform.submit(leader, &job(2), json!([step(1)]), "run_ms=60000").await, 200);
+    platform.await_state(&job(2), "running", Duration::from_secs(5)).await;
+    assert_eq!(call(leader, Method::DELETE, 2).await, 200);
+    let decided = await_line(&platform, &job(2), "cancel_decided").await;
+    assert_eq!(["epoch", "known", "stored"].map(|key| field(&decided, key)), [&epoch, "true", "true"]);
+    let answered = await_line(&platform, &job(2), "cancel_answered").await;
+    assert_eq!(["evidence", "at", "epoch"].map(|key| field(&answered, key)), ["known", "self", &epoch]);
+    assert_eq!(field(&await_line(&platform, &job(2), "started").await, "token"), epoch);
+
+    // The state of an unknown job; known ones have no line.
+    assert_eq!(call(other, Method::GET, 9).await, 410);
+    from_other(&await_line(&platform, &job(9), "state_answered").await, "unknown");
+    assert!(platform.job_events(&job(2)).iter().all(|(event, _)| event != "state_answered"));
+
+    eventually(Duration::from_secs(5), "the counter has the reason", async || {
+        has_counted(&platform, other, "sorrelland_cancels_total", "unknown_stored").await
+    })
+    .await;
+    eventually(Duration::from_secs(5), "the counter has the reason", async || {
+        has_counted(&platform, leader, "sorrelland_cancels_total", "known").await
+    })
+    .await;
+}
+
+// Guards against an answer without a reply that names no leader and no evidence.
+#[tokio::test]
+async fn walk_from_a_cancel_without_an_answer_to_its_cause() {
+    let platform = Platform::start(2, 1).await;
+    let other = 3 - platform.leader();
+    platform.set_store_faults(json!({"silent": true})).await;
+    let path = format!("{PREFIX}{}", job(1));
+    let status = platform.call_within(900, other, Method::DELETE, &path, KEY, &Value::Null).await.0;
+    assert_eq!(status, 504);
+    let answered = await_line(&platform, &job(1), "cancel_answered").await;
+    assert_eq!(field(&answered, "evidence"), "unresolved", "{answered}");
+    assert_eq!(field(&answered, "leader"), format!("entry-{}", 3 - other), "{answered}");
+    eventually(Duration::from_secs(5), "the counter has the reason", async || {
+        has_counted(&platform, other, "sorrelland_cancels_total", "unresolved").await
+    })
+    .await;
+    platform.set_store_faults(json!({})).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/sorrelland/tests/upgrades.rs
+++ b/crates/sorrelland/tests/upgrades.rs
@@ -492,6 +492,16 @@
         let path = format!("{PREFIX}{job}");
         let (status, _) = platform.call(entry, Method::DELETE, &path, KEY, &Value::Null).await;
         answers.push(status);
+        if !can_lead && status == 504 {
+            eventually(Duration::from_secs(2), "the answer names its evidence", async || {
+                platform.job_events(&job).iter().any(|(event, line)| {
+                    event == "cancel_answered" && line.contains(" evidence=not_stored_by_earlier_build ")
+                })
+            })
+            .await;
+            let log = fs::read_to_string(platform.env.dir().join(format!("entry-{entry}.log"))).unwrap();
+            assert!(log.contains("earlier_build=true"), "the build of the leader is not known");
+        }
         if status == 410 {
             platform.submit_until_accepted(&job, &json!([step(1)]), "run_ms=10").await;
             assert_eq!(platform.state(entry, &job).await, "cancelled", "{answers:?}");
