--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -10,12 +10,15 @@
 use crate::calls::PlannerReply as Reply;
 use crate::clock::{now_ms, wall_ms};
 use crate::decisions::{self, Settled, Standing, Submitted};
-use crate::lock;
+use crate::{lock, metrics};
 
 /// Time after which a caller may submit a job again that a cancel may have preceded, in milliseconds: by then all entries
 /// know the new leader.
 const RESUBMIT_MS: u64 = 500;
 
+/// Reason in logs and metrics of a "not run" while the store doesn't answer.
+const STORE_UNAVAILABLE: &str = "store_unavailable";
+
 impl ActivePlanner {
     /// Submits a job of a call and waits at most `wait` until it is stored. A job that can't be stored is withdrawn if no
     /// append contains it yet.
@@ -37,7 +40,8 @@
             Submitted::OlderThanCancels => {
                 return self.reject_older_than_cancels(sub, known_epoch, wait).await;
             }
-            Submitted::NotRun => return self.not_run(sub),
+            Submitted::NotRun if standing.store_unavailable => return self.not_run(sub, STORE_UNAVAILABLE),
+            Submitted::NotRun => return self.not_run(sub, "answered_before"),
             Submitted::Refused { reason, retry_after_ms } => {
                 return self.confirm_refusal(sub, call, reason, retry_after_ms, wait).await;
             }
@@ -69,7 +73,7 @@
         };
         match settled {
             Settled::Accepted => self.accept(sub),
-            Settled::NotRun => self.not_run(sub),
+            Settled::NotRun => self.not_run(sub, "withdrawn"),
             Settled::NotPlanner => Reply::NotPlanner(None),
             Settled::Unresolved | Settled::Appended => Reply::Unresolved,
         }
@@ -93,11 +97,13 @@
         known_epoch: Option<u64>,
         wait: Duration,
     ) -> Reply {
+        const REASON: &str = "older_than_cancels";
         if !self.confirm_leadership(wait).await {
             return if self.has_stepped_down() { Reply::NotPlanner(None) } else { Reply::Unresolved };
         }
+        metrics::count_not_run(REASON);
         log::info!(
-            "event=not_run job={} epoch={} known_epoch={known_epoch:?} retry_after_ms={RESUBMIT_MS} \
+            "event=not_run job={} epoch={} reason={REASON} known_epoch={known_epoch:?} retry_after_ms={RESUBMIT_MS} \
              why=\"it may have been cancelled at a leader of an earlier build\"",
             sub.job,
             self.leader.epoch
@@ -107,11 +113,12 @@
 
     fn accept(&self, sub: &Submission) -> Reply {
         log::info!(
-            "event=accepted job={} queue={} account={} priority={} {}",
+            "event=accepted job={} queue={} account={} priority={} epoch={} {}",
             sub.job,
             sub.queue,
             sub.account,
             self.priority(sub),
+            self.leader.epoch,
             shape(sub)
         );
         Reply::Accepted
@@ -143,7 +150,7 @@
         match is_confirmed {
             _ if !is_refused => Reply::Unresolved,
             Some(_) => self.refuse(sub, why, retry_after_ms),
-            None => self.not_run(sub),
+            None => self.not_run(sub, STORE_UNAVAILABLE),
         }
     }
 
@@ -161,11 +168,16 @@
         Reply::Refused { why, retry_after_ms }
     }
 
-    /// Answers that a job has not run and will not, since the store doesn't answer.
-    fn not_run(&self, sub: &Submission) -> Reply {
+    /// Answers that a job has not run and will not, since the store doesn't answer or an earlier attempt was answered so.
+    fn not_run(&self, sub: &Submission, reason: &'static str) -> Reply {
+        metrics::count_not_run(reason);
         let failing_ms = self.append_failing_ms();
         let retry_after_ms = spread_retry_ms(outage_rest_ms(failing_ms), &sub.job, self.priority(sub));
-        log::info!("event=not_run job={} failing_ms={failing_ms} retry_after_ms={retry_after_ms}", sub.job);
+        log::info!(
+            "event=not_run job={} epoch={} reason={reason} failing_ms={failing_ms} retry_after_ms={retry_after_ms}",
+            sub.job,
+            self.leader.epoch
+        );
         Reply::NotRun { retry_after_ms }
     }
 
