--- a/crates/sorrelland/tests/cancels.rs
+++ b/crates/sorrelland/tests/cancels.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use common::cancel_play::{Play, Trouble};
 use common::platform::{Callers, KEY, PREFIX, Platform, step};
 use http::Method;
 use nix::sys::signal::Signal;
@@ -152,3 +153,11 @@
     }
     platform.set_store_faults(json!({})).await;
 }
+
+/// Guards against a job that runs on after its cancel was answered at another entry, while leaders end and the store is silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancels_hold_while_the_leader_is_stopped_and_the_store_is_silent() {
+    let (platform, record) = Play::new(48, Trouble::StopLeader, 4).run().await;
+    record.assert_answers_hold();
+    platform.assert_run_once().await;
+}
--- a/crates/sorrelland/tests/common/mod.rs
+++ b/crates/sorrelland/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod cancel_play;
 pub mod history;
 pub mod platform;
 
--- a/crates/sorrelland/tests/upgrades.rs
+++ b/crates/sorrelland/tests/upgrades.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use common::cancel_play::{Play, Trouble};
 use common::eventually;
 use common::platform::{Callers, KEY, PREFIX, Platform, RECOVERY_BOUND, present_build, step};
 use http::Method;
@@ -524,3 +525,19 @@
     platform.await_workers().await;
     assert_rules_held(&platform).await;
 }
+
+/// Guards against a job that runs on after its cancel was answered while entries of an earlier build are replaced.
+#[yare::parameterized(
+    landing_8 = { "landing-8" },
+    landing_10 = { "landing-10" },
+    landing_12 = { "landing-12" },
+    landing_13 = { "landing-13" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+#[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
+async fn cancels_hold_while_entries_are_replaced(landing: &str) {
+    let play = Play::new(48, Trouble::StopInTurn, 4).with_builds(&earlier_build(landing), present_build());
+    let (platform, record) = play.run().await;
+    record.assert_answers_hold();
+    assert_rules_held(&platform).await;
+}
