Stop leaders of this build in plays of cancels while earlier builds remain

StopTwoThenLeader replaces two entries and then stops the leader and the entries of the earlier build alternately, so that a leader of this build is stopped while its successor may be of either build.

--- a/crates/sorrelland/tests/cancel_plays.rs
+++ b/crates/sorrelland/tests/cancel_plays.rs
@@ -18,9 +18,14 @@
 async fn answers_of_a_play_hold() {
     let text = env::var("SORRELLAND_PLAYS").unwrap();
     let [trouble, seed, rounds] = text.split(' ').collect::<Vec<_>>()[..] else { panic!("{text}") };
-    let troubles =
-        [Trouble::StopInTurn, Trouble::StopLeader, Trouble::KillLeader, Trouble::FreezeLeader].into_iter();
-    let trouble = troubles.clone().find(|known| format!("{known:?}") == trouble).unwrap();
+    let troubles = [
+        Trouble::StopInTurn,
+        Trouble::StopLeader,
+        Trouble::StopTwoThenLeader,
+        Trouble::KillLeader,
+        Trouble::FreezeLeader,
+    ];
+    let trouble = *troubles.iter().find(|known| format!("{known:?}") == trouble).unwrap();
     let build = |name: &str| env::var_os(name).map_or_else(|| present_build().to_owned(), PathBuf::from);
     let play = Play::new(seed.parse().unwrap(), trouble, rounds.parse().unwrap())
         .with_builds(&build("SORRELLAND_FROM"), &build("SORRELLAND_TO"));
--- a/crates/sorrelland/tests/common/cancel_play.rs
+++ b/crates/sorrelland/tests/common/cancel_play.rs
@@ -58,6 +58,8 @@
     StopInTurn,
     /// The leader is stopped by SIGTERM.
     StopLeader,
+    /// Two entries are stopped by SIGTERM in turn; then the leader and the others are, alternately.
+    StopTwoThenLeader,
     /// The leader is killed.
     KillLeader,
     /// The leader is halted for 1 to 5 s.
@@ -410,6 +412,9 @@
             let began = Instant::now();
             let entry = match self.trouble {
                 Trouble::StopInTurn => (round + seed as usize) % ENTRIES + 1,
+                Trouble::StopTwoThenLeader if round < 2 || round % 2 == 1 => {
+                    (1..=ENTRIES).find(|entry| !restarts.contains_key(entry)).unwrap_or(1)
+                }
                 _ => leaderships(&platform, false).last().map_or(1, |leader| leader.entry),
             };
             self.trouble_entry(&mut platform, &mut rng, entry).await;
@@ -460,7 +465,7 @@
             tokio::time::sleep(lead).await;
             let stopped = tokio::time::Instant::now();
             match self.trouble {
-                Trouble::StopInTurn | Trouble::StopLeader => {
+                Trouble::StopInTurn | Trouble::StopLeader | Trouble::StopTwoThenLeader => {
                     platform.env.processes.terminate(&name, STOP_BOUND).await;
                 }
                 Trouble::KillLeader => platform.env.processes.kill(&name),
