--- a/crates/sorrelland/tests/cancels.rs
+++ b/crates/sorrelland/tests/cancels.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use common::cancel_play::{Play, Trouble};
 use common::eventually;
 use common::platform::{Callers, KEY, PREFIX, Platform, step};
 use http::Method;
@@ -194,3 +195,11 @@
     let late = late_starts(&platform, &[(job(1), answered_at)].into()).await;
     assert!(late.is_empty(), "{} subtasks started late: {late:?}", late.len());
 }
+
+/// Guards against a job that runs on after its cancel was answered at another entry, while leaders end and the store is silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancels_hold_while_the_leader_is_stopped_and_the_store_is_silent() {
+    let (platform, record) = Play::new(48, Trouble::StopLeader, 4).run().await;
+    record.assert_answers_hold();
+    platform.assert_run_once().await;
+}
