Bound the time for which an earlier build leads in the play of cancels

Answers from before the first leader of this build are only counted, so a build that never took the leadership would have passed. The first leader of this build now has to come within the platform's 4 s for the loss of a part, from the first start of an entry of this build.

--- a/crates/sorrelland/tests/common/cancel_play.rs
+++ b/crates/sorrelland/tests/common/cancel_play.rs
@@ -125,6 +125,8 @@
     pub play: Play,
     pub jobs: BTreeMap<String, JobRecord>,
     pub leaderships: Vec<Leadership>,
+    /// When the first entry was started from the second build.
+    pub first_restart_ms: Option<u64>,
     /// Subtask and time of each start on a worker.
     pub starts: Vec<(String, u64)>,
     pub dir: PathBuf,
@@ -222,6 +224,12 @@
         self.leaderships.iter().find(|leadership| leadership.is_present).map(|leadership| leadership.at_ms)
     }
 
+    /// Returns how long an entry of an earlier build led after the first start of the present build, in milliseconds; `None` if
+    /// it still does.
+    pub fn superseded_after_ms(&self) -> Option<u64> {
+        Some(self.first_present_ms()?.saturating_sub(self.first_restart_ms?))
+    }
+
     /// Returns whether an answer was given by an entry of the earlier build before one of the present build led, which the
     /// present build can't change.
     pub fn precedes_present_build(&self, answer: &Answer) -> bool {
@@ -434,8 +442,9 @@
         let starts = platform.history().await.into_iter().filter(|event| event.0 == "start");
         let starts = starts.map(|event| (event.1, event.3)).collect();
         let leaderships = self.leaderships(&platform, &restarts);
+        let first_restart_ms = restarts.values().min().copied();
         let dir = platform.env.dir().to_owned();
-        (platform, Record { play: self.clone(), jobs, leaderships, starts, dir })
+        (platform, Record { play: self.clone(), jobs, leaderships, first_restart_ms, starts, dir })
     }
 
     /// Returns all leaderships of a play whose entries were first started from the second build at `restarts`.
--- a/crates/sorrelland/tests/upgrades.rs
+++ b/crates/sorrelland/tests/upgrades.rs
@@ -539,5 +539,14 @@
     let play = Play::new(48, Trouble::StopInTurn, 4).with_builds(&earlier_build(landing), present_build());
     let (platform, record) = play.run().await;
     record.assert_answers_hold();
+    let superseded_after_ms = record.superseded_after_ms();
+    println!("{landing}: superseded after {superseded_after_ms:?} ms");
+    // Until then the earlier build goes on with its answers.
+    let is_in_time = superseded_after_ms.is_some_and(|ms| u128::from(ms) <= CATCH_UP_BOUND.as_millis());
+    assert!(
+        is_in_time,
+        "the earlier build led for {superseded_after_ms:?} ms; logs in {}",
+        record.dir.display()
+    );
     assert_rules_held(&platform).await;
 }
