--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -276,9 +276,7 @@
             }
         }
     }
-}
 
-impl Entry {
     /// Returns a reply that the leader of `epoch` gave from memory if the store shows within `wait` that it had no successor.
     async fn confirm_reply(&self, epoch: u64, reply: Reply, wait: Duration) -> RequestResult {
         match tokio::time::timeout(wait, self.store.read_latest(CLAIMS)).await {
