--- a/crates/control/tests/interleavings.rs
+++ b/crates/control/tests/interleavings.rs
@@ -27,7 +27,7 @@
 use sorrelland_platform::store::{Error, Writer};
 use sorrelland_platform::worker::{Announcement, Listing};
 
-const SEEDS: u64 = 400;
+const SEEDS: u64 = 2_000;
 
 /// Violations that a failure lists.
 const LISTED: usize = 10;
