Read the stand-in worker's clock under its lock when a run starts

The worker's log has run 1 as lapsed at 940,649 and started at 940,650: the call took the lock after the lease had ended, with a time from before, so the run was not refused as late. Nothing ran twice. The time is read under the lock now, and such a start is refused.

The test is as it was. Not repeated under the same load before this commit.

--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -359,9 +359,10 @@
         Err((status, reply)) => return respond(status, &reply),
     };
     let worker = cx.context();
-    let clock_ms = worker.clock_ms();
     let (task, run) = task_and_run(&request);
     let mut state = lock(&worker.state);
+    // The lease may have ended while the lock was taken.
+    let clock_ms = worker.clock_ms();
     if state.running.contains_key(&(task.clone(), run)) {
         return respond(StatusCode::OK, &json!({"clock_ms": clock_ms}));
     }
