--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 9))' || { echo "python3 of 3.9 or later is needed"; exit 1; }
-for file in rig-2/rig.py [0-9]*/case.py; do
+for file in rig-2/rig.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py more-2/*.py; do
   python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
 echo "stand-ins are ready"
--- a/review/more-2/route_out.py
+++ b/review/more-2/route_out.py
@@ -42,4 +42,4 @@
     return breaches
 
 
-r.main(HERE, case)
+r.main(os.environ.get("RECORD_DIR", HERE), case)
