Ask the policy service about workers by the names that they give

Cause: an incarnation is named ID@START inside the system, and the policy's client passed that on; the worker's client takes it apart. What is missing from a reply was kept as refused for good.

The planner's line named no worker; it names the admitted, refused and undecided ones now.

Change: WorkerId is the name that other systems know, and the policy's client takes and returns only that. Tickets and refusals are kept for the incarnation that was asked about, and only while that is the worker's; of two incarnations the newest is asked about. A reply with a row that can't be read refuses nobody, and is asked for again after 3 s, as one whose tickets are of no use. A refusal holds for 60 s: a worker that the service doesn't know yet is missing like one that it refuses. A stand-in of the policy service, tickets that the workers' stand-ins check, and a series of the soak with callers, a refused worker and faults of the service.

Why it works: the two names are two types, so that the compiler finds a place that mixes them; what the service decides is kept for as long as it can be true.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -7,6 +7,7 @@
 use sorrelland_fleet::Caller;
 use sorrelland_fleet::assignments::Assignments;
 use sorrelland_fleet::desired::Desired;
+use sorrelland_fleet::incarnation::WorkerId;
 use sorrelland_fleet::planner::{Planner, Timing};
 use sorrelland_fleet::report::Report;
 use sorrelland_platform::store::Writer;
@@ -262,20 +263,17 @@
                 continue;
             };
             let name = format!("{}.{}.{}", step.0, step.1, step.2);
-            match policy.request_approvals(&name, &workers).await {
-                Ok(approvals) => {
-                    let mut planner = lock(&self.planner);
-                    planner.record_approvals(
-                        now_ms(),
-                        &step,
-                        &workers,
-                        &approvals.admitted,
-                        approvals.valid_ms,
-                    );
-                    drop(planner);
+            let ids: Vec<WorkerId> = workers.iter().map(|incarnation| WorkerId::of(incarnation)).collect();
+            match policy.request_approvals(&name, &ids).await {
+                Ok(reply) => {
+                    lock(&self.planner).record_approvals(now_ms(), &step, &workers, &reply);
                     self.pass.notify_one();
                 }
-                Err(e) => log::warn!("event=policy_unanswered job={} step={name} cause=\"{e}\"", step.0),
+                Err(e) => log::warn!(
+                    "event=policy_unanswered job={} step={name} workers={} cause=\"{e}\"",
+                    step.0,
+                    workers.len()
+                ),
             }
         }
     }
--- a/crates/fleet/src/approvals.rs
+++ b/crates/fleet/src/approvals.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::incarnation::{self, WorkerId};
 use crate::pass::step_key;
 use crate::place::Candidate;
 use crate::planner::Planner;
@@ -24,15 +25,31 @@
 /// milliseconds: the pass that follows a reply places what the approved workers have room for.
 const FURTHER_REQUEST_DELAY_MS: u64 = 500;
 
+/// Time for which a refusal holds, in milliseconds. The service's decisions don't change, but a worker that it didn't know
+/// yet, or any more, is missing from its reply like one that may not run the step.
+const REFUSAL_HOLD_MS: u64 = 60_000;
+
+/// Reply of the policy service for a step.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PolicyReply {
+    /// Workers that may run the step, each with the ticket to present when starting a run there.
+    pub admitted: Vec<(WorkerId, String)>,
+    /// Further rows that could not be read: each may admit a worker.
+    pub unreadable_rows: usize,
+    /// Validity of the tickets, in milliseconds.
+    pub valid_ms: u64,
+}
+
 /// A step of a job's occurrence: the job, the occurrence, and the number of the step.
 pub type StepKey = (String, u32, u32);
 
 /// Approvals and refusals of the policy service, and the pending requests.
 #[derive(Clone, Debug, Default)]
 pub struct Approvals {
-    /// Ticket and end of its validity, by step and worker.
+    /// Ticket and end of its validity, by step and worker incarnation, since a ticket is for one.
     by_step: BTreeMap<StepKey, BTreeMap<String, (String, u64)>>,
-    refused: BTreeMap<StepKey, BTreeSet<String>>,
+    /// Worker incarnations that may not run a step, and until when that holds.
+    refused: BTreeMap<StepKey, BTreeMap<String, u64>>,
     requested_at: BTreeMap<StepKey, u64>,
     /// When the service last replied for a step.
     answered_at: BTreeMap<StepKey, u64>,
@@ -81,11 +98,11 @@
             && is_over(self.answered_at.get(step), FURTHER_REQUEST_DELAY_MS)
     }
 
-    /// Returns whether the service has decided on a worker for a step and the decision still holds: a refusal is final, an
-    /// approval holds as long as its ticket.
+    /// Returns whether the service has decided on a worker for a step and the decision still holds: an approval holds as long
+    /// as its ticket.
     fn is_decided(&self, step: &StepKey, incarnation: &str, now: u64) -> bool {
-        self.refused.get(step).is_some_and(|refused| refused.contains(incarnation))
-            || self.valid_ticket(step, incarnation, now).is_some()
+        let refused_until = self.refused.get(step).and_then(|refused| refused.get(incarnation));
+        refused_until.is_some_and(|until| *until > now) || self.valid_ticket(step, incarnation, now).is_some()
     }
 
     /// Removes an approval that a worker did not accept.
@@ -156,8 +173,8 @@
             }
     }
 
-    /// Returns the next request to the policy service: a step and the workers to ask about, those with the most free
-    /// resources first, without those decided before.
+    /// Returns the next request to the policy service: a step and the worker incarnations to ask about, those with the most
+    /// free resources first, without those decided before.
     pub fn next_approval_request(&mut self, now: u64) -> Option<(StepKey, Vec<String>)> {
         while let Some(step) = self.approvals.pending.pop_first() {
             self.approvals.requested_at.insert(step.clone(), now);
@@ -203,35 +220,54 @@
         })
     }
 
-    /// Records the policy service's reply for a step; the workers in `requested` but not in `admitted` are refused.
-    pub fn record_approvals(
-        &mut self,
-        now: u64,
-        step: &StepKey,
-        requested: &[String],
-        admitted: &[(String, String)],
-        valid_ms: u64,
-    ) {
-        let tickets = self.approvals.by_step.entry(step.clone()).or_default();
-        for (incarnation, ticket) in admitted {
-            tickets.insert(incarnation.clone(), (ticket.clone(), now.saturating_add(valid_ms)));
+    /// Records the policy service's reply for a step on the worker incarnations in `requested`. Those that the reply doesn't
+    /// admit are refused, unless a part of the reply could not be read. An incarnation that has ended since is left out: its
+    /// worker may have started again, and a ticket is for one incarnation.
+    pub fn record_approvals(&mut self, now: u64, step: &StepKey, requested: &[String], reply: &PolicyReply) {
+        let valid_until = now.saturating_add(reply.valid_ms);
+        let mut tickets = self.approvals.by_step.remove(step).unwrap_or_default();
+        let mut refusals = self.approvals.refused.remove(step).unwrap_or_default();
+        tickets.retain(|incarnation, _| self.workers.contains_key(incarnation));
+        refusals.retain(|incarnation, _| self.workers.contains_key(incarnation));
+        let (mut admitted, mut refused, mut undecided) = (Vec::new(), Vec::new(), Vec::new());
+        for incarnation in requested {
+            let worker = WorkerId::of(incarnation);
+            let ticket = reply.admitted.iter().find(|(id, _)| *id == worker).map(|(_, ticket)| ticket);
+            match ticket {
+                _ if !self.workers.contains_key(incarnation) => undecided.push(worker),
+                Some(ticket) => {
+                    refusals.remove(incarnation);
+                    tickets.insert(incarnation.clone(), (ticket.clone(), valid_until));
+                    admitted.push(worker);
+                }
+                None if reply.unreadable_rows > 0 => undecided.push(worker),
+                None => {
+                    refusals.insert(incarnation.clone(), now + REFUSAL_HOLD_MS);
+                    refused.push(worker);
+                }
+            }
         }
-        // The policy's decision on a worker is final.
-        let refused = requested
-            .iter()
-            .filter(|incarnation| !admitted.iter().any(|(admitted, _)| admitted == *incarnation));
-        self.approvals.refused.entry(step.clone()).or_default().extend(refused.cloned());
+        self.approvals.by_step.insert(step.clone(), tickets);
+        self.approvals.refused.insert(step.clone(), refusals);
         let requested_at = self.approvals.requested_at.remove(step);
+        if reply.unreadable_rows > 0 || reply.valid_ms <= MIN_REMAINING_VALIDITY_MS {
+            // The next reply may be as useless, so that it is not asked for at once.
+            self.approvals.requested_at.insert(step.clone(), now);
+        }
         self.approvals.answered_at.insert(step.clone(), now);
+        let took_ms = requested_at.map_or(0, |at| now.saturating_sub(at));
         if self.approvals.further_requested.take_if(|further| further == step).is_some() {
-            let took_ms = requested_at.map_or(0, |at| now.saturating_sub(at));
             self.approvals.further_allowed_at = now + took_ms;
         }
         let (job, occurrence, number) = step;
         self.log_line(format!(
-            "event=approved job={job} step={job}.{occurrence}.{number} asked={} admitted={}",
-            requested.len(),
-            admitted.len()
+            "event=approved job={job} step={job}.{occurrence}.{number} admitted={} refused={} undecided={} \
+             unreadable_rows={} valid_ms={} took_ms={took_ms}",
+            format_workers(&admitted),
+            format_workers(&refused),
+            format_workers(&undecided),
+            reply.unreadable_rows,
+            reply.valid_ms
         ));
     }
 
@@ -240,9 +276,24 @@
     }
 }
 
-/// Returns the workers with the most free resources, as many as one request names.
-fn freest(mut workers: Vec<&Worker>) -> Vec<String> {
+/// Returns the workers with the most free resources, as many as one request names. Of a worker that has started again
+/// only the newest incarnation counts.
+fn freest(workers: Vec<&Worker>) -> Vec<String> {
+    let mut newest: BTreeMap<WorkerId, &Worker> = BTreeMap::new();
+    let started_ms = |worker: &Worker| incarnation::split(&worker.info.incarnation).1;
+    for worker in workers {
+        let known = newest.entry(WorkerId::of(&worker.info.incarnation)).or_insert(worker);
+        if started_ms(known) < started_ms(worker) {
+            *known = worker;
+        }
+    }
+    let mut workers: Vec<&Worker> = newest.into_values().collect();
     workers.sort_by_key(|worker| std::cmp::Reverse(worker.free().weight()));
     let freest = workers.into_iter().take(MAX_WORKERS_PER_REQUEST);
     freest.map(|worker| worker.info.incarnation.clone()).collect()
 }
+
+fn format_workers(workers: &[WorkerId]) -> String {
+    let names: Vec<&str> = workers.iter().map(WorkerId::as_str).collect();
+    format!("\"{}\"", names.join(","))
+}
--- a/crates/fleet/src/incarnation.rs
+++ b/crates/fleet/src/incarnation.rs
@@ -1,7 +1,10 @@
 //! Names of worker incarnations.
 //!
 //! A worker that restarts may keep its name. Where workers tell when they started, that time is part of the
-//! incarnation's name, so that two lives of a worker never share one.
+//! incarnation's name, so that two lives of a worker never share one. That name is this system's own: other systems know a
+//! worker by its [`WorkerId`].
+
+use derive_more::Display;
 
 /// Separates a worker's name from the time of its start.
 const SEPARATOR: char = '@';
@@ -24,3 +27,23 @@
         None => (incarnation, None),
     }
 }
+
+/// Name of a worker as it gives it, which its later incarnations may keep.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkerId(String);
+
+impl WorkerId {
+    /// Creates the name that another system has given.
+    pub fn new(name: &str) -> Self {
+        Self(name.to_owned())
+    }
+
+    /// Returns the name of the worker that an incarnation is one of.
+    pub fn of(incarnation: &str) -> Self {
+        Self(split(incarnation).0.to_owned())
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
--- a/crates/fleet/tests/approvals.rs
+++ b/crates/fleet/tests/approvals.rs
@@ -5,8 +5,9 @@
 
 use std::collections::BTreeSet;
 
-use common::{Fleet, step};
-use sorrelland_fleet::approvals::StepKey;
+use common::{Fleet, reply, step};
+use sorrelland_fleet::approvals::{PolicyReply, StepKey};
+use sorrelland_fleet::incarnation::{self, WorkerId};
 
 const JOB: &str = "00000000000000a1";
 
@@ -40,7 +41,7 @@
 /// Replies to a request that only one worker is approved.
 fn admit(fleet: &mut Fleet, (key, asked): &Request, worker: &str) {
     let admitted = [(worker.to_owned(), "ticket".to_owned())];
-    fleet.planner.record_approvals(fleet.now, key, asked, &admitted, 600_000);
+    fleet.planner.record_approvals(fleet.now, key, asked, &reply(&admitted, 600_000));
 }
 
 /// Submits a job of two subtasks that need a worker each, and has the first worker asked about approved.
@@ -58,7 +59,7 @@
     let mut asked: BTreeSet<String> = first.1.into_iter().collect();
     while let Some(request) = next_request(&mut fleet, REPEAT_MS) {
         assert!(request.1.iter().all(|worker| asked.insert(worker.clone())), "asked twice: {request:?}");
-        fleet.planner.record_approvals(fleet.now, &request.0, &request.1, &[], 600_000);
+        fleet.planner.record_approvals(fleet.now, &request.0, &request.1, &reply(&[], 600_000));
     }
     assert_eq!(asked.len(), 70);
 }
@@ -87,7 +88,7 @@
     let (mut fleet, _) = fleet_with_full_worker(100);
     let further = next_request(&mut fleet, REPEAT_MS).unwrap();
     run(&mut fleet, CALL_MS);
-    fleet.planner.record_approvals(fleet.now, &further.0, &further.1, &[], 600_000);
+    fleet.planner.record_approvals(fleet.now, &further.0, &further.1, &reply(&[], 600_000));
     assert_eq!(next_request(&mut fleet, CALL_MS - PASS_MS), None);
     let other = "00000000000000a2";
     fleet.submit(other, "advised", vec![step(1, 1)]);
@@ -105,3 +106,111 @@
         running.filter_map(|report| Some(report.worker.as_ref()?.incarnation.clone())).collect();
     assert_eq!(workers, BTreeSet::from([first.1[0].clone(), further.1[0].clone()]));
 }
+
+/// Lets the worker of an agent start again under its name, which it tells since.
+fn restart(fleet: &mut Fleet, at: usize, started_ms: u64) {
+    let worker = fleet.reports[at].worker.as_mut().unwrap();
+    worker.incarnation = incarnation::name(WorkerId::of(&worker.incarnation).as_str(), Some(started_ms));
+    fleet.reports[at].running.clear();
+    fleet.advance(PASS_MS);
+}
+
+fn starts(fleet: &mut Fleet) -> usize {
+    fleet.advance(PASS_MS).iter().map(|assigned| assigned.starts.len()).sum()
+}
+
+/// Guards against a step that never starts, since a worker that tells its start is known to the policy by its name alone.
+#[test]
+fn record_approvals_knows_workers_by_the_names_that_they_give() {
+    let mut fleet = Fleet::new(1);
+    restart(&mut fleet, 0, 5);
+    fleet.submit(JOB, "advised", vec![step(1, 1)]);
+    let (key, asked) = next_request(&mut fleet, PASS_MS).unwrap();
+    assert_eq!(asked, ["w0@5"]);
+    let reply = reply(&[("w0".to_owned(), "t".to_owned())], 3_000);
+    assert_eq!(reply.admitted[0].0.as_str(), "w0");
+    fleet.planner.record_approvals(fleet.now, &key, &asked, &reply);
+    assert_eq!(starts(&mut fleet), 1);
+}
+
+/// Guards against a ticket or a refusal that is kept for another incarnation than the one that was asked about.
+#[yare::parameterized(
+    admitted = { true },
+    refused = { false },
+)]
+fn record_approvals_leaves_out_a_worker_that_has_started_again(is_admitted: bool) {
+    let mut fleet = Fleet::new(1);
+    restart(&mut fleet, 0, 5);
+    fleet.submit(JOB, "advised", vec![step(1, 1)]);
+    let (key, asked) = next_request(&mut fleet, PASS_MS).unwrap();
+    restart(&mut fleet, 0, 6);
+    let admitted = [("w0".to_owned(), "t".to_owned())];
+    let answer = reply(if is_admitted { &admitted } else { &[] }, 600_000);
+    fleet.planner.record_approvals(fleet.now, &key, &asked, &answer);
+    assert_eq!(starts(&mut fleet), 0);
+    let (_, asked) = next_request(&mut fleet, REPEAT_MS).expect("the new incarnation is asked about");
+    assert_eq!(asked, ["w0@6"]);
+}
+
+/// Guards against a refusal that was never given, since a row of the reply could not be read.
+#[test]
+fn record_approvals_refuses_no_worker_by_a_reply_that_is_partly_unreadable() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(JOB, "advised", vec![step(2, 8)]);
+    let (key, asked) = next_request(&mut fleet, PASS_MS).unwrap();
+    let answer = PolicyReply { unreadable_rows: 1, ..reply(&[("w0".to_owned(), "t".to_owned())], 600_000) };
+    fleet.planner.record_approvals(fleet.now, &key, &asked, &answer);
+    let log = fleet.planner.take_log().join("\n");
+    assert!(log.contains(r#"admitted="w0" refused="" undecided="w1" unreadable_rows=1"#), "{log}");
+    let again = next_request(&mut fleet, REPEAT_MS).expect("the other worker is asked about again");
+    assert_eq!(again.1, ["w1"]);
+}
+
+/// Guards against a service that is asked again and again, as its replies are of no use.
+#[yare::parameterized(
+    unreadable = { 1, 600_000 },
+    no_validity = { 0, 0 },
+)]
+fn useless_replies_are_asked_for_once_in_a_while(unreadable_rows: usize, valid_ms: u64) {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(JOB, "advised", vec![step(1, 1)]);
+    let mut asked = 0;
+    for _ in 0..10_000 / PASS_MS {
+        if let Some(request) = next_request(&mut fleet, PASS_MS) {
+            asked += 1;
+            let rows = [("w0".to_owned(), "t".to_owned())];
+            let admitted = if unreadable_rows == 0 { &rows[..] } else { &[] };
+            let answer = PolicyReply { unreadable_rows, ..reply(admitted, valid_ms) };
+            fleet.planner.record_approvals(fleet.now, &request.0, &request.1, &answer);
+        }
+    }
+    assert!((2..=4).contains(&asked), "asked {asked} times in 10 s");
+}
+
+/// Guards against a job that waits without end, since the service didn't know its worker yet when it was asked.
+#[test]
+fn refusal_is_asked_about_again_after_a_while() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(JOB, "advised", vec![step(1, 1)]);
+    let (key, asked) = next_request(&mut fleet, PASS_MS).unwrap();
+    fleet.planner.record_approvals(fleet.now, &key, &asked, &reply(&[], 3_000));
+    assert_eq!(next_request(&mut fleet, 50_000), None, "a refusal holds for a while");
+    let again = next_request(&mut fleet, 15_000).expect("the worker is asked about again");
+    admit(&mut fleet, &again, "w0");
+    assert_eq!(starts(&mut fleet), 1);
+}
+
+/// Guards against a request that names a worker twice, for the incarnation before its restart and the one since.
+#[test]
+fn next_approval_request_names_the_newest_incarnation_of_a_worker() {
+    let mut fleet = Fleet::new(2);
+    restart(&mut fleet, 0, 5);
+    // The agent of the other worker reports the same name, as for a worker that has moved.
+    restart(&mut fleet, 1, 9);
+    fleet.reports[1].worker.as_mut().unwrap().incarnation = "w0@9".to_owned();
+    fleet.advance(PASS_MS);
+    fleet.submit(JOB, "advised", vec![step(1, 1)]);
+    let (_, asked) = next_request(&mut fleet, PASS_MS).unwrap();
+    assert_eq!(asked.iter().filter(|worker| WorkerId::of(worker).as_str() == "w0").count(), 1, "{asked:?}");
+    assert!(asked.contains(&"w0@9".to_owned()), "{asked:?}");
+}
--- a/crates/fleet/tests/bounds.rs
+++ b/crates/fleet/tests/bounds.rs
@@ -241,7 +241,7 @@
         fleet.advance(100);
         let (asked, workers) = fleet.planner.next_approval_request(fleet.now).unwrap();
         let admitted = [(workers[0].clone(), "ticket".to_owned())];
-        fleet.planner.record_approvals(fleet.now, &asked, &workers, &admitted, valid_ms);
+        fleet.planner.record_approvals(fleet.now, &asked, &workers, &common::reply(&admitted, valid_ms));
         let assigned = fleet.advance(100);
         let starts: usize = assigned.iter().map(|assigned| assigned.starts.len()).sum();
         assert_eq!(starts, usize::from(valid_ms > 1_000), "valid for {valid_ms} ms");
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -1,5 +1,6 @@
 //! Tests what follows when the capacity of a worker shrinks under what is placed there, in virtual time.
 
+#[allow(dead_code, reason = "the other tests use the rest")]
 mod common;
 
 use std::sync::Arc;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use sorrelland_fleet::Resources;
+use sorrelland_fleet::approvals::PolicyReply;
 use sorrelland_fleet::assignments::{Assignments, Start};
 use sorrelland_fleet::desired::{Account, Desired, Queue, Service};
+use sorrelland_fleet::incarnation::WorkerId;
 use sorrelland_fleet::job::{Step, Submission};
 use sorrelland_fleet::planner::{Admission, Planner, Timing};
 use sorrelland_fleet::report::{End, EndReason, Report, Running, WorkerInfo};
@@ -47,6 +49,12 @@
     }
 }
 
+/// Returns a reply of the policy service that admits these worker incarnations with these tickets.
+pub fn reply(admitted: &[(String, String)], valid_ms: u64) -> PolicyReply {
+    let row = |(incarnation, ticket): &(String, String)| (WorkerId::of(incarnation), ticket.clone());
+    PolicyReply { admitted: admitted.iter().map(row).collect(), unreadable_rows: 0, valid_ms }
+}
+
 /// A planner, and the newest report of each agent.
 #[derive(Clone)]
 pub struct Fleet {
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -1,5 +1,6 @@
 //! Tests what follows when a worker crashes under running subtasks, in virtual time.
 
+#[allow(dead_code, reason = "the other tests use the rest")]
 mod common;
 
 use std::collections::BTreeMap;
--- a/crates/fleet/tests/operators.rs
+++ b/crates/fleet/tests/operators.rs
@@ -1,5 +1,6 @@
 //! Tests what operators see of the planner, in virtual time.
 
+#[allow(dead_code, reason = "the other tests use the rest")]
 mod common;
 
 use std::collections::BTreeMap;
--- a/crates/fleet/tests/planner.rs
+++ b/crates/fleet/tests/planner.rs
@@ -391,7 +391,7 @@
     let (step, requested) = fleet.planner.next_approval_request(fleet.now).unwrap();
     assert_eq!((step.0.as_str(), requested.len()), ("a", 3));
     let admitted = [("w2".to_owned(), "ticket-2".to_owned())];
-    fleet.planner.record_approvals(fleet.now, &step, &requested, &admitted, 3_000);
+    fleet.planner.record_approvals(fleet.now, &step, &requested, &common::reply(&admitted, 3_000));
     let assignments = fleet.advance(10);
     let placed = starts(&assignments);
     assert_eq!(placed.len(), 2);
--- a/crates/fleet/tests/records.rs
+++ b/crates/fleet/tests/records.rs
@@ -1,5 +1,6 @@
 //! Tests that the stored records of jobs can be read back.
 
+#[allow(dead_code, reason = "the other tests use the rest")]
 mod common;
 
 use std::sync::Arc;
--- a/crates/fleet/tests/starvation_elsewhere.rs
+++ b/crates/fleet/tests/starvation_elsewhere.rs
@@ -190,7 +190,7 @@
     let (key, asked) = fleet.planner.next_approval_request(fleet.now).unwrap();
     assert_eq!(asked, ["w0", "w1"]);
     let admitted = [("w0".to_owned(), "ticket".to_owned())];
-    fleet.planner.record_approvals(fleet.now, &key, &asked, &admitted, 600_000);
+    fleet.planner.record_approvals(fleet.now, &key, &asked, &common::reply(&admitted, 600_000));
     fleet.reports.extend(later);
     for _ in 0..=START_BOUND_MS / PASS_MS {
         fleet.advance(PASS_MS);
@@ -207,7 +207,7 @@
     fleet.advance(PASS_MS);
     let (key, asked) = fleet.planner.next_approval_request(fleet.now).unwrap();
     let admitted = [(asked[0].clone(), "ticket".to_owned())];
-    fleet.planner.record_approvals(fleet.now, &key, &asked, &admitted, 600_000);
+    fleet.planner.record_approvals(fleet.now, &key, &asked, &common::reply(&admitted, 600_000));
     let mut asked_again = None;
     for _ in 0..=START_BOUND_MS / PASS_MS {
         let assignments = fleet.advance(PASS_MS);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::deployment::{MAX_ATTEMPTS, rack};
+use crate::deployment::{MAX_ATTEMPTS, REFUSED_WORKER, rack};
 use crate::faults::Machine;
 use crate::history::{CRASHED, History, Run};
 use crate::impairments::{CONTACT_MS, Impairments};
@@ -106,6 +106,9 @@
         if !record.job.label.is_empty() && record.job.label != rack(run.worker) {
             broken.push(format!("ROUTE: {run}, which lacks the label {}", record.job.label));
         }
+        if record.job.is_advised() && run.worker == REFUSED_WORKER {
+            broken.push(format!("POLICY: {run}, which the policy refuses"));
+        }
         let same_subtask = |other: &Run| (other.step, other.index) == (run.step, run.index);
         // The runs are ordered by their starts.
         let earlier = runs.iter().take_while(|other| !std::ptr::eq(**other, run));
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::deployment::{Deployment, HOST, KEY, OTHER_KEY, PREFIXES, rack};
+use crate::deployment::{ADVISED_PREFIX, Deployment, HOST, KEY, OTHER_KEY, PREFIXES, rack};
 use crate::jobs::{Call, Job, Ledger, Record};
 use crate::lock;
 
@@ -44,6 +44,9 @@
 const FIRST_CHANGING: usize = 0x800;
 const CHANGING_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of the first caller whose jobs need approvals.
+const FIRST_ADVISED: usize = 0x900;
+
 /// Jobs for each one whose name another account uses, and time between two of its calls.
 const JOBS_PER_NAMESAKE: u64 = 5;
 const NAMESAKE_INTERVAL: Duration = Duration::from_millis(700);
@@ -77,10 +80,12 @@
 }
 
 impl Callers {
-    /// Runs `count` callers, and `changing` that change entries, until all their jobs have ended or the run has.
-    pub async fn run(self: Arc<Self>, count: usize, changing: usize) {
+    /// Runs `count` callers, `changing` that change entries, and `advised` whose jobs need approvals, until all their jobs
+    /// have ended or the run has.
+    pub async fn run(self: Arc<Self>, count: usize, changing: usize, advised: usize) {
         let mut callers = JoinSet::new();
-        for number in (0..count).chain((FIRST_CHANGING..).take(changing)) {
+        let changing = (FIRST_CHANGING..).take(changing);
+        for number in (0..count).chain(changing).chain((FIRST_ADVISED..).take(advised)) {
             callers.spawn(self.clone().run_one(number));
         }
         while callers.join_next().await.is_some() {}
@@ -89,7 +94,8 @@
     async fn run_one(self: Arc<Self>, number: usize) {
         let mut rng = StdRng::seed_from_u64(self.seed * 1_000 + number as u64);
         let mut followers = JoinSet::new();
-        let changes = number >= FIRST_CHANGING;
+        let is_advised = number >= FIRST_ADVISED;
+        let changes = number >= FIRST_CHANGING && !is_advised;
         let interval = if changes { CHANGING_INTERVAL } else { self.interval };
         for job in 0_u32.. {
             let pause = rng.random_range(0..2 * interval.as_millis() as u64);
@@ -98,8 +104,11 @@
                 break;
             }
             let id = format!("{:08x}{number:03x}{job:05x}", self.seed as u32);
-            let draw = if changes { Job::chain } else { Job::draw };
-            let job = draw(&mut rng, id.clone(), &PREFIXES);
+            let job = match () {
+                () if is_advised => Job::advised(&mut rng, id.clone(), ADVISED_PREFIX),
+                () if changes => Job::chain(&mut rng, id.clone(), &PREFIXES),
+                () => Job::draw(&mut rng, id.clone(), &PREFIXES),
+            };
             lock(&self.ledger).insert(id, Record::new(job.clone()));
             let seed = rng.random();
             followers.spawn(self.clone().follow(job, seed));
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -27,6 +27,10 @@
 pub const OTHER_KEY: &str = "key-guest";
 /// Path prefixes of the queues that callers use; the last has priority 0.
 pub const PREFIXES: [&str; 2] = ["/orders/", "/urgent/"];
+/// Path prefix of the queue whose steps need an approval of the policy service.
+pub const ADVISED_PREFIX: &str = "/advised/";
+/// Worker that may not run them; it keeps its name when it restarts.
+pub const REFUSED_WORKER: usize = 1;
 /// Attempts of a subtask that may end as failed.
 pub const MAX_ATTEMPTS: usize = 3;
 
@@ -162,6 +166,7 @@
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
+        deployment.start_policy()?;
         let entries = (1..=entries).map(Machine::Entry);
         let workers = (1..=workers).flat_map(|index| [Machine::Worker(index), Machine::Agent(index)]);
         entries.chain(workers).try_for_each(|machine| deployment.start_machine(machine))?;
@@ -189,6 +194,21 @@
         self.address(1, 7_100)
     }
 
+    fn policy_address(&self) -> String {
+        self.address(1, 7_300)
+    }
+
+    /// Starts the policy service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program can't be started.
+    pub fn start_policy(&self) -> io::Result<()> {
+        let (listen, refused) = (self.policy_address(), refused_worker());
+        let args = ["platform-policy", "--listen", &listen, "--refuses", &refused];
+        self.processes.spawn("policy", "policy", &self.bin_dir.join(STANDIN), &args, &[])
+    }
+
     /// Starts the process of a machine; a worker gets its next incarnation.
     ///
     /// # Errors
@@ -207,6 +227,7 @@
         };
         let ip = format!("{}.{host}", self.network);
         let mut settings = role_settings(&name, &ip, &self.address(1, 7_200), listen);
+        settings["advice"] = self.policy_address().into();
         if let Machine::Agent(_) = machine {
             settings["app"] = self.address(host, 9_000).into();
         }
@@ -282,6 +303,9 @@
         };
         let mut routes = vec![route(PREFIXES[0], 1), route(PREFIXES[1], 0)];
         routes.extend(queues.iter().map(|queue| route(queue, 1)));
+        let mut advised = route(ADVISED_PREFIX, 1);
+        advised["advice"] = json!({"decide_ms": 20, "each_ms": 2, "valid_ms": 3_000});
+        routes.push(advised);
         let keys: Vec<&str> = keys.iter().map(String::as_str).chain([KEY]).collect();
         let desired = json!({
             "version": version, "routes": routes, "services": [{"name": "svc"}],
@@ -302,10 +326,14 @@
 
     /// Sets the faults that the store injects; returns whether it answered.
     pub async fn set_store_faults(&self, faults: &Value) -> bool {
-        let url = format!("http://{}/v1/faults", self.store_address());
-        let body = Bytes::from(faults.to_string());
-        let reply = Client::new(CALL_TIMEOUT).send(Method::PUT, &url, &[], body).await;
-        reply.is_ok_and(|reply| reply.status.is_success())
+        set_faults(&self.store_address(), faults).await
+    }
+
+    /// Sets the faults of the policy service, beside the refusal of [`REFUSED_WORKER`]; returns whether it answered.
+    pub async fn set_policy_faults(&self, faults: &Value) -> bool {
+        let mut faults = faults.clone();
+        faults["refused"] = json!([refused_worker()]);
+        set_faults(&self.policy_address(), &faults).await
     }
 
     /// Returns the proxy before the store, or one between a worker and its agent.
@@ -325,6 +353,17 @@
     }
 }
 
+fn refused_worker() -> String {
+    format!("w-{REFUSED_WORKER}")
+}
+
+async fn set_faults(address: &str, faults: &Value) -> bool {
+    let url = format!("http://{address}/v1/faults");
+    let body = Bytes::from(faults.to_string());
+    let reply = Client::new(CALL_TIMEOUT).send(Method::PUT, &url, &[], body).await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
+
 fn socket(network: &str, host: usize, port: u16) -> SocketAddr {
     format!("{network}.{host}:{port}").parse().expect("address of a loopback network")
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -32,6 +32,9 @@
 /// Time from a stop in such a series until the entry is started again, in milliseconds.
 const SILENT_GAP_MS: u64 = 1_000;
 
+/// Share of the seeds with a series of faults of the policy service.
+const POLICY_SHARE: f64 = 0.4;
+
 /// Share of late check-ins among the unexpected ones.
 const LATE_CHECKIN_SHARE: f64 = 0.3;
 
@@ -86,6 +89,8 @@
     Link { side: Side, rules: Rules, ms: u64 },
     /// Sends an unexpected check-in to an agent.
     Checkin { worker: usize, kind: Kind, seed: u64, restart_agent: bool },
+    /// Sets faults of the policy service, which ends and starts again before if it `restarts`.
+    Policy { faults: Value, restarts: bool, ms: u64 },
     /// Publishes desired states in a row.
     Publish { versions: u64 },
     /// Leaves a worker with fewer accelerators for some time.
@@ -110,6 +115,8 @@
             Self::Link { side: Side::Calls(_), .. } => "calls-link".to_owned(),
             Self::Link { side: Side::Checkins(_), .. } => "checkins-link".to_owned(),
             Self::Checkin { kind, .. } => format!("checkin-{kind:?}"),
+            Self::Policy { restarts: true, .. } => "policy-restart".to_owned(),
+            Self::Policy { restarts: false, .. } => "policy-fault".to_owned(),
             Self::Publish { .. } => "publish".to_owned(),
             Self::Shrink { .. } => "shrink".to_owned(),
         }
@@ -156,11 +163,37 @@
         at_ms += rng.random_range(mean_ms / 4..mean_ms * 2);
     }
     plan.extend(silent_stops(seed, entries, length_ms));
+    plan.extend(policy_faults(seed, length_ms));
     plan.retain(|(_, fault)| !without.iter().any(|name| fault.name().starts_with(name)));
     plan.sort_by_key(|(at_ms, _)| *at_ms);
     plan
 }
 
+/// Returns the faults of the policy service.
+fn policy_faults(seed: u64, length_ms: u64) -> Plan {
+    let mut rng = StdRng::seed_from_u64(!seed.swap_bytes());
+    let mut plan = Plan::new();
+    if !rng.random_bool(POLICY_SHARE) {
+        return plan;
+    }
+    let mut at_ms = FIRST_MS;
+    while at_ms < length_ms {
+        let faults = match rng.random_range(0..6) {
+            0 => json!({"busy": true}),
+            1 => json!({"silent": true}),
+            2 => json!({"slow_ms": rng.random_range(100..1_500)}),
+            3 => json!({"valid_ms": rng.random_range(0..1_200)}),
+            4 => json!({"unreadable": ["w-2-1", "w-3", "w-4-2"]}),
+            _ => json!({}),
+        };
+        let fault =
+            Fault::Policy { faults, restarts: rng.random_bool(0.2), ms: rng.random_range(300..3_000) };
+        plan.push((at_ms, fault));
+        at_ms += rng.random_range(2_000..6_000);
+    }
+    plan
+}
+
 /// Returns the stops of entries in turn, or of the leader each time, while the store is silent.
 fn silent_stops(seed: u64, entries: usize, length_ms: u64) -> Plan {
     let mut rng = StdRng::seed_from_u64(seed.swap_bytes());
--- a/crates/soak/src/jobs.rs
+++ b/crates/soak/src/jobs.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 use serde_json::{Value, json};
+use sorrelland_standin::ticket::NEEDS_TICKET;
 
 /// Resources of a subtask: CPU in thousandths of a core, memory in megabytes, number of accelerators.
 pub type Needs = (u64, u64, u64);
@@ -143,6 +144,17 @@
         }
     }
 
+    /// Draws a job on the queue with approvals.
+    pub fn advised(rng: &mut StdRng, id: String, queue: &'static str) -> Self {
+        let job = Self::draw(rng, id, &[queue]);
+        Self { spec: format!("{} {NEEDS_TICKET}", job.spec), ..job }
+    }
+
+    /// Returns whether the job's steps need an approval of the policy service.
+    pub fn is_advised(&self) -> bool {
+        self.spec.contains(NEEDS_TICKET)
+    }
+
     pub fn body(&self) -> Value {
         let steps = self.steps.iter().map(|step| {
             let (cpu, memory_mb, gpu) = step.needs;
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -10,7 +10,7 @@
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::json;
+use serde_json::{Value, json};
 use sorrelland_standin::clock::wall_ms;
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::task::JoinSet;
@@ -33,6 +33,12 @@
 const MAX_CRASH_GAP_MS: u64 = 3_000;
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Name of the policy service's process and among the impaired parts.
+const POLICY: &str = "policy";
+
+/// Attempts to reach the policy service after its start.
+const POLICY_ATTEMPTS: usize = 100;
+
 /// Plays faults on a deployment and records what they impair.
 pub struct Player {
     pub deployment: Arc<Deployment>,
@@ -134,6 +140,21 @@
                 })
                 .await
             }
+            Fault::Policy { faults, restarts, ms } => {
+                self.impair("policy-fault", POLICY, async {
+                    if restarts {
+                        self.deployment.processes.kill(POLICY);
+                        if let Err(e) = self.deployment.start_policy() {
+                            lock(&self.failures)
+                                .push(format!("the policy service could not be started: {e}"));
+                        }
+                    }
+                    self.set_policy_faults(&faults).await;
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    self.set_policy_faults(&json!({})).await;
+                })
+                .await
+            }
             Fault::Link { side, rules, ms } => {
                 let proxy = self.deployment.proxy(side);
                 self.impair(&format!("{side:?}"), &impaired_part(side), async {
@@ -183,6 +204,17 @@
         }
     }
 
+    /// Sets the faults of the policy service as soon as it answers.
+    async fn set_policy_faults(&self, faults: &Value) {
+        for _ in 0..POLICY_ATTEMPTS {
+            if self.deployment.set_policy_faults(faults).await {
+                return;
+            }
+            tokio::time::sleep(CRASH_CHECK_INTERVAL).await;
+        }
+        lock(&self.failures).push("the policy service did not take its faults".to_owned());
+    }
+
     /// Carries out `fault` on each machine, started one after the other; returns whether it could be on any.
     async fn play_in_turn<F: Future<Output = bool>>(
         &self,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -38,6 +38,9 @@
 /// Callers that change entries, in runs with stops of entries while the store is silent.
 const CHANGING_CALLERS: usize = 2;
 
+/// Callers whose jobs need approvals, in runs with faults of the policy service.
+const ADVISED_CALLERS: usize = 2;
+
 /// What is run, besides the seed.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -102,7 +105,9 @@
     });
     let has_silent_stops = plan.iter().any(|(_, fault)| matches!(fault, Fault::SilentStop { .. }));
     let changing = if has_silent_stops { CHANGING_CALLERS } else { 0 };
-    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2), changing));
+    let has_policy_faults = plan.iter().any(|(_, fault)| matches!(fault, Fault::Policy { .. }));
+    let advised = if has_policy_faults { ADVISED_CALLERS } else { 0 };
+    let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2), changing, advised));
     let restarting = {
         let player = player.clone();
         tokio::spawn(async move { player.restart_crashed_workers().await })
--- a/crates/soak/src/waits.rs
+++ b/crates/soak/src/waits.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use crate::checks::{Evidence, has_crashed, has_failed, unfinished_step};
-use crate::deployment::rack;
+use crate::deployment::{REFUSED_WORKER, rack};
 use crate::history::Run;
 use crate::impairments::CONTACT_MS;
 use crate::jobs::{Job, Needs, Record};
@@ -102,7 +102,9 @@
         return false;
     }
     let members = if step.gang { step.count } else { 1 };
-    let may_use = |worker: usize| job.label.is_empty() || job.label == rack(worker);
+    let may_use = |worker: usize| {
+        (job.label.is_empty() || job.label == rack(worker)) && !(job.is_advised() && worker == REFUSED_WORKER)
+    };
     let rooms = (1..).zip(&free).filter(|(worker, _)| may_use(*worker));
     rooms.map(|(_, free)| copies(free, &step.needs)).sum::<u64>() >= 2 * members
 }
--- a/crates/sorrelland/src/bin/sorrelland-standin.rs
+++ b/crates/sorrelland/src/bin/sorrelland-standin.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use sorrelland_standin::command::{self, Command, Error, HELP};
-use sorrelland_standin::{log, platform_store, platform_worker, worker_api};
+use sorrelland_standin::{log, platform_policy, platform_store, platform_worker, worker_api};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -38,6 +38,11 @@
             println!("listening {}", server.local_addr());
             wait(server.wait_for_shutdown()).await;
         }
+        Command::PlatformPolicy { listen, refused } => {
+            let server = platform_policy::start(listen, refused)?;
+            println!("listening {}", server.local_addr());
+            wait(server.wait_for_shutdown()).await;
+        }
         Command::PlatformWorker { listen, setup } => {
             let server = platform_worker::start(listen, setup)?;
             println!("listening {}", server.local_addr());
--- a/crates/sorrelland/tests/common/platform.rs
+++ b/crates/sorrelland/tests/common/platform.rs
@@ -34,6 +34,8 @@
     workers: usize,
     /// Number of jobs submitted to find out whether all workers are known.
     gangs: AtomicU64,
+    /// Whether there is a policy service.
+    has_policy: bool,
 }
 
 /// Returns a step of `count` subtasks with one core and one accelerator each.
@@ -90,9 +92,21 @@
 
     /// Starts the entries and agents from a build.
     pub async fn start_build(build: &Path, entries: usize, workers: usize) -> Self {
+        Self::start_services(build, entries, workers, false).await
+    }
+
+    /// Starts a platform with a policy service.
+    pub async fn start_with_policy(entries: usize, workers: usize) -> Self {
+        Self::start_services(present_build(), entries, workers, true).await
+    }
+
+    async fn start_services(build: &Path, entries: usize, workers: usize, has_policy: bool) -> Self {
         let (env, build) = (TestEnv::new(entries), build.to_owned());
-        let mut platform = Self { env, build, entries, workers, gangs: AtomicU64::new(0) };
+        let mut platform = Self { env, build, entries, workers, gangs: AtomicU64::new(0), has_policy };
         platform.start_store().await;
+        if has_policy {
+            platform.start_policy();
+        }
         platform.publish(1, &[KEY]).await;
         for index in 1..=entries {
             platform.start_entry(index);
@@ -142,9 +156,27 @@
         .await;
     }
 
+    pub fn policy_address(&self) -> String {
+        self.env.address(1, 7_300)
+    }
+
+    pub fn start_policy(&mut self) {
+        let (program, listen) = (env!("CARGO_BIN_EXE_sorrelland-standin"), self.policy_address());
+        self.env.spawn_with_variables("policy", program, &["platform-policy", "--listen", &listen], &[]);
+    }
+
     pub fn start_worker(&mut self, index: usize, incarnation: u32) {
+        self.spawn_worker(index, &format!("w-{index}-{incarnation}"), &[]);
+    }
+
+    /// Starts a worker that tells when it started, and may have a name that an earlier one had.
+    pub fn start_telling_worker(&mut self, index: usize, name: &str) {
+        self.spawn_worker(index, name, &["--tells-start"]);
+    }
+
+    fn spawn_worker(&mut self, index: usize, name: &str, options: &[&str]) {
         let (listen, announce) = (self.env.address(100 + index, 8_000), self.env.address(100 + index, 8_526));
-        let (name, rack) = (format!("w-{index}-{incarnation}"), format!("r{}", (index - 1) / 3 + 1));
+        let rack = format!("r{}", (index - 1) / 3 + 1);
         let args = [
             "platform-worker",
             "--listen",
@@ -152,10 +184,11 @@
             "--announce",
             &announce,
             "--name",
-            &name,
+            name,
             "--rack",
             &rack,
         ];
+        let args = [&args[..], options].concat();
         self.env.spawn_with_variables(
             &format!("worker-{index}"),
             env!("CARGO_BIN_EXE_sorrelland-standin"),
@@ -166,7 +199,12 @@
 
     fn settings(&self, name: &str, host: usize, listen: Value) -> Value {
         let ip = self.env.address(host, 0);
-        deployment::role_settings(name, ip.trim_end_matches(":0"), &self.store_address(), listen)
+        let mut settings =
+            deployment::role_settings(name, ip.trim_end_matches(":0"), &self.store_address(), listen);
+        if self.has_policy {
+            settings["advice"] = json!(self.policy_address());
+        }
+        settings
     }
 
     fn spawn_role(&mut self, name: &str, role: &str, settings: &Value) {
@@ -320,6 +358,10 @@
         self.env.set_faults(&self.store_address(), faults).await;
     }
 
+    pub async fn set_policy_faults(&self, faults: Value) {
+        self.env.set_faults(&self.policy_address(), faults).await;
+    }
+
     /// Sets the faults of a worker.
     pub async fn set_worker_faults(&self, index: usize, faults: Value) {
         self.env.set_faults(&self.env.address(100 + index, 8_000), faults).await;
--- a/crates/sorrelland/tests/soak.rs
+++ b/crates/sorrelland/tests/soak.rs
@@ -7,6 +7,7 @@
 
 /// Faults that the seeds below were chosen without.
 const SILENT: &str = "silent-";
+const POLICY: &str = "policy-";
 
 async fn assert_promises_kept(seed: u64, without: &[&str]) {
     let cfg = Config {
@@ -25,20 +26,20 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_unexpected_checkins_keeps_promises() {
-    assert_promises_kept(57, &[SILENT]).await;
+    assert_promises_kept(57, &[SILENT, POLICY]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_faults_of_processes_and_store_keeps_promises() {
-    assert_promises_kept(12, &[SILENT]).await;
+    assert_promises_kept(12, &[SILENT, POLICY]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_crashing_subtasks_and_shrinking_workers_keeps_promises() {
-    assert_promises_kept(7_001, &[SILENT]).await;
+    assert_promises_kept(7_001, &[SILENT, POLICY]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_stops_while_the_store_is_silent_keeps_promises() {
-    assert_promises_kept(48_108, &[]).await;
+    assert_promises_kept(48_108, &[POLICY]).await;
 }
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -17,6 +17,7 @@
   sorrelland-standin log [--listen IP:PORT]
   sorrelland-standin worker [--listen IP:PORT] [--name NAME] [--slots N] [--accelerators N]
   sorrelland-standin platform-store [--listen IP:PORT]
+  sorrelland-standin platform-policy [--listen IP:PORT] [--refuses NAME]...
   sorrelland-standin platform-worker --announce IP:PORT [--listen IP:PORT] [--name NAME] [--rack NAME]
     [--accelerators N] [--clock-percent N] [--gang-dir DIR] [--tells-start]
 
@@ -30,6 +31,7 @@
   --clock-percent N  speed of a platform worker's clock, in percent [100]
   --gang-dir DIR     directory in which the members of gangs on platform workers find each other
   --tells-start      a platform worker tells when it started, so that it may keep its name when it restarts
+  --refuses NAME     worker that the policy service refuses for each step
   --connections N    connections of the upstream [64]
   --help             print this text
 
@@ -47,6 +49,8 @@
     Worker { listen: SocketAddr, sizes: Sizes },
     /// Run the store of the users' platform.
     PlatformStore { listen: SocketAddr },
+    /// Run the policy service of the users' platform.
+    PlatformPolicy { listen: SocketAddr, refused: Vec<String> },
     /// Run a worker of the users' platform.
     PlatformWorker { listen: SocketAddr, setup: Setup },
 }
@@ -84,6 +88,7 @@
     let mut listen: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut sizes = default_sizes();
     let (mut agent_address, mut rack) = (String::new(), "r1".to_owned());
+    let mut refused = Vec::new();
     let (mut clock_percent, mut gang_dir, mut tells_start) = (100, None, false);
     while let Some(arg) = parser.next()? {
         match arg {
@@ -95,6 +100,7 @@
             Arg::Long("clock-percent") => clock_percent = parser.value()?.parse()?,
             Arg::Long("gang-dir") => gang_dir = Some(parser.value()?.into()),
             Arg::Long("tells-start") => tells_start = true,
+            Arg::Long("refuses") => refused.push(parser.value()?.string()?),
             Arg::Long("slots") => sizes.slots = parser.value()?.parse()?,
             Arg::Long("accelerators") => sizes.accelerators = parser.value()?.parse()?,
             Arg::Long("connections") => sizes.connections = parser.value()?.parse()?,
@@ -106,6 +112,7 @@
         Some("log") => Ok(Command::Log { listen }),
         Some("worker") => Ok(Command::Worker { listen, sizes }),
         Some("platform-store") => Ok(Command::PlatformStore { listen }),
+        Some("platform-policy") => Ok(Command::PlatformPolicy { listen, refused }),
         Some("platform-worker") if !agent_address.is_empty() => {
             let capacity = (
                 i64::from(sizes.processors) * 1_000,
@@ -125,8 +132,8 @@
         }
         Some("platform-worker") => Err(lexopt::Error::Custom("--announce is required".into()).into()),
         _ => {
-            Err(lexopt::Error::Custom("expected log, worker, platform-store or platform-worker".into())
-                .into())
+            let kinds = "log, worker, platform-store, platform-policy or platform-worker";
+            Err(lexopt::Error::Custom(format!("expected {kinds}").into()).into())
         }
     }
 }
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -3,7 +3,8 @@
 //! The text of a job sets the run time of its subtasks, as in `run_ms=300`; if it contains `fails`, the runs fail
 //! at their end, if it contains `fails_first`, only those with run number 1. Members of a gang proceed by
 //! themselves, unless the text names its size, as in `gang=3`, and the worker has a directory for gangs. If the text
-//! contains `crashes`, the process ends shortly after the start of a run.
+//! contains `crashes`, the process ends shortly after the start of a run. If it contains `needs_ticket`, starts need a ticket
+//! of the policy service's stand-in.
 //!
 //! Each event is also a line on standard output, with the wall clock in milliseconds, so that the history outlives
 //! the process. SIGTERM makes the worker drain, deregister and exit.
@@ -29,6 +30,7 @@
 
 use crate::clock::wall_ms;
 use crate::gang::Gang;
+use crate::ticket::{self, NEEDS_TICKET};
 
 pub type Result<T, E = HttpError> = std::result::Result<T, E>;
 
@@ -376,6 +378,13 @@
         return respond(StatusCode::CONFLICT, &json!({"clock_ms": clock_ms, "reason": "late"}));
     }
     let spec = request["task_spec"].as_str().unwrap_or_default();
+    let ticket = request["ticket"].as_str().unwrap_or_default();
+    if spec.contains(NEEDS_TICKET)
+        && !ticket::allows(ticket, &task, &worker.setup.incarnation, worker.started_ms)
+    {
+        worker.print(wall_ms(), &format!("event=ticket_refused task={task} run={run} ticket={ticket:?}"));
+        return respond(StatusCode::CONFLICT, &json!({"clock_ms": clock_ms, "reason": "ticket"}));
+    }
     let number = |name: &str| spec.split(name).nth(1)?.split(' ').next()?.parse().ok();
     let run_ms = number("run_ms=").unwrap_or(DEFAULT_RUN_MS);
     let fails = if spec.contains("fails_first") { run == 1 } else { spec.contains("fails") };
