Divide half of the kept cancels of unknown jobs among the accounts

Cause: one bound for all callers.

Change: the first 2,048 go to whoever sends them; the rest is divided among the accounts of the desired state and the callers without one. The bound over all stays, and so do the cancels that are kept.

Why it works: the half that is divided is not reachable for an account beyond its share, so that another one's is free.

Not measured with processes.

--- a/crates/fleet/src/cancels.rs
+++ b/crates/fleet/src/cancels.rs
@@ -13,6 +13,10 @@
 /// Cancels of unknown jobs that are kept at a time: names are free, so callers could fill the store with them.
 pub const MAX_CANCELS: usize = 4_096;
 
+/// Cancels up to which no account is limited. The rest of [`MAX_CANCELS`] is divided among the accounts, so that none keeps
+/// another one from cancelling.
+pub const MAX_SHARED_CANCELS: usize = MAX_CANCELS / 2;
+
 /// Time after which a caller should repeat a cancel that can't be kept, in milliseconds: the longest wait of a caller whose
 /// submission may be on its way.
 const RETRY_AFTER_MS: u64 = 3_000;
@@ -30,7 +34,7 @@
         /// Number of the change that must be stored.
         change: u64,
     },
-    /// No such job is known, and too many such cancels are kept to keep another one.
+    /// No such job is known, and too many such cancels are kept, in all or for the account, to keep another one.
     TooMany {
         /// Delay before the caller should retry, in milliseconds.
         retry_after_ms: u64,
@@ -106,10 +110,10 @@
         if let Some(cancel) = self.cancels.get(&key).or_else(|| self.cancels.get(&(name.to_owned(), None))) {
             return Cancellation::Unknown { change: cancel.change };
         }
-        if self.cancels.len() >= MAX_CANCELS {
+        if self.has_too_many_cancels(caller) {
             self.remove_inherited_cancels(wall);
         }
-        if self.cancels.len() >= MAX_CANCELS {
+        if self.has_too_many_cancels(caller) {
             return Cancellation::TooMany { retry_after_ms: RETRY_AFTER_MS };
         }
         let change = self.change;
@@ -119,6 +123,19 @@
         Cancellation::Unknown { change }
     }
 
+    /// Returns whether no further cancel of a caller can be kept. Calls of earlier builds name none, and count in all alone.
+    fn has_too_many_cancels(&self, caller: Option<&Caller>) -> bool {
+        let kept = self.cancels.len();
+        let Some(caller) = caller.filter(|_| (MAX_SHARED_CANCELS..MAX_CANCELS).contains(&kept)) else {
+            return kept >= MAX_CANCELS;
+        };
+        // Callers without an account share a part as those of one.
+        let share = (MAX_CANCELS - MAX_SHARED_CANCELS) / (self.desired.accounts.len() + 1);
+        let is_own =
+            |other: &&Option<Caller>| other.as_ref().is_some_and(|other| other.account == caller.account);
+        self.cancels.keys().map(|(_, caller)| caller).filter(is_own).count() >= share
+    }
+
     fn cancels_of(&self, name: &str) -> impl Iterator<Item = (&CancelKey, &Cancel)> {
         self.cancels.range((name.to_owned(), None)..).take_while(move |((job, _), _)| job == name)
     }
--- a/crates/fleet/tests/namesakes.rs
+++ b/crates/fleet/tests/namesakes.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use common::{Fleet, TIMING, desired, step};
-use sorrelland_fleet::cancels::Cancellation;
+use sorrelland_fleet::cancels::{Cancellation, MAX_CANCELS, MAX_SHARED_CANCELS};
 use sorrelland_fleet::desired::Desired;
 use sorrelland_fleet::job::{JobState, Outcome, Submission};
 use sorrelland_fleet::planner::{Admission, Planner};
@@ -198,3 +198,33 @@
     assert!(cancels.is_empty(), "{cancels:?}");
     assert_eq!(unreadable.len(), 2);
 }
+
+/// Guards against an account that cancels names at will, and thereby keeps another one from cancelling its submissions on
+/// their way.
+#[test]
+fn cancels_of_one_account_leave_room_for_those_of_the_others() {
+    let mut fleet = Fleet::new(1);
+    let cancel = |fleet: &mut Fleet, account: &str, number: usize| {
+        let caller = Caller::new("plain", account);
+        fleet.planner.cancel_for(fleet.now, fleet.wall(), &format!("{number:016x}"), Some(&caller))
+    };
+    let is_kept = |cancellation| matches!(cancellation, Cancellation::Unknown { .. });
+    let flood = (0..2 * MAX_CANCELS).filter(|number| is_kept(cancel(&mut fleet, "guest", *number))).count();
+    assert_eq!(flood, MAX_SHARED_CANCELS);
+    let refused = cancel(&mut fleet, "guest", 3 * MAX_CANCELS);
+    assert!(matches!(refused, Cancellation::TooMany { retry_after_ms: 1.. }), "{refused:?}");
+    // Two accounts and the callers without one.
+    let share = (MAX_CANCELS - MAX_SHARED_CANCELS) / 3;
+    for account in ["museum", ""] {
+        let kept = (0..MAX_CANCELS).filter(|number| is_kept(cancel(&mut fleet, account, *number))).count();
+        assert_eq!(kept, share, "{account}");
+    }
+    // What is kept is answered as before, and holds.
+    assert!(is_kept(cancel(&mut fleet, "guest", 1)));
+    fleet.store();
+    take_over(&mut fleet, desired());
+    assert!(is_kept(cancel(&mut fleet, "museum", 1)));
+    assert!(!is_kept(cancel(&mut fleet, "museum", MAX_CANCELS)));
+    fleet.advance(TIMING.ended_retention_ms + 1);
+    assert!(is_kept(cancel(&mut fleet, "guest", MAX_CANCELS)));
+}
