Judge a job's attempts only by a desired state that has its queue

Callers saw: a job is shown as failed after 1 of 4 attempts, since its route was out of the desired state when a run failed (LOST).

Cause: a missing queue counted as one with a single attempt.

Change: without the queue an end is counted and not judged. Jobs are judged anew with each desired state and by each new leader, so that one whose last attempt failed meanwhile, or that is allowed fewer than before, ends instead of starting again (BUDGET).

--- a/crates/fleet/src/apply_report.rs
+++ b/crates/fleet/src/apply_report.rs
@@ -424,7 +424,6 @@
 
     /// Applies the end of a run; returns whether anything changed.
     fn record_end(&mut self, now: u64, wall: u64, incarnation: &str, end: &End) -> bool {
-        let max_failures = self.max_attempts(&end.task.job);
         if self.member_mut(incarnation, &end.task, end.run).is_none() {
             return false;
         }
@@ -450,7 +449,7 @@
             }
             EndReason::Failed => {
                 unit.record_failure(incarnation);
-                failed = !long_running && unit.failures >= max_failures;
+                failed = true;
                 mark_ending(unit, now);
             }
             EndReason::Done
@@ -472,7 +471,7 @@
             }
         }
         self.release_member(now, incarnation, &end.task, end.run);
-        if failed {
+        if failed && self.jobs.get(&end.task.job).is_some_and(|job| self.has_no_attempt_left(job)) {
             self.end_job(now, wall, &end.task.job, Outcome::Failed);
         }
         self.complete_if_done(now, wall, &end.task.job);
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -98,6 +98,8 @@
     /// When the last tick ran, on the monotonic clock; 0 before the first.
     last_tick_at: u64,
     pub(crate) desired: Arc<Desired>,
+    /// Version of the desired state by which the jobs' attempts were last checked; 0 for none.
+    attempts_checked: u64,
     /// Failure domains that the operators evacuate.
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) jobs: BTreeMap<String, Job>,
@@ -182,6 +184,7 @@
             created_at: now,
             last_tick_at: 0,
             desired,
+            attempts_checked: 0,
             evacuated: BTreeSet::new(),
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             cancels: Cancels::new(),
@@ -367,9 +370,34 @@
         self.jobs.get(job).and_then(|job| self.desired.queue(&job.sub.queue))
     }
 
-    pub(crate) fn max_attempts(&self, job: &str) -> u32 {
-        // Jobs whose queue was removed from the desired state fail at their next failed run.
-        self.queue_of(job).map_or(1, |queue| queue.max_attempts.max(1))
+    /// Returns the attempts of a subtask that may fail; `None` while the job's queue is not in the desired state, since it may
+    /// come back as it was.
+    fn max_attempts(&self, job: &str) -> Option<u32> {
+        self.queue_of(job).map(|queue| queue.max_attempts.max(1))
+    }
+
+    /// Returns whether a subtask of a job, or a gang, has used up its attempts. Lasting ones have no limit.
+    pub(crate) fn has_no_attempt_left(&self, job: &Job) -> bool {
+        let Some(max_attempts) = self.max_attempts(&job.sub.job) else { return false };
+        let is_lasting =
+            |key: &UnitKey| job.sub.steps.get(key.step as usize).is_some_and(|step| step.long_running);
+        job.units.iter().any(|(key, unit)| {
+            unit.state != UnitState::Done && unit.failures >= max_attempts && !is_lasting(key)
+        })
+    }
+
+    /// Ends the jobs that have no attempt left by a desired state that is new to this planner: their last attempt failed
+    /// while their queue was away, or they had more before.
+    fn end_jobs_without_attempts(&mut self, now: u64, wall: u64) {
+        if std::mem::replace(&mut self.attempts_checked, self.desired.version) == self.desired.version {
+            return;
+        }
+        let is_over = |job: &&Job| job.outcome.is_none() && self.has_no_attempt_left(job);
+        let jobs = self.live.iter().filter_map(|name| self.jobs.get(name)).filter(is_over);
+        for name in jobs.map(|job| job.sub.job.clone()).collect::<Vec<_>>() {
+            self.log_line(format!("event=attempts_used_up job={name} version={}", self.desired.version));
+            self.end_job(now, wall, &name, Outcome::Failed);
+        }
     }
 
     pub(crate) fn end_job(&mut self, now: u64, wall: u64, name: &str, outcome: Outcome) {
@@ -447,6 +475,7 @@
     pub fn tick(&mut self, now: u64, wall: u64) {
         self.discount_own_delay(now);
         self.expire_leases(now, wall);
+        self.end_jobs_without_attempts(now, wall);
         self.create_due_occurrences(now, wall);
         self.remove_old_jobs(now, wall);
         self.remove_old_cancels(now);
--- a/crates/fleet/tests/attempts.rs
+++ b/crates/fleet/tests/attempts.rs
@@ -153,3 +153,52 @@
     end_member(&mut fleet, last.unwrap(), EndReason::Failed);
     assert_eq!(shown_fails(&fleet), json!(2));
 }
+
+/// Publishes a desired state without the queue `plain`, or with that many attempts on it.
+fn publish(fleet: &mut Fleet, version: u64, max_attempts: Option<u32>) {
+    let mut changed = desired();
+    changed.version = version;
+    changed.queues.retain(|queue| queue.name != "plain" || max_attempts.is_some());
+    for queue in changed.queues.iter_mut().filter(|queue| queue.name == "plain") {
+        queue.max_attempts = max_attempts.unwrap_or_default();
+    }
+    fleet.planner.set_desired(Arc::new(changed));
+    fleet.advance(10);
+}
+
+/// Guards against a job that is failed by its first failed run, since its queue is away from the desired state then.
+#[yare::parameterized(
+    same_leader = { false },
+    next_leader = { true },
+)]
+fn failed_run_counts_as_one_attempt_while_the_queue_is_away(is_taken_over: bool) {
+    let mut fleet = start_gang("plain");
+    publish(&mut fleet, 2, None);
+    (0..2).for_each(|worker| end_member(&mut fleet, worker, EndReason::Failed));
+    assert_eq!(fleet.planner.state(JOB), Some(JobState::Running));
+    fleet.advance(5_000);
+    if is_taken_over {
+        take_over(&mut fleet, |_| ());
+    }
+    publish(&mut fleet, 3, Some(2));
+    assert_eq!(start_next_run(&mut fleet), 2);
+    (0..2).for_each(|worker| end_member(&mut fleet, worker, EndReason::Failed));
+    assert_eq!(fleet.planner.state(JOB), Some(JobState::Ended(Outcome::Failed)));
+}
+
+/// Guards against a start beyond the attempts of a queue that was away when the last of them failed, or that allowed more.
+#[yare::parameterized(
+    queue_is_back = { None, 1 },
+    attempts_are_lowered = { Some(2), 1 },
+)]
+fn job_without_attempts_left_ends_by_the_next_desired_state(meanwhile: Option<u32>, max_attempts: u32) {
+    let mut fleet = start_gang("plain");
+    publish(&mut fleet, 2, meanwhile);
+    (0..2).for_each(|worker| end_member(&mut fleet, worker, EndReason::Failed));
+    assert_eq!(fleet.planner.state(JOB), Some(JobState::Running));
+    publish(&mut fleet, 3, Some(max_attempts));
+    fleet.store();
+    assert_eq!(fleet.planner.state(JOB), Some(JobState::Ended(Outcome::Failed)));
+    let assignments = fleet.advance(2_000);
+    assert!(assignments.iter().all(|assigned| assigned.starts.is_empty()), "{assignments:?}");
+}
