--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -250,7 +250,7 @@
     }
 
     /// Returns whether the leader of `epoch` is of a build that knows no callers; `None` if its claim hasn't been read yet.
-    pub(crate) fn is_of_earlier_build(&self, epoch: u64) -> Option<bool> {
+    fn is_of_earlier_build(&self, epoch: u64) -> Option<bool> {
         let claim = *self.newest_claim.borrow();
         (claim.epoch == epoch).then(|| claim.is_of_earlier_build())
     }
--- a/crates/sorrelland/tests/soak.rs
+++ b/crates/sorrelland/tests/soak.rs
@@ -43,3 +43,8 @@
 async fn soak_with_stops_while_the_store_is_silent_keeps_promises() {
     assert_promises_kept(48_108, &[POLICY]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_a_failing_policy_service_keeps_promises() {
+    assert_promises_kept(56_017, &[SILENT]).await;
+}
