Review: the scripts read TROUBLE in their own folders

Cause: TROUBLE was read in review/rig-3 alone, so that nothing in a case's folder showed it. Change: run.sh sets its default, play.py reads it and hands it to the rig.

--- a/review/13/play.py
+++ b/review/13/play.py
@@ -2,6 +2,7 @@
 do the accepted jobs go on, whose callers ask for them under the same path as before?"""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -62,4 +63,4 @@
     return broken
 
 
-rigs.main(HERE, play, entries=3, workers=5)
+rigs.main(HERE, play, os.environ.get("TROUBLE", "1") != "0", entries=3, workers=5)
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
 # A route is replaced while its accepted jobs are under way. Exits with 1 if LOST was broken, 0 if it held, 2 if it couldn't run.
+# TROUBLE=0 leaves the disruption out; play.py reads it.
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")" && exec python3 -B play.py
--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -647,12 +647,12 @@
             shutil.rmtree(self.temp, ignore_errors=True)
 
 
-def main(folder, play, **shape):
-    """Runs `play(rig, trouble)`, which returns the broken rules as texts, and exits as the scripts of this review do."""
+def main(folder, play, trouble, **shape):
+    """Runs `play(rig, trouble)`, which returns the broken rules as texts, and exits as the scripts of this review do. `trouble`
+    tells whether the disruption is played."""
 
     async def run():
         rig = Rig(pathlib.Path(folder), **shape)
-        trouble = os.environ.get("TROUBLE", "1") != "0"
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         rig.record.say(f"trouble: {'yes' if trouble else 'no'}")
         try:
