Log accepted jobs whose queue the desired state lacks

`queue_missing` names the queue and the number of its open jobs, once for each desired state; the level `jobs_without_queue` has their number.

--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -196,6 +196,10 @@
             metrics::set_gauge("workers_heard", reporting as u64);
             metrics::set_gauge("workers_known", known as u64);
             metrics::set_gauge("jobs_live", planner.live_jobs() as u64);
+            metrics::set_gauge(
+                "jobs_without_queue",
+                planner.jobs_without_queue().values().sum::<usize>() as u64,
+            );
             metrics::set_gauge("longest_wait_ms", planner.longest_wait_ms());
             let speeds = planner.speed_summary();
             metrics::set_gauge("worker_speeds_known", speeds.map_or(0, |speeds| speeds.known as u64));
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -100,6 +100,8 @@
     pub(crate) desired: Arc<Desired>,
     /// Version of the desired state by which the jobs' attempts were last checked; 0 for none.
     attempts_checked: u64,
+    /// Version of the desired state by which the jobs' queues were last checked; 0 for none.
+    queues_checked: u64,
     /// Failure domains that the operators evacuate.
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) jobs: BTreeMap<String, Job>,
@@ -185,6 +187,7 @@
             last_tick_at: 0,
             desired,
             attempts_checked: 0,
+            queues_checked: 0,
             evacuated: BTreeSet::new(),
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             cancels: Cancels::new(),
@@ -400,6 +403,32 @@
         }
     }
 
+    /// Returns the number of jobs that have not ended and whose queue is not in the desired state, by the queue's name. Nothing
+    /// of such a job starts.
+    pub fn jobs_without_queue(&self) -> BTreeMap<&str, usize> {
+        let mut counts = BTreeMap::new();
+        let open =
+            self.live.iter().filter_map(|name| self.jobs.get(name)).filter(|job| job.outcome.is_none());
+        for job in open.filter(|job| self.desired.queue(&job.sub.queue).is_none()) {
+            *counts.entry(job.sub.queue.as_str()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Logs once for each desired state which queues of accepted jobs it lacks.
+    fn log_missing_queues(&mut self) {
+        let version = self.desired.version;
+        if std::mem::replace(&mut self.queues_checked, version) == version {
+            return;
+        }
+        let lines: Vec<String> = self
+            .jobs_without_queue()
+            .into_iter()
+            .map(|(queue, jobs)| format!("event=queue_missing queue={queue} version={version} jobs={jobs}"))
+            .collect();
+        self.log.extend(lines);
+    }
+
     pub(crate) fn end_job(&mut self, now: u64, wall: u64, name: &str, outcome: Outcome) {
         let change = self.change;
         let Some(job) = self.jobs.get_mut(name).filter(|job| job.outcome.is_none()) else { return };
@@ -476,6 +505,7 @@
         self.discount_own_delay(now);
         self.expire_leases(now, wall);
         self.end_jobs_without_attempts(now, wall);
+        self.log_missing_queues();
         self.create_due_occurrences(now, wall);
         self.remove_old_jobs(now, wall);
         self.remove_old_cancels(now);
