--- a/crates/control/src/active_planner.rs
+++ b/crates/control/src/active_planner.rs
@@ -4,18 +4,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use sorrelland_fleet::Caller;
 use sorrelland_fleet::assignments::Assignments;
-use sorrelland_fleet::desired::Desired;
+use sorrelland_fleet::desired::{Address, Desired};
 use sorrelland_fleet::incarnation::WorkerId;
 use sorrelland_fleet::planner::{Planner, Timing};
 use sorrelland_fleet::report::Report;
+use sorrelland_fleet::{Caller, Submission};
 use sorrelland_platform::store::Writer;
 use sorrelland_platform::{PolicyClient, Store};
 use tokio::sync::{Notify, watch};
 
 use crate::absence::AnsweredCalls;
-use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest};
+use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest, QueueRequest};
 use crate::clock::{now_ms, wall_ms};
 use crate::confirmation::Confirmations;
 use crate::election::CancelsStored;
@@ -196,10 +196,9 @@
             metrics::set_gauge("workers_heard", reporting as u64);
             metrics::set_gauge("workers_known", known as u64);
             metrics::set_gauge("jobs_live", planner.live_jobs() as u64);
-            metrics::set_gauge(
-                "jobs_without_queue",
-                planner.jobs_without_queue().values().sum::<usize>() as u64,
-            );
+            let (without_queue, of_removed_queues) = planner.jobs_without_queue();
+            metrics::set_gauge("jobs_without_queue", without_queue as u64);
+            metrics::set_gauge("jobs_of_removed_queues", of_removed_queues as u64);
             metrics::set_gauge("longest_wait_ms", planner.longest_wait_ms());
             let speeds = planner.speed_summary();
             metrics::set_gauge("worker_speeds_known", speeds.map_or(0, |speeds| speeds.known as u64));
@@ -309,7 +308,7 @@
             }
             PlannerRequest::State(job) => self.job_state(&job, None, wait).await,
             PlannerRequest::StateFor { job, caller } => self.job_state(&job, Some(&caller), wait).await,
-            PlannerRequest::Pending(queue) => Reply::Pending(lock(&self.planner).pending(&queue) as u64),
+            PlannerRequest::Pending(queue) => self.pending(&queue, None),
             PlannerRequest::View(query) => {
                 Reply::View(lock(&self.planner).view(&query, now_ms(), wall_ms()).to_string())
             }
@@ -319,7 +318,54 @@
             }
             PlannerRequest::Cancel(job) => self.cancel(&job, None, wait).await,
             PlannerRequest::CancelFor { job, caller } => self.cancel(&job, Some(&caller), wait).await,
+            PlannerRequest::SubmitTo { sub, call, known_epoch, terms } => {
+                let (version, sub) = (terms.version, Submission { terms: Some(terms), ..sub });
+                if self.may_reach_later(&sub.job, &sub.caller(), version) {
+                    return Reply::Unresolved;
+                }
+                self.submit(&sub, call, known_epoch, wait).await
+            }
+            PlannerRequest::At { address, version, req } => {
+                self.handle_queue_request(address, version, req, wait).await
+            }
+        }
+    }
+
+    /// Handles a request to the queue at an address, which the entry has found in a version of the desired state.
+    async fn handle_queue_request(
+        &self,
+        address: Address,
+        version: u64,
+        req: QueueRequest,
+        wait: Duration,
+    ) -> Reply {
+        let (job, caller, is_cancel) = match req {
+            QueueRequest::Pending(queue) => return self.pending(&queue, Some(&address)),
+            QueueRequest::State { job, caller } => (job, caller, false),
+            QueueRequest::Cancel { job, caller } => (job, caller, true),
+        };
+        let caller = caller.with_address(Some(address));
+        if self.may_reach_later(&job, &caller, version) {
+            return Reply::Unresolved;
+        }
+        match is_cancel {
+            true => self.cancel(&job, Some(&caller), wait).await,
+            false => self.job_state(&job, Some(&caller), wait).await,
+        }
+    }
+
+    fn pending(&self, queue: &str, address: Option<&Address>) -> Reply {
+        Reply::Pending(lock(&self.planner).pending(queue, address) as u64)
+    }
+
+    /// Returns whether a call may turn out to be the job's own once this leader has the desired state of the entry, which then
+    /// asks again.
+    fn may_reach_later(&self, job: &str, caller: &Caller, version: u64) -> bool {
+        let may = lock(&self.planner).may_reach_later(job, caller, version);
+        if may {
+            log::info!("event=desired_awaited job={job} queue={} version={version}", caller.queue);
         }
+        may
     }
 
     /// Returns the state of a caller's job; without a caller, whoever's it is. That there is none is a final answer, so it is confirmed within `wait`.
--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -5,16 +5,14 @@
 
 use http::{Method, StatusCode};
 use serde_json::json;
-use sorrelland_fleet::Caller;
-use sorrelland_fleet::desired::Queue;
 use sorrelland_fleet::job::{JobState, Outcome};
-use sorrelland_fleet::record;
+use sorrelland_fleet::{Caller, Terms, record};
 use sorrelland_platform::jobs;
 use sorrelland_platform::serve::{Request, Response};
 use sorrelland_wire::connect::CallError;
 
 use crate::absence::{Absence, TAKEOVER_MS, spread_retry_ms};
-use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest, call};
+use crate::calls::{Leader, PlannerReply as Reply, PlannerRequest, QueueRequest, call};
 use crate::clock::now_ms;
 use crate::election::{CLAIMS, newest_epoch};
 use crate::entry::Entry;
@@ -68,23 +66,23 @@
             (Some(_), true) => String::new(),
             _ => return refuse(StatusCode::UNAUTHORIZED, "unknown key"),
         };
-        let job = &http_request.path[queue.path_prefix.len()..];
+        let terms = Terms::new(&desired, queue);
+        let job = &http_request.path[queue.address.path_prefix.len()..];
         match (&http_request.method, job) {
-            (&Method::GET, "") => self.pending(queue, http_request).await,
+            (&Method::GET, "") => self.pending(&terms, http_request).await,
             (_, "") => refuse(StatusCode::METHOD_NOT_ALLOWED, "a job's name is needed"),
             (_, job) if !is_job_name(job) => {
                 refuse(StatusCode::BAD_REQUEST, "a job's name has 16 hexadecimal digits")
             }
-            (&Method::POST, job) => self.submit(queue, &account, job, http_request).await,
-            (&Method::GET, job) => self.state(&Caller::new(&queue.name, &account), job, http_request).await,
-            (&Method::DELETE, job) => {
-                self.cancel(&Caller::new(&queue.name, &account), job, http_request).await
-            }
+            (&Method::POST, job) => self.submit(terms, &account, job, http_request).await,
+            (&Method::GET, job) => self.state(&terms, &account, job, http_request).await,
+            (&Method::DELETE, job) => self.cancel(&terms, &account, job, http_request).await,
             _ => refuse(StatusCode::METHOD_NOT_ALLOWED, "not possible here"),
         }
     }
 
-    async fn submit(&self, queue: &Queue, account: &str, job: &str, http_request: &Request) -> Response {
+    async fn submit(&self, terms: Terms, account: &str, job: &str, http_request: &Request) -> Response {
+        let queue = terms.queue.clone();
         let sub = match jobs::decode(&http_request.body, job, &queue.name, account) {
             Ok(sub) => sub,
             Err(e) => {
@@ -94,7 +92,7 @@
         };
         let began = Instant::now();
         let known_epoch = Some(self.leadership.epoch());
-        let req = PlannerRequest::Submit { sub, call: rand::random(), known_epoch };
+        let req = PlannerRequest::SubmitTo { sub, call: rand::random(), known_epoch, terms };
         let (result, origin) = self.request_planner(req, http_request).await;
         let evidence = Evidence::new(&result, &origin);
         let response = match result {
@@ -123,9 +121,10 @@
         response
     }
 
-    async fn state(&self, caller: &Caller, job: &str, http_request: &Request) -> Response {
-        let began = Instant::now();
-        let req = PlannerRequest::StateFor { job: job.to_owned(), caller: caller.clone() };
+    async fn state(&self, terms: &Terms, account: &str, job: &str, http_request: &Request) -> Response {
+        let (began, caller) = (Instant::now(), Caller::new(&terms.queue.name, account));
+        let req = QueueRequest::State { job: job.to_owned(), caller: caller.clone() };
+        let req = PlannerRequest::at(terms, req);
         let (result, origin) = self.request_planner(req, http_request).await;
         let evidence = Evidence::new(&result, &origin);
         let response = match result {
@@ -156,9 +155,10 @@
         response
     }
 
-    async fn cancel(&self, caller: &Caller, job: &str, http_request: &Request) -> Response {
-        let began = Instant::now();
-        let req = PlannerRequest::CancelFor { job: job.to_owned(), caller: caller.clone() };
+    async fn cancel(&self, terms: &Terms, account: &str, job: &str, http_request: &Request) -> Response {
+        let (began, caller) = (Instant::now(), Caller::new(&terms.queue.name, account));
+        let req = QueueRequest::Cancel { job: job.to_owned(), caller: caller.clone() };
+        let req = PlannerRequest::at(terms, req);
         let (result, origin) = self.request_planner(req, http_request).await;
         let evidence = Evidence::new(&result, &origin);
         metrics::count_cancel(evidence.cancel_reason());
@@ -186,8 +186,10 @@
         response
     }
 
-    async fn pending(&self, queue: &Queue, http_request: &Request) -> Response {
-        match self.request_planner(PlannerRequest::Pending(queue.name.clone()), http_request).await.0 {
+    async fn pending(&self, terms: &Terms, http_request: &Request) -> Response {
+        let queue = &terms.queue;
+        let req = PlannerRequest::at(terms, QueueRequest::Pending(queue.name.clone()));
+        match self.request_planner(req, http_request).await.0 {
             RequestResult::Reply(Reply::Pending(count)) => {
                 Response::new(StatusCode::OK).json(&json!({"pending": count}))
             }
@@ -306,10 +308,16 @@
         wait: Duration,
     ) -> RequestResult {
         let began = tokio::time::Instant::now();
-        let Some(is_other) = self.is_job_of_other(job, caller, wait).await else {
+        let Some(holder) = self.holder_of(job, caller, wait).await else {
             return RequestResult::Unresolved;
         };
+        let is_other = holder == Holder::Other;
         match reply {
+            // The leader knows the job by the name that its queue had, and would say otherwise by the path.
+            Reply::ByName(reply) if denies_job(&reply) && holder == Holder::Caller => {
+                RequestResult::Unresolved
+            }
+            Reply::ByName(reply) if denies_job(&reply) => RequestResult::Reply(*reply),
             Reply::ByName(reply) if !is_other => RequestResult::Reply(*reply),
             Reply::ByName(reply) if *reply == Reply::Accepted => {
                 let why = "the name stands for another job".to_owned();
@@ -326,23 +334,22 @@
         }
     }
 
-    /// Reads from the store within `wait` whether a name stands for the job of another caller; `None` if the store doesn't
-    /// answer.
-    async fn is_job_of_other(&self, job: &str, caller: &Caller, wait: Duration) -> Option<bool> {
+    /// Reads from the store within `wait` whose job a name stands for; `None` if the store doesn't answer.
+    async fn holder_of(&self, job: &str, caller: &Caller, wait: Duration) -> Option<Holder> {
         let (records, _) = tokio::time::timeout(wait, self.store.read_latest(JOBS)).await.ok()?.ok()?;
         let records = records.iter().map(|record| (record.key.as_str(), record.value.as_slice()));
-        let holder = record::read_caller(records, job);
-        let is_other = holder.as_ref().is_some_and(|holder| !holder.is_same(caller, &self.desired.borrow()));
-        if let Some(holder) = holder.filter(|_| is_other) {
-            log::info!(
-                "event=foreign_job_hidden job={job} queue={} account={} holder_queue={} holder_account={}",
-                caller.queue,
-                caller.account,
-                holder.queue,
-                holder.account
-            );
+        let Some(holder) = record::read_caller(records, job) else { return Some(Holder::Nobody) };
+        if caller.reaches(&holder, &self.desired.borrow()) {
+            return Some(Holder::Caller);
         }
-        Some(is_other)
+        log::info!(
+            "event=foreign_job_hidden job={job} queue={} account={} holder_queue={} holder_account={}",
+            caller.queue,
+            caller.account,
+            holder.queue,
+            holder.account
+        );
+        Some(Holder::Other)
     }
 
     /// Returns a reply that the leader of `epoch` gave from memory if the store shows within `wait` that it had no successor.
@@ -375,23 +382,42 @@
     Unresolved,
 }
 
+/// Whose job a name stands for in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Holder {
+    Nobody,
+    /// The caller who asks.
+    Caller,
+    Other,
+}
+
+/// Returns whether a reply says that the caller has no job of the name.
+fn denies_job(reply: &Reply) -> bool {
+    matches!(reply, Reply::State(None) | Reply::Cancelled(false) | Reply::Refused { .. })
+}
+
 /// Returns the name of the job that a request is about, and its caller; `None` for a request that names none.
 fn addressed_job(req: &PlannerRequest) -> Option<(&str, Caller)> {
     match req {
-        PlannerRequest::Submit { sub, .. } => Some((&sub.job, sub.caller())),
-        PlannerRequest::StateFor { job, caller } | PlannerRequest::CancelFor { job, caller } => {
-            Some((job, caller.clone()))
+        PlannerRequest::SubmitTo { sub, terms, .. } => {
+            Some((&sub.job, sub.caller().with_address(Some(terms.queue.address.clone()))))
         }
+        PlannerRequest::At {
+            address,
+            req: QueueRequest::State { job, caller } | QueueRequest::Cancel { job, caller },
+            ..
+        } => Some((job, caller.clone().with_address(Some(address.clone())))),
         _ => None,
     }
 }
 
-/// Returns whether the reply to a request about a job shows that the leader is of a build that knows no callers.
+/// Returns whether the reply to a request about a job shows that the leader is of a build that knows no callers, or only
+/// the names of their queues, and has to be checked.
 fn is_of_earlier_build(req: &PlannerRequest, reply: &Reply) -> bool {
     match reply {
         Reply::ByName(_) => true,
         // A cancel is not expressible in its version of the calls.
-        Reply::Pending(_) => matches!(req, PlannerRequest::CancelFor { .. }),
+        Reply::Pending(_) => matches!(req, PlannerRequest::At { req: QueueRequest::Cancel { .. }, .. }),
         _ => false,
     }
 }
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -7,11 +7,12 @@
 
 use crate::peers::Listed;
 use serde::{Deserialize, Serialize};
-use sorrelland_fleet::Caller;
 use sorrelland_fleet::assignments::Assignments;
+use sorrelland_fleet::desired::Address;
 use sorrelland_fleet::job::{JobState, Submission};
 use sorrelland_fleet::report::Report;
 use sorrelland_fleet::view::Query;
+use sorrelland_fleet::{Caller, Terms};
 use sorrelland_wire::connect::{CallError, Pool, call_context};
 use tarpc::client::RpcError;
 
@@ -56,13 +57,49 @@
     StateFor { job: String, caller: Caller },
     /// Cancels a caller's job.
     CancelFor { job: String, caller: Caller },
+    /// Submits a job on a queue as the entry knows it; the other fields are those of `Submit`.
+    SubmitTo { sub: Submission, call: u64, known_epoch: Option<u64>, terms: Terms },
+    /// A request with the address of the queue that it is sent to.
+    At {
+        address: Address,
+        /// Version of the desired state in which the entry has found the queue.
+        version: u64,
+        req: QueueRequest,
+    },
+}
+
+/// A request that depends on where the queue is that it is sent to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum QueueRequest {
+    /// Reads the state of a caller's job.
+    State { job: String, caller: Caller },
+    /// Cancels a caller's job.
+    Cancel { job: String, caller: Caller },
+    /// Counts the jobs of a queue that have not started.
+    Pending(String),
 }
 
 impl PlannerRequest {
+    /// Creates a request to a queue as the entry knows it.
+    pub fn at(Terms { version, queue }: &Terms, req: QueueRequest) -> Self {
+        Self::At { address: queue.address.clone(), version: *version, req }
+    }
+
+    /// Returns the request as builds know it that tell queues by their names alone.
+    pub(crate) fn without_address(self) -> Self {
+        match self {
+            Self::SubmitTo { sub, call, known_epoch, .. } => Self::Submit { sub, call, known_epoch },
+            Self::At { req: QueueRequest::State { job, caller }, .. } => Self::StateFor { job, caller },
+            Self::At { req: QueueRequest::Cancel { job, caller }, .. } => Self::CancelFor { job, caller },
+            Self::At { req: QueueRequest::Pending(queue), .. } => Self::Pending(queue),
+            req => req,
+        }
+    }
+
     /// Returns the request as earlier builds know it, which name no caller. A cancel would end the job of another caller, so
     /// that they are asked for something that changes nothing in its place; the reply shows the build.
     pub(crate) fn without_caller(self) -> Self {
-        match self {
+        match self.without_address() {
             Self::StateFor { job, .. } => Self::State(job),
             Self::CancelFor { caller, .. } => Self::Pending(caller.queue),
             req => req,
@@ -109,20 +146,29 @@
     /// no such job, or a refusal. Never sent.
     #[serde(skip)]
     FromMemory(Box<PlannerReply>),
-    /// What a leader of an earlier build, which knows no callers, replies of the job of a name: its state, or that it is
-    /// stored. It may be another caller's. Never sent.
+    /// What a leader of an earlier build replies of the job of a name. If it knows no callers, that is its state, or that it is
+    /// stored, and it may be another caller's. If it tells queues by their names, that is that the caller has no such job, and
+    /// it may have one. Never sent.
     #[serde(skip)]
     ByName(Box<PlannerReply>),
 }
 
 impl PlannerReply {
-    /// Marks the replies of a leader of an earlier build that are about the job of a name, whoever's it is.
+    /// Marks the replies of a leader that knows no callers and are about the job of a name, whoever's it is.
     pub(crate) fn by_name(self) -> Self {
         match self {
             Self::Accepted | Self::State(Some(_)) => Self::ByName(Box::new(self)),
             reply => reply,
         }
     }
+
+    /// Marks the replies of a leader that tells queues by their names, and says that the caller has no job of a name.
+    pub(crate) fn by_queue_name(self) -> Self {
+        match self {
+            Self::State(None) | Self::Cancelled(false) | Self::Refused { .. } => Self::ByName(Box::new(self)),
+            reply => reply,
+        }
+    }
 }
 
 /// Reply to an agent's report.
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -74,7 +74,7 @@
     /// write none.
     #[serde(default)]
     cancels_stored_since: Option<u64>,
-    /// Newest version of the calls that the claimant speaks; builds before landing 15 write none.
+    /// Newest version of the calls that the claimant speaks; builds before landing 16 write none.
     #[serde(default)]
     calls: u16,
 }
@@ -94,15 +94,15 @@
     epoch: u64,
     /// `None` for a leader of a build before landing 14.
     cancels_stored: Option<CancelsStored>,
-    /// Newest version of the calls that the leader speaks; 0 before landing 15.
+    /// Newest version of the calls that the leader speaks; 0 before landing 16.
     calls: u16,
 }
 
 impl NewestClaim {
-    /// Returns whether the leader knows no callers, so that a call reaches the job of its name, whoever's it is. The builds that
-    /// don't store the cancels of unknown jobs are among these.
+    /// Returns whether the leader tells queues by their names, so that it starts nothing of a job whose queue has another name
+    /// or is gone. The builds that don't store the cancels of unknown jobs, or know no callers, are among these.
     fn is_of_earlier_build(&self) -> bool {
-        self.cancels_stored.is_none() || self.calls < versions::CALLERS
+        self.cancels_stored.is_none() || self.calls < versions::ADDRESSES
     }
 }
 
@@ -249,7 +249,7 @@
         }
     }
 
-    /// Returns whether the leader of `epoch` is of a build that knows no callers; `None` if its claim hasn't been read yet.
+    /// Returns whether the leader of `epoch` is of a build that tells queues by their names; `None` if its claim hasn't been read yet.
     fn is_of_earlier_build(&self, epoch: u64) -> Option<bool> {
         let claim = *self.newest_claim.borrow();
         (claim.epoch == epoch).then(|| claim.is_of_earlier_build())
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -90,7 +90,7 @@
     let mut fields: Map<String, Value> = serde_json::from_slice(body)?;
     let queue = take_text(&mut fields, "queue")?.ok_or(Error::Missing("queue"))?;
     let known: Vec<&str> = desired.queues.iter().map(|queue| queue.name.as_str()).collect();
-    let Some(queue) = desired.queue(&queue) else {
+    let Some(queue) = desired.queue_named(&queue) else {
         return Err(Error::Unknown { field: "queue", name: queue, known: known.join(", ") });
     };
     let account = match take_text(&mut fields, "account")? {
--- a/crates/control/src/submissions.rs
+++ b/crates/control/src/submissions.rs
@@ -182,7 +182,7 @@
     }
 
     fn priority(&self, sub: &Submission) -> u32 {
-        lock(&self.planner).priority(&sub.queue)
+        lock(&self.planner).priority(sub)
     }
 }
 
--- a/crates/control/src/versions.rs
+++ b/crates/control/src/versions.rs
@@ -22,13 +22,13 @@
 use tarpc::tokio_serde::{Deserializer, Serializer};
 use tarpc::{ClientMessage, Request, Response, serde_transport};
 
-use crate::calls::{Ping, PlanRpcClient, PlanRpcRequest, PlanRpcResponse};
+use crate::calls::{Ping, PlanRpcClient, PlanRpcRequest, PlanRpcResponse, PlannerReply, PlannerRequest};
 
 /// The newest version of the calls: the types in [`crate::calls`].
-pub const NEWEST: u16 = 4;
+pub const NEWEST: u16 = 5;
 
-/// The first version whose calls about a job name their caller.
-pub const CALLERS: u16 = 4;
+/// The first version whose calls tell the address of a queue.
+pub const ADDRESSES: u16 = 5;
 
 /// Time-out of the call that tries a version.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -40,10 +40,12 @@
     First,
     /// Landings 10 to 13.
     Second,
-    /// Landing 14. It knows the calls of this build but for those that name a caller.
+    /// Landings 14 and 15. It knows the calls of the fourth version but for those that name a caller.
     Third,
-    /// This build.
+    /// Landings 16 and 17. It knows the calls of this build but for those that tell the address of a queue.
     Fourth,
+    /// This build.
+    Fifth,
 }
 
 impl Version {
@@ -53,7 +55,8 @@
             0 | 1 => Self::First,
             2 => Self::Second,
             3 => Self::Third,
-            _ => Self::Fourth,
+            4 => Self::Fourth,
+            _ => Self::Fifth,
         }
     }
 
@@ -63,6 +66,7 @@
             Self::Second => 2,
             Self::Third => 3,
             Self::Fourth => 4,
+            Self::Fifth => 5,
         }
     }
 }
@@ -99,7 +103,7 @@
     match version {
         Version::First => decode_request_as::<first::Call>(src),
         Version::Second => decode_request_as::<second::Call>(src),
-        Version::Third | Version::Fourth => decode(src),
+        Version::Third | Version::Fourth | Version::Fifth => decode(src),
     }
 }
 
@@ -117,11 +121,14 @@
     }
 }
 
-/// Returns a request as the third version knows it.
-fn without_caller(req: &PlanRpcRequest) -> PlanRpcRequest {
-    match req {
+/// Returns a call with the request of a caller changed to what an earlier version knows.
+fn with_request(
+    message: &PlanRpcRequest,
+    change: impl FnOnce(PlannerRequest) -> PlannerRequest,
+) -> PlanRpcRequest {
+    match message {
         PlanRpcRequest::Request { req, wait_ms } => {
-            PlanRpcRequest::Request { req: req.clone().without_caller(), wait_ms: *wait_ms }
+            PlanRpcRequest::Request { req: change(req.clone()), wait_ms: *wait_ms }
         }
         // The calls are no `Clone`.
         PlanRpcRequest::Report { report } => PlanRpcRequest::Report { report: report.clone() },
@@ -134,8 +141,13 @@
     match version {
         Version::First => encode_request_as(message, first::encode_request),
         Version::Second => encode_request_as(message, second::encode_request),
-        Version::Third => encode_request_as(message, |req| Some(without_caller(req))),
-        Version::Fourth => encode(message),
+        Version::Third => {
+            encode_request_as(message, |call| Some(with_request(call, PlannerRequest::without_caller)))
+        }
+        Version::Fourth => {
+            encode_request_as(message, |call| Some(with_request(call, PlannerRequest::without_address)))
+        }
+        Version::Fifth => encode(message),
     }
 }
 
@@ -148,23 +160,26 @@
     Ok(Response { request_id, message: message.map(Into::into) })
 }
 
-/// Marks the replies of a build that knows no callers.
-fn by_name(response: PlanRpcResponse) -> PlanRpcResponse {
-    match response {
-        PlanRpcResponse::Request(reply) => PlanRpcResponse::Request(reply.by_name()),
-        response => response,
-    }
+/// Decodes a response of the newest types, with a change of the reply to a caller's request.
+fn decode_reply_as(
+    src: &BytesMut,
+    change: impl FnOnce(PlannerReply) -> PlannerReply,
+) -> io::Result<Response<PlanRpcResponse>> {
+    let Response { request_id, message } = decode::<Response<PlanRpcResponse>>(src)?;
+    let message = message.map(|message| match message {
+        PlanRpcResponse::Request(reply) => PlanRpcResponse::Request(change(reply)),
+        message => message,
+    });
+    Ok(Response { request_id, message })
 }
 
 fn decode_response(version: Version, src: &BytesMut) -> io::Result<Response<PlanRpcResponse>> {
     match version {
         Version::First => decode_response_as::<first::Response>(src),
         Version::Second => decode_response_as::<second::Response>(src),
-        Version::Third => {
-            let Response { request_id, message } = decode::<Response<PlanRpcResponse>>(src)?;
-            Ok(Response { request_id, message: message.map(by_name) })
-        }
-        Version::Fourth => decode(src),
+        Version::Third => decode_reply_as(src, PlannerReply::by_name),
+        Version::Fourth => decode_reply_as(src, PlannerReply::by_queue_name),
+        Version::Fifth => decode(src),
     }
 }
 
--- a/crates/control/src/versions/first.rs
+++ b/crates/control/src/versions/first.rs
@@ -111,7 +111,10 @@
         // Landing 8 would end the connection, and with it the calls in flight.
         NewPlannerRequest::Explain(_) => return None,
         // `without_caller` leaves none.
-        NewPlannerRequest::StateFor { .. } | NewPlannerRequest::CancelFor { .. } => return None,
+        NewPlannerRequest::StateFor { .. }
+        | NewPlannerRequest::CancelFor { .. }
+        | NewPlannerRequest::SubmitTo { .. }
+        | NewPlannerRequest::At { .. } => return None,
     })
 }
 
--- a/crates/control/src/versions/second.rs
+++ b/crates/control/src/versions/second.rs
@@ -80,7 +80,10 @@
         NewPlannerRequest::View(query) => PlannerRequest::View(query),
         NewPlannerRequest::Explain(sub) => PlannerRequest::Explain(sub),
         // `without_caller` leaves none.
-        NewPlannerRequest::StateFor { .. } | NewPlannerRequest::CancelFor { .. } => return None,
+        NewPlannerRequest::StateFor { .. }
+        | NewPlannerRequest::CancelFor { .. }
+        | NewPlannerRequest::SubmitTo { .. }
+        | NewPlannerRequest::At { .. } => return None,
     })
 }
 
--- a/crates/control/tests/versions.rs
+++ b/crates/control/tests/versions.rs
@@ -7,15 +7,16 @@
 use serde::Serialize;
 use sorrelland_control::calls::{
     Leader, OfferReply, Ping, PlanRpcRequest, PlanRpcResponse, PlannerReply, PlannerRequest, Pong,
-    ReportReply,
+    QueueRequest, ReportReply,
 };
 use sorrelland_control::peers::Listed;
 use sorrelland_control::versions::{ClientCodec, ServerCodec, Version, new_server_codecs};
 use sorrelland_fleet::assignments::{Assignments, Pace, Start, Stop};
+use sorrelland_fleet::desired::{Address, Queue};
 use sorrelland_fleet::job::{JobState, Outcome, Schedule, Step, Submission};
 use sorrelland_fleet::report::{End, EndReason, FirstMark, NotStarted, Report, Running, WorkerInfo};
 use sorrelland_fleet::view::Query;
-use sorrelland_fleet::{Caller, Resources, Task};
+use sorrelland_fleet::{Caller, Resources, Task, Terms};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_serde::{Deserializer, Serializer};
 use tarpc::{ClientMessage, Request, Response, context};
@@ -23,10 +24,12 @@
 const LANDING_8: &str = include_str!("fixtures/calls-landing-8.txt");
 const LANDING_9: &str = include_str!("fixtures/calls-landing-9.txt");
 const LANDING_10: &str = include_str!("fixtures/calls-landing-10.txt");
+const LANDING_16: &str = include_str!("fixtures/calls-landing-16.txt");
 
 const REQUEST: u64 = 300;
 
-const VERSIONS: [Version; 4] = [Version::First, Version::Second, Version::Third, Version::Fourth];
+const VERSIONS: [Version; 5] =
+    [Version::First, Version::Second, Version::Third, Version::Fourth, Version::Fifth];
 
 fn task() -> Task {
     Task { job: "5c0e7a21d94b36f8".to_owned(), occurrence: 1, step: 2, index: 300 }
@@ -63,9 +66,16 @@
         spec: "run_ms=5".to_owned(),
         steps: vec![Step { count: 1, ..Step::default() }, step],
         schedule: Some(Schedule { occurrences: 3, first_ms: 1_700_000_000_000, interval_ms: 60_000 }),
+        terms: None,
     }
 }
 
+fn terms() -> Terms {
+    let address = Address { host: "shop.example".to_owned(), path_prefix: "/orders/".to_owned() };
+    let queue = Queue { name: "orders".to_owned(), address, max_attempts: 4, ..Queue::default() };
+    Terms { version: 300, queue }
+}
+
 fn report(version: Version) -> Report {
     let mark = FirstMark { task: task(), run: 2, age_ms: 1_500, percent: 7, is_start: true };
     Report {
@@ -134,7 +144,12 @@
             return PlanRpcRequest::Ping { ping };
         }
         "take_over" => return PlanRpcRequest::TakeOver { epoch: 70_000 },
-        "submit" => PlannerRequest::Submit { sub: submission(), call: 1 << 62, known_epoch: None },
+        "submit" => {
+            let known_epoch = (version == Version::Fourth).then_some(70_000);
+            PlannerRequest::Submit { sub: submission(), call: 1 << 62, known_epoch }
+        }
+        "state_for" => PlannerRequest::StateFor { job: job(), caller: Caller::new("orders", "museum") },
+        "cancel_for" => PlannerRequest::CancelFor { job: job(), caller: Caller::new("orders", "museum") },
         "state" => PlannerRequest::State(job()),
         "cancel" => PlannerRequest::Cancel(job()),
         "pending" => PlannerRequest::Pending("orders".to_owned()),
@@ -169,6 +184,7 @@
         "state" => PlannerReply::State(Some(JobState::Ended(Outcome::Cancelled))),
         "no_state" => PlannerReply::State(None),
         "cancelled" => PlannerReply::Cancelled(true),
+        "not_cancelled" => PlannerReply::Cancelled(false),
         "pending" => PlannerReply::Pending(300),
         "view" => PlannerReply::View("{}".to_owned()),
         "unresolved" => PlannerReply::Unresolved,
@@ -230,6 +246,7 @@
     landing_8 = { LANDING_8, Version::First, 7 },
     landing_9 = { LANDING_9, Version::First, 8 },
     landing_10 = { LANDING_10, Version::Second, 9 },
+    landing_16 = { LANDING_16, Version::Fourth, 11 },
 )]
 fn requests_of_landing_are_read_and_written(fixture: &str, version: Version, count: usize) {
     let requests = messages(fixture, "request");
@@ -237,13 +254,14 @@
     for (name, message) in requests {
         let frame = request_frame(&message);
         let expected = || expected_request(version, &name);
-        // A client that announces its version, and one that shows it.
-        for announced in [Some(version as u16 + 1), None] {
+        // A client that announces its version, and one that shows it, as builds before landing 12 do.
+        let shown = (version != Version::Fourth).then_some(None);
+        for announced in [Some(Some(version as u16 + 1)), shown].into_iter().flatten() {
             let mut codec = new_server_codecs()(announced);
             let received = receive(&mut codec, &frame).unwrap_or_else(|| panic!("{name} is not read"));
             assert_eq!(text(received), text(expected()), "{name}");
         }
-        let is_sent = version == Version::Second || name != "explain";
+        let is_sent = version != Version::First || name != "explain";
         let req =
             ClientMessage::Request(Request { context: context::current(), id: REQUEST, message: expected() });
         match Pin::new(&mut ClientCodec(version)).serialize(&req) {
@@ -258,6 +276,7 @@
     landing_8 = { LANDING_8, Version::First, 12 },
     landing_9 = { LANDING_9, Version::First, 12 },
     landing_10 = { LANDING_10, Version::Second, 15 },
+    landing_16 = { LANDING_16, Version::Fourth, 16 },
 )]
 fn responses_of_landing_are_read_and_written(fixture: &str, version: Version, count: usize) {
     let responses = messages(fixture, "response");
@@ -267,6 +286,12 @@
         let frame = response_frame(&message);
         let received = Pin::new(&mut ClientCodec(version)).deserialize(&frame).unwrap();
         let as_read = match (expected_response(version, &name), name.as_str()) {
+            (PlanRpcResponse::Request(reply), "no_state" | "refused" | "not_cancelled")
+                if version == Version::Fourth =>
+            {
+                PlanRpcResponse::Request(PlannerReply::ByName(Box::new(reply)))
+            }
+            (response, _) if version == Version::Fourth => response,
             (PlanRpcResponse::Request(reply), "no_state" | "refused") => {
                 PlanRpcResponse::Request(PlannerReply::FromMemory(Box::new(reply)))
             }
@@ -325,7 +350,7 @@
     let newest = messages(LANDING_10, "response").into_iter().find(|(name, _)| name == "pending").unwrap().1;
     assert!(reply(&mut present, PlanRpcResponse::Request(PlannerReply::Pending(300))).ends_with(&newest));
     assert_eq!(Version::negotiated(2), Version::Second);
-    assert_eq!(Version::negotiated(u16::MAX), Version::Fourth, "a later build");
+    assert_eq!(Version::negotiated(u16::MAX), Version::Fifth, "a later build");
     assert_eq!(version == Version::Second, written.ends_with(&newest));
 }
 
@@ -349,7 +374,8 @@
     first = { Version::First, PlannerReply::CancelNotStored },
     second = { Version::Second, PlannerReply::CancelNotStored },
     third = { Version::Third, PlannerReply::Cancelled(false) },
-    fourth = { Version::Fourth, PlannerReply::Cancelled(false) },
+    fourth = { Version::Fourth, PlannerReply::ByName(Box::new(PlannerReply::Cancelled(false))) },
+    fifth = { Version::Fifth, PlannerReply::Cancelled(false) },
 )]
 fn cancel_of_an_unknown_job_is_final_only_from_a_leader_that_stores_it(
     version: Version,
@@ -366,7 +392,7 @@
 /// Guards against a submission whose age is lost between processes of this build.
 #[test]
 fn submission_keeps_the_epoch_that_its_entry_knew() {
-    for version in [Version::Third, Version::Fourth] {
+    for version in [Version::Third, Version::Fourth, Version::Fifth] {
         let req = PlannerRequest::Submit { sub: submission(), call: 1 << 62, known_epoch: Some(70_000) };
         assert_eq!(pass_on(version, req.clone()), req);
     }
@@ -398,8 +424,45 @@
             PlannerRequest::Cancel(job.clone())
         );
     }
-    assert_eq!(pass_on(Version::Fourth, state.clone()), state);
-    assert_eq!(pass_on(Version::Fourth, cancel.clone()), cancel);
+    for version in [Version::Fourth, Version::Fifth] {
+        assert_eq!(pass_on(version, state.clone()), state);
+        assert_eq!(pass_on(version, cancel.clone()), cancel);
+    }
+}
+
+/// Guards against a call that a build of landing 16 or 17 can't read, or whose queue it takes for another one.
+#[test]
+fn calls_with_an_address_name_their_queue_at_a_leader_that_knows_no_addresses() {
+    let (job, caller) = ("5c0e7a21d94b36f8".to_owned(), Caller::new("orders", "museum"));
+    let (sub, call, known_epoch) = (submission(), 1 << 62, Some(70_000));
+    let cases = [
+        (
+            PlannerRequest::SubmitTo { sub: sub.clone(), call, known_epoch, terms: terms() },
+            PlannerRequest::Submit { sub, call, known_epoch },
+        ),
+        (
+            PlannerRequest::at(&terms(), QueueRequest::State { job: job.clone(), caller: caller.clone() }),
+            PlannerRequest::StateFor { job: job.clone(), caller: caller.clone() },
+        ),
+        (
+            PlannerRequest::at(&terms(), QueueRequest::Cancel { job: job.clone(), caller: caller.clone() }),
+            PlannerRequest::CancelFor { job: job.clone(), caller },
+        ),
+        (
+            PlannerRequest::at(&terms(), QueueRequest::Pending("orders".to_owned())),
+            PlannerRequest::Pending("orders".to_owned()),
+        ),
+    ];
+    for (req, by_name) in cases {
+        assert_eq!(pass_on(Version::Fifth, req.clone()), req);
+        assert_eq!(pass_on(Version::Fourth, req.clone()), by_name);
+        let without_caller = match by_name {
+            PlannerRequest::StateFor { job, .. } => PlannerRequest::State(job),
+            PlannerRequest::CancelFor { caller, .. } => PlannerRequest::Pending(caller.queue),
+            req => req,
+        };
+        assert_eq!(pass_on(Version::Third, req), without_caller);
+    }
 }
 
 /// Guards against an answer about the job of a name, whoever's it is, taken for one about the caller's.
@@ -413,7 +476,7 @@
             let read = Pin::new(&mut ClientCodec(version)).deserialize(&frame).unwrap().message.unwrap();
             let PlanRpcResponse::Request(read) = read else { panic!("{read:?}") };
             match version {
-                Version::Fourth => assert_eq!(read, expected),
+                Version::Fourth | Version::Fifth => assert_eq!(read, expected),
                 _ => assert_eq!(read, PlannerReply::ByName(Box::new(expected.clone()))),
             }
         }
@@ -432,7 +495,11 @@
             let read = Pin::new(&mut ClientCodec(version)).deserialize(&frame).unwrap().message.unwrap();
             let PlanRpcResponse::Request(read) = read else { panic!("{read:?}") };
             match version {
-                Version::Third | Version::Fourth => assert_eq!(read, expected),
+                Version::Third | Version::Fifth => assert_eq!(read, expected),
+                // They may be wrong of a queue that has another name; the store tells.
+                Version::Fourth => {
+                    assert_eq!(read, PlannerReply::ByName(Box::new(expected.clone())))
+                }
                 _ => assert_eq!(read, PlannerReply::FromMemory(Box::new(expected.clone()))),
             }
         }
--- a/crates/emul/src/load.rs
+++ b/crates/emul/src/load.rs
@@ -501,6 +501,7 @@
             spec: params.name.to_owned(),
             steps,
             schedule: None,
+            terms: None,
         };
         if hidden.work_spread > 0.0 || hidden.long_runs.is_some() {
             hidden.seed = self.rng.random();
--- a/crates/emul/src/run.rs
+++ b/crates/emul/src/run.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sorrelland_fleet::desired::{Account, Desired, Queue, Service};
+use sorrelland_fleet::desired::{Account, Address, Desired, Queue, Service};
 use sorrelland_fleet::job::{JobState, Outcome, Step};
 use sorrelland_fleet::planner::{Admission, Planner, Timing};
 use sorrelland_fleet::view::Query;
@@ -132,6 +132,7 @@
 fn desired(load: &Load) -> Desired {
     let queue = |(index, kind): (usize, &crate::load::JobKind)| Queue {
         name: format!("q{index}"),
+        address: Address { host: String::new(), path_prefix: format!("/q{index}/") },
         service: "service".to_owned(),
         priority: kind.priority,
         max_attempts: kind.max_attempts,
--- a/crates/fleet/benches/planner.rs
+++ b/crates/fleet/benches/planner.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use divan::Bencher;
-use sorrelland_fleet::desired::{Account, Desired, Queue, Service};
+use sorrelland_fleet::desired::{Account, Address, Desired, Queue, Service};
 use sorrelland_fleet::job::{Step, Submission};
 use sorrelland_fleet::planner::{Planner, Timing};
 use sorrelland_fleet::report::{Report, Running, WorkerInfo};
@@ -38,6 +38,7 @@
 fn desired() -> Arc<Desired> {
     let queue = |name: &str, priority: u32, stretch_milli: u64, full_value_ms: u64| Queue {
         name: name.to_owned(),
+        address: Address { host: "shop.example".to_owned(), path_prefix: format!("/{name}/") },
         service: "svc".to_owned(),
         priority,
         max_attempts: 4,
--- a/crates/fleet/src/admit.rs
+++ b/crates/fleet/src/admit.rs
@@ -74,22 +74,29 @@
     ends.into_iter().max().unwrap_or(0)
 }
 
-/// Checks whether a job can be accepted.
+/// Checks whether a job can be accepted in a queue; of an unknown queue nothing can be said.
 ///
 /// # Errors
 ///
 /// Returns the reason of a refusal and the time after which to retry.
-pub fn check_admission(planner: &Planner, now: u64, wall: u64, sub: &Submission) -> Result<(), Refusal> {
+pub fn check_admission(
+    planner: &Planner,
+    now: u64,
+    wall: u64,
+    sub: &Submission,
+    queue: Option<&Queue>,
+) -> Result<(), Refusal> {
     check_bounds(sub)?;
-    check_fits_fleet(planner, sub)?;
+    let Some(queue) = queue else { return Ok(()) };
+    check_fits_fleet(planner, sub, queue)?;
     if sub.schedule.is_some() || sub.steps.iter().any(|step| step.long_running) {
         return Ok(());
     }
-    if is_guaranteed(planner, sub) {
+    if is_guaranteed(planner, sub, queue) {
         // Others are preempted for it, regardless of the work that is queued.
         return Ok(());
     }
-    check_attains_value(planner, now, wall, sub)
+    check_attains_value(planner, now, wall, sub, queue)
 }
 
 /// Checks a job that an entry of another build may have passed on.
@@ -103,21 +110,21 @@
 }
 
 /// Returns whether a job is urgent and its account's guarantee covers it together with the account's other urgent jobs.
-fn is_guaranteed(planner: &Planner, sub: &Submission) -> bool {
-    let urgent = |queue: &str| planner.desired.queue(queue).is_some_and(|queue| queue.priority == 0);
-    let Some(account) = planner.desired.accounts.get(&sub.account).filter(|_| urgent(&sub.queue)) else {
+fn is_guaranteed(planner: &Planner, sub: &Submission, queue: &Queue) -> bool {
+    let is_urgent = |queue: &Queue| queue.priority == 0;
+    let Some(account) = planner.desired.accounts.get(&sub.account).filter(|_| is_urgent(queue)) else {
         return false;
     };
     let jobs = planner.live.iter().filter_map(|name| planner.jobs.get(name));
-    let others =
-        jobs.filter(|job| job.outcome.is_none() && job.sub.account == sub.account && urgent(&job.sub.queue));
+    let others = jobs.filter(|job| {
+        job.outcome.is_none() && job.sub.account == sub.account && job.queue().is_some_and(is_urgent)
+    });
     let others_peak: i64 = others.map(|job| peak_accelerators(&job.sub)).sum();
     others_peak + peak_accelerators(sub) <= account.guaranteed_accelerators
 }
 
 /// Checks that each step fits on the known workers when they are empty.
-fn check_fits_fleet(planner: &Planner, sub: &Submission) -> Result<(), Refusal> {
-    let Some(queue) = planner.desired.queue(&sub.queue) else { return Ok(()) };
+fn check_fits_fleet(planner: &Planner, sub: &Submission, queue: &Queue) -> Result<(), Refusal> {
     let workers = || planner.workers.values().filter(|worker| worker.info.service == queue.service);
     if workers().next().is_none() {
         // No worker of the service has reported yet; the job may wait for one.
@@ -145,8 +152,13 @@
 }
 
 /// Checks that the job can end before its result loses its value, given the work that would be placed before it.
-fn check_attains_value(planner: &Planner, now: u64, wall: u64, sub: &Submission) -> Result<(), Refusal> {
-    let Some(queue) = planner.desired.queue(&sub.queue) else { return Ok(()) };
+fn check_attains_value(
+    planner: &Planner,
+    now: u64,
+    wall: u64,
+    sub: &Submission,
+    queue: &Queue,
+) -> Result<(), Refusal> {
     let workers: Vec<&Worker> =
         planner.workers.values().filter(|worker| worker.info.service == queue.service).collect();
     let label = required_label(&workers, sub);
@@ -229,6 +241,7 @@
         .iter()
         .filter(|other| other.service == queue.service)
         .map(|other| other.priority)
+        .chain([queue.priority])
         .collect();
     let mut needs = Resources::default();
     for step in &sub.steps {
@@ -276,8 +289,7 @@
     let mut all = Vec::new();
     for name in &planner.live {
         let Some(job) = planner.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
-        let other_queue = planner.desired.queue(&job.sub.queue);
-        let Some(own_queue) = other_queue.filter(|other| other.service == queue.service) else { continue };
+        let Some(own_queue) = job.queue().filter(|other| other.service == queue.service) else { continue };
         let work = estimated_work_core_s(&job.sub).max(1.0);
         let value = planner.mean_work(&job.sub.queue).value(own_queue.priority, work);
         let ratio = Ratio::new(&planner.forecasts.correction(&job.sub.queue));
@@ -356,7 +368,7 @@
     let mut services: BTreeMap<&str, ServiceDemand<'_>> = BTreeMap::new();
     for name in &planner.live {
         let Some(job) = planner.jobs.get(name) else { continue };
-        let Some(queue) = planner.desired.queue(&job.sub.queue) else { continue };
+        let Some(queue) = job.queue() else { continue };
         let mut held = Resources::default();
         for (key, unit) in &job.units {
             let Some(step) = job.sub.steps.get(key.step as usize) else { continue };
@@ -371,7 +383,7 @@
     }
     for candidate in candidates {
         let Some(job) = planner.jobs.get(&candidate.job) else { continue };
-        let Some(queue) = planner.desired.queue(&job.sub.queue) else { continue };
+        let Some(queue) = job.queue() else { continue };
         let need = job.sub.steps.get(candidate.key.step as usize).map(unit_need).unwrap_or_default();
         let service = services.entry(&queue.service).or_default();
         service.has_late |= candidate.timeliness != Timeliness::InTime;
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -25,6 +25,9 @@
 /// Maximum duration, in milliseconds: ten years. Times such factors as a queue's stretch, it fits into 64 bits.
 pub const MAX_DURATION_MS: u64 = 10 * 366 * 24 * 3_600_000;
 
+/// Maximum multiple of the duration of its steps within which a job should end, in thousandths.
+pub const MAX_STRETCH_MILLI: u64 = 1_000_000;
+
 /// Latest time, in milliseconds since 1970: the end of the year 9999.
 pub const MAX_WALL_MS: u64 = 253_402_300_799_999;
 
--- a/crates/fleet/src/cancels.rs
+++ b/crates/fleet/src/cancels.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::caller::Caller;
+use crate::desired::Address;
 use crate::job::{Outcome, Submission};
 use crate::planner::{Admission, Planner};
-use crate::record::{self, new_job};
+use crate::record;
 
 /// Cancels of unknown jobs that are kept at a time: names are free, so callers could fill the store with them.
 pub const MAX_CANCELS: usize = 4_096;
@@ -42,29 +43,35 @@
 }
 
 /// A cancel of an unknown job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Cancel {
-    /// When it arrived, in milliseconds since 1970 on the clock of the leader that it arrived at.
-    pub(crate) at_ms: u64,
+    pub(crate) stored: StoredCancel,
     /// When this planner learned of it, on the monotonic clock.
     pub(crate) learned_at: u64,
     /// Number of the change that stores it; 0 if an earlier planner did.
     pub(crate) change: u64,
-    /// Whether its record is one that builds without callers ignore.
-    pub(crate) is_apart: bool,
 }
 
 /// A cancel of an unknown job as it is stored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredCancel {
-    /// When it arrived, in milliseconds since 1970.
+    /// When it arrived, in milliseconds since 1970 on the clock of the leader that it arrived at.
     pub at_ms: u64,
+    /// Address of the queue that it was sent to; `None` if it isn't known, or the same caller sent it to several.
+    pub address: Option<Address>,
     /// Whether its record is one that builds without callers ignore.
     pub is_apart: bool,
 }
 
-/// Name of a job that was cancelled while it was unknown, and who cancelled it. A cancel without a caller, from an earlier
-/// build, holds for all.
+impl StoredCancel {
+    /// Returns who sent it, with the address.
+    fn sender(&self, caller: &Caller) -> Caller {
+        caller.clone().with_address(self.address.clone())
+    }
+}
+
+/// Name of a job that was cancelled while it was unknown, and who cancelled it, without an address. A cancel without a
+/// caller, from an earlier build, holds for all.
 pub type CancelKey = (String, Option<Caller>);
 
 /// Cancels of unknown jobs.
@@ -75,15 +82,14 @@
     /// end: a leader of an earlier build, which ignores the cancels, has accepted them.
     pub fn with_cancels(mut self, cancels: BTreeMap<CancelKey, StoredCancel>) -> Self {
         let learned_at = self.created_at;
-        for ((name, caller), StoredCancel { at_ms, .. }) in &cancels {
+        for ((name, caller), cancel) in &cancels {
+            let caller = caller.as_ref().map(|caller| cancel.sender(caller));
             let Some(job) = self.job_of(name, caller.as_ref()) else { continue };
             let accepted_ms = job.accepted_ms;
-            self.end_job(learned_at, accepted_ms.max(*at_ms), name, Outcome::Cancelled);
+            self.end_job(learned_at, accepted_ms.max(cancel.at_ms), name, Outcome::Cancelled);
         }
         let names: BTreeSet<String> = cancels.keys().map(|(name, _)| name.clone()).collect();
-        let cancel = |(key, StoredCancel { at_ms, is_apart })| {
-            (key, Cancel { at_ms, learned_at, change: 0, is_apart })
-        };
+        let cancel = |(key, stored)| (key, Cancel { stored, learned_at, change: 0 });
         self.cancels = cancels.into_iter().map(cancel).collect();
         let open = names.iter().filter(|name| self.jobs.get(*name).is_some_and(|job| job.outcome.is_none()));
         for name in open.cloned().collect::<Vec<_>>() {
@@ -106,9 +112,10 @@
             self.end_job(now, wall, name, Outcome::Cancelled);
             return Cancellation::Known { change: self.change };
         }
-        let key = (name.to_owned(), caller.cloned());
-        if let Some(cancel) = self.cancels.get(&key).or_else(|| self.cancels.get(&(name.to_owned(), None))) {
-            return Cancellation::Unknown { change: cancel.change };
+        let address = caller.and_then(|caller| caller.address.clone());
+        let key = (name.to_owned(), caller.map(|caller| caller.clone().with_address(None)));
+        if let Some(change) = self.repeat_cancel(&key, address.as_ref()) {
+            return Cancellation::Unknown { change };
         }
         if self.has_too_many_cancels(caller) {
             self.remove_inherited_cancels(wall);
@@ -118,11 +125,27 @@
         }
         let change = self.change;
         let is_apart = self.jobs.contains_key(name) || self.cancels_of(name).next().is_some();
-        self.cancels.insert(key.clone(), Cancel { at_ms: wall, learned_at: now, change, is_apart });
+        let stored = StoredCancel { at_ms: wall, address, is_apart };
+        self.cancels.insert(key.clone(), Cancel { stored, learned_at: now, change });
         self.untaken.new_cancels.insert(key);
         Cancellation::Unknown { change }
     }
 
+    /// Returns the number of the change that stores a kept cancel, if a further one adds at most its address to it.
+    fn repeat_cancel(&mut self, key: &CancelKey, address: Option<&Address>) -> Option<u64> {
+        if let Some(cancel) = self.cancels.get(&(key.0.clone(), None)) {
+            return Some(cancel.change);
+        }
+        let change = self.change;
+        let cancel = self.cancels.get_mut(key)?;
+        if cancel.stored.address.is_some() && cancel.stored.address.as_ref() != address {
+            cancel.stored.address = None;
+            cancel.change = change;
+            self.untaken.new_cancels.insert(key.clone());
+        }
+        Some(cancel.change)
+    }
+
     /// Returns whether no further cancel of a caller can be kept. Calls of earlier builds name none, and count in all alone.
     fn has_too_many_cancels(&self, caller: Option<&Caller>) -> bool {
         let kept = self.cancels.len();
@@ -144,11 +167,11 @@
     /// has the name, which is another caller's.
     pub(crate) fn set_cancels_apart(&mut self, name: &str) {
         let plain =
-            self.cancels_of(name).filter(|((_, caller), cancel)| caller.is_some() && !cancel.is_apart);
+            self.cancels_of(name).filter(|((_, caller), cancel)| caller.is_some() && !cancel.stored.is_apart);
         for key in plain.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
             self.untaken.removals.push(record::cancel_deletion(&key, false));
             if let Some(cancel) = self.cancels.get_mut(&key) {
-                cancel.is_apart = true;
+                cancel.stored.is_apart = true;
             }
             self.untaken.new_cancels.insert(key);
         }
@@ -156,16 +179,18 @@
 
     /// Accepts a job that was cancelled before it arrived, as one that has ended; `None` if it wasn't.
     pub(crate) fn submit_cancelled(&mut self, now: u64, wall: u64, sub: &Submission) -> Option<Admission> {
-        let caller = sub.caller();
-        let holds =
-            |other: &Option<Caller>| other.as_ref().is_none_or(|other| other.is_same(&caller, &self.desired));
-        let (_, cancel) = self.cancels_of(&sub.job).find(|((_, caller), _)| holds(caller))?;
-        let cancelled_ms_ago = wall.saturating_sub(cancel.at_ms);
+        let submitter = sub.caller();
+        let holds = |((_, sender), cancel): &(&CancelKey, &Cancel)| {
+            let sender = sender.as_ref().map(|sender| cancel.stored.sender(sender));
+            sender.is_none_or(|sender| sender.reaches(&submitter, &self.desired))
+        };
+        let (_, cancel) = self.cancels_of(&sub.job).find(holds)?;
+        let cancelled_ms_ago = wall.saturating_sub(cancel.stored.at_ms);
         let change = self.change;
-        let mut job = new_job(sub.clone(), wall);
+        let mut job = self.new_job(sub, wall);
         job.outcome = Some(Outcome::Cancelled);
         (job.ended_ms, job.ended_at) = (wall, now);
-        (job.accepted_in, job.ended_in) = (change, change);
+        job.ended_in = change;
         self.jobs.insert(sub.job.clone(), job);
         self.untaken.new_jobs.insert(sub.job.clone());
         self.mark_changed(&sub.job);
@@ -187,13 +212,14 @@
     /// are more frequent than the retention is long, each planner has kept them for less.
     fn remove_inherited_cancels(&mut self, wall: u64) {
         let retention_ms = self.timing.ended_retention_ms;
-        self.remove_cancels(|cancel| cancel.change == 0 && wall > cancel.at_ms.saturating_add(retention_ms));
+        let is_old = |at_ms: u64| wall > at_ms.saturating_add(retention_ms);
+        self.remove_cancels(|cancel| cancel.change == 0 && is_old(cancel.stored.at_ms));
     }
 
     fn remove_cancels(&mut self, is_old: impl Fn(&Cancel) -> bool) {
         for (key, cancel) in self.cancels.extract_if(.., |_, cancel| is_old(cancel)) {
             self.untaken.new_cancels.remove(&key);
-            self.untaken.removals.push(record::cancel_deletion(&key, cancel.is_apart));
+            self.untaken.removals.push(record::cancel_deletion(&key, cancel.stored.is_apart));
         }
     }
 }
--- a/crates/fleet/src/changes.rs
+++ b/crates/fleet/src/changes.rs
@@ -40,7 +40,7 @@
             names.iter().filter_map(|name| self.jobs.get(name)).collect::<Vec<_>>()
         };
         let cancels = new_cancels.iter().filter_map(|key| Some((key, self.cancels.get(key)?)));
-        let cancels = cancels.map(|(key, cancel)| record::cancel(key, cancel.at_ms, cancel.is_apart));
+        let cancels = cancels.map(|(key, cancel)| record::cancel(key, &cancel.stored));
         let encoded = jobs(submitted).into_iter().map(record::submission);
         let encoded = encoded.chain(jobs(changed).into_iter().map(record::progress));
         let encoded = encoded.chain(cancels).collect::<Vec<_>>();
--- a/crates/fleet/src/desired.rs
+++ b/crates/fleet/src/desired.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 /// Queues, services and client accounts in force.
@@ -19,14 +20,20 @@
     pub keys: BTreeMap<String, String>,
 }
 
+/// Where callers find a queue.
+#[derive(Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[display("{host}{path_prefix}")]
+pub struct Address {
+    pub host: String,
+    /// Prefix of the request path.
+    pub path_prefix: String,
+}
+
 /// A queue of jobs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Queue {
     pub name: String,
-    /// Host name that callers use.
-    pub host: String,
-    /// Prefix of the request path that callers use.
-    pub path_prefix: String,
+    pub address: Address,
     /// Service whose workers run the jobs.
     pub service: String,
     /// Priority; 0 is the most urgent and may preempt the others.
@@ -64,10 +71,17 @@
 impl Desired {
     /// Returns the queue of `host` with the longest prefix of `path`.
     pub fn queue_for(&self, host: &str, path: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.host == host && path.starts_with(&queue.path_prefix))
+        let serves = |address: &Address| address.host == host && path.starts_with(&address.path_prefix);
+        self.queues.iter().find(|queue| serves(&queue.address))
+    }
+
+    /// Returns the queue that callers find at exactly this address.
+    pub fn queue_at(&self, address: &Address) -> Option<&Queue> {
+        self.queues.iter().find(|queue| queue.address == *address)
     }
 
-    pub fn queue(&self, name: &str) -> Option<&Queue> {
+    /// Returns the queue that has a name now. An accepted job goes by [`Job::queue`](crate::Job::queue) instead.
+    pub fn queue_named(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
     }
 }
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -1,5 +1,7 @@
 //! Feeds the forecasts with the progress and the ends that workers report.
 
+use std::collections::BTreeSet;
+
 use sorrelland_forecast::{Progress, Remaining, RunId};
 
 use crate::desired::Queue;
@@ -153,7 +155,10 @@
     }
 
     fn update_speed_classes(&mut self) {
-        for service in self.desired.services.keys() {
+        // Workers of a service that was removed may still run accepted jobs.
+        let announced = self.workers.values().map(|worker| &worker.info.service);
+        let services: BTreeSet<&String> = self.desired.services.keys().chain(announced).collect();
+        for service in services {
             let queues = self.desired.queues.iter();
             let urgent = queues.filter(|queue| queue.service == *service && queue.priority == 0);
             let stretch_milli = urgent.map(|queue| queue.stretch_milli).min().unwrap_or(0);
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -7,6 +7,7 @@
 use crate::bounds::{MAX_OPEN_UNITS, MAX_WALL_MS};
 use crate::record::UnknownFields;
 use crate::resources::Resources;
+use crate::terms::{QueueInForce, Terms};
 use crate::unit::{Unit, UnitKey, UnitState};
 
 /// A job as submitted by a caller.
@@ -14,7 +15,7 @@
 pub struct Submission {
     /// Name that the caller chose.
     pub job: String,
-    /// Queue that the job was submitted to.
+    /// Name that the queue had to which the job was submitted. [`Job::queue`] tells by which queue it is planned.
     pub queue: String,
     /// Client account of the caller; empty on a public queue without a key.
     pub account: String,
@@ -24,6 +25,10 @@
     pub steps: Vec<Step>,
     /// When and how often the steps run; `None` runs them once, immediately.
     pub schedule: Option<Schedule>,
+    /// That queue as of the newest desired state that has it, at the address that the job was submitted to; `None` if an
+    /// earlier build has passed it on or accepted it. Calls and records have a field of their own for it.
+    #[serde(skip)]
+    pub terms: Option<Terms>,
 }
 
 /// Times at which a job runs.
@@ -138,6 +143,10 @@
     pub accepted_in: u64,
     /// Whether runs of other jobs were preempted for it.
     pub preempted_others: bool,
+    /// Whether its own terms differ from those in the stored record of the submission.
+    pub has_newer_terms: bool,
+    /// The queue by which it is planned; `None` while its terms are unknown.
+    pub in_force: Option<QueueInForce>,
     /// Fields of its stored progress that this build doesn't know.
     pub unknown: UnknownFields,
 }
--- a/crates/fleet/src/pass.rs
+++ b/crates/fleet/src/pass.rs
@@ -95,7 +95,7 @@
 fn held_accelerators(planner: &Planner, service: &str) -> String {
     let mut held: BTreeMap<u32, i64> = BTreeMap::new();
     for job in planner.live.iter().filter_map(|name| planner.jobs.get(name)) {
-        let queue = planner.desired.queue(&job.sub.queue).filter(|queue| queue.service == service);
+        let queue = job.queue().filter(|queue| queue.service == service);
         let Some(queue) = queue else { continue };
         for (key, unit) in &job.units {
             let members = unit.members.iter().filter(|member| !member.released).count() as i64;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -190,7 +190,7 @@
                 .filter_map(|(at, candidate)| {
                     let job = self.jobs.get(&candidate.job)?;
                     let step = job.sub.steps.get(candidate.key.step as usize)?;
-                    let queue = self.desired.queue(&job.sub.queue)?;
+                    let queue = job.queue()?;
                     let need = admit::unit_need(step);
                     (queue.service == service).then_some((at, job.sub.account.as_str(), need))
                 })
@@ -212,7 +212,7 @@
         let mut candidates = Vec::new();
         for name in &self.live {
             let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
-            let Some(queue) = self.desired.queue(&job.sub.queue) else { continue };
+            let Some(queue) = job.queue() else { continue };
             let guaranteed = queue.priority == 0 && covered.contains(name.as_str());
             // The units of a step of an occurrence follow each other and share everything but their age.
             let mut shared: Option<(UnitKey, Option<Candidate>)> = None;
@@ -284,7 +284,7 @@
         let mut by_account: BTreeMap<&str, (i64, Vec<&str>)> = BTreeMap::new();
         for name in &self.live {
             let Some(job) = self.jobs.get(name).filter(|job| job.outcome.is_none()) else { continue };
-            if self.desired.queue(&job.sub.queue).is_none_or(|queue| queue.priority != 0) {
+            if job.queue().is_none_or(|queue| queue.priority != 0) {
                 continue;
             }
             let account = by_account.entry(&job.sub.account).or_default();
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -18,7 +18,7 @@
 use crate::job::{Job, JobState, Outcome, Step, Submission};
 use crate::line_limit::LineLimit;
 use crate::place::peak_accelerators;
-use crate::record::{self, Record, new_job};
+use crate::record::{self, Record};
 use crate::reserve::UrgentArrivals;
 use crate::resources::Resources;
 use crate::task::Task;
@@ -100,8 +100,6 @@
     pub(crate) desired: Arc<Desired>,
     /// Version of the desired state by which the jobs' attempts were last checked; 0 for none.
     attempts_checked: u64,
-    /// Version of the desired state by which the jobs' queues were last checked; 0 for none.
-    queues_checked: u64,
     /// Failure domains that the operators evacuate.
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) jobs: BTreeMap<String, Job>,
@@ -180,14 +178,13 @@
                 live.insert(job.sub.job.clone());
             }
         }
-        Self {
+        let mut planner = Self {
             timing,
             epoch: 0,
             created_at: now,
             last_tick_at: 0,
             desired,
             attempts_checked: 0,
-            queues_checked: 0,
             evacuated: BTreeSet::new(),
             jobs: jobs.into_iter().map(|job| (job.sub.job.clone(), job)).collect(),
             cancels: Cancels::new(),
@@ -225,7 +222,9 @@
             account_counts: AccountCounts::default(),
             longest_wait_ms: 0,
             refusals_by_cause: BTreeMap::new(),
-        }
+        };
+        planner.follow_queues();
+        planner
     }
 
     /// Sets the epoch that the log lines name.
@@ -237,6 +236,7 @@
     pub fn set_desired(&mut self, desired: Arc<Desired>) {
         if desired.version > self.desired.version {
             self.desired = desired;
+            self.follow_queues();
         }
     }
 
@@ -295,17 +295,16 @@
         if let Some(admission) = self.submit_cancelled(now, wall, sub) {
             return admission;
         }
-        if let Err(refusal) = admit::check_admission(self, now, wall, sub) {
+        let job = self.new_job(sub, wall);
+        if let Err(refusal) = admit::check_admission(self, now, wall, sub, job.queue()) {
             return self.refuse(now, wall, sub, refusal);
         }
         self.set_cancels_apart(&sub.job);
-        if let Some(queue) = self.desired.queue(&sub.queue).filter(|queue| queue.priority == 0) {
+        if let Some(queue) = job.queue().filter(|queue| queue.priority == 0) {
             let arrivals = self.urgent_arrivals.entry(queue.service.clone()).or_default();
             arrivals.record(now, peak_accelerators(sub));
         }
         self.mean_work.entry(sub.queue.clone()).or_default().record(estimated_work_core_s(sub));
-        let mut job = new_job(sub.clone(), wall);
-        job.accepted_in = self.change;
         self.jobs.insert(sub.job.clone(), job);
         self.live.insert(sub.job.clone());
         self.untaken.new_jobs.insert(sub.job.clone());
@@ -341,12 +340,6 @@
         }
     }
 
-    /// Returns the number of accepted jobs in a queue that have not started.
-    pub fn pending(&self, queue: &str) -> usize {
-        let waiting = |job: &&Job| job.sub.queue == queue && job.outcome.is_none() && !job.started;
-        self.live.iter().filter_map(|name| self.jobs.get(name)).filter(waiting).count()
-    }
-
     /// Returns the number of jobs that have not ended or still occupy resources.
     pub fn live_jobs(&self) -> usize {
         self.live.len()
@@ -364,17 +357,19 @@
         (self.workers.values().filter(recent).count(), self.workers.len())
     }
 
-    /// Returns the priority of a queue; one that is not in the desired state has the lowest.
-    pub fn priority(&self, queue: &str) -> u32 {
-        self.desired.queue(queue).map_or(u32::MAX, |queue| queue.priority)
+    /// Returns the priority of a submission's queue; one that is not known has the lowest.
+    pub fn priority(&self, sub: &Submission) -> u32 {
+        let known = self.queue_of(&sub.job).or(sub.terms.as_ref().map(|terms| &terms.queue));
+        let queue = known.or_else(|| self.desired.queue_named(&sub.queue));
+        queue.map_or(u32::MAX, |queue| queue.priority)
     }
 
+    /// Returns the queue by which a job is planned.
     pub(crate) fn queue_of(&self, job: &str) -> Option<&Queue> {
-        self.jobs.get(job).and_then(|job| self.desired.queue(&job.sub.queue))
+        self.jobs.get(job).and_then(Job::queue)
     }
 
-    /// Returns the attempts of a subtask that may fail; `None` while the job's queue is not in the desired state, since it may
-    /// come back as it was.
+    /// Returns the attempts of a subtask that may fail; `None` while the terms of the job's queue are unknown.
     fn max_attempts(&self, job: &str) -> Option<u32> {
         self.queue_of(job).map(|queue| queue.max_attempts.max(1))
     }
@@ -389,8 +384,8 @@
         })
     }
 
-    /// Ends the jobs that have no attempt left by a desired state that is new to this planner: their last attempt failed
-    /// while their queue was away, or they had more before.
+    /// Ends the jobs that have no attempt left by a desired state that is new to this planner: they had more before, or
+    /// their last attempt failed while the terms of their queue were unknown.
     fn end_jobs_without_attempts(&mut self, now: u64, wall: u64) {
         if std::mem::replace(&mut self.attempts_checked, self.desired.version) == self.desired.version {
             return;
@@ -403,32 +398,6 @@
         }
     }
 
-    /// Returns the number of jobs that have not ended and whose queue is not in the desired state, by the queue's name. Nothing
-    /// of such a job starts.
-    pub fn jobs_without_queue(&self) -> BTreeMap<&str, usize> {
-        let mut counts = BTreeMap::new();
-        let open =
-            self.live.iter().filter_map(|name| self.jobs.get(name)).filter(|job| job.outcome.is_none());
-        for job in open.filter(|job| self.desired.queue(&job.sub.queue).is_none()) {
-            *counts.entry(job.sub.queue.as_str()).or_default() += 1;
-        }
-        counts
-    }
-
-    /// Logs once for each desired state which queues of accepted jobs it lacks.
-    fn log_missing_queues(&mut self) {
-        let version = self.desired.version;
-        if std::mem::replace(&mut self.queues_checked, version) == version {
-            return;
-        }
-        let lines: Vec<String> = self
-            .jobs_without_queue()
-            .into_iter()
-            .map(|(queue, jobs)| format!("event=queue_missing queue={queue} version={version} jobs={jobs}"))
-            .collect();
-        self.log.extend(lines);
-    }
-
     pub(crate) fn end_job(&mut self, now: u64, wall: u64, name: &str, outcome: Outcome) {
         let change = self.change;
         let Some(job) = self.jobs.get_mut(name).filter(|job| job.outcome.is_none()) else { return };
@@ -478,7 +447,7 @@
 
     /// Returns the value of a job that ends in time, in the unit of `MeanWork::value`.
     pub fn value_in_time(&self, sub: &Submission) -> f64 {
-        self.mean_work(&sub.queue).value(self.priority(&sub.queue), estimated_work_core_s(sub))
+        self.mean_work(&sub.queue).value(self.priority(sub), estimated_work_core_s(sub))
     }
 
     /// Records whether a job that preempted others ended in time by its declared estimates, on which its preemptions were
@@ -505,7 +474,6 @@
         self.discount_own_delay(now);
         self.expire_leases(now, wall);
         self.end_jobs_without_attempts(now, wall);
-        self.log_missing_queues();
         self.create_due_occurrences(now, wall);
         self.remove_old_jobs(now, wall);
         self.remove_old_cancels(now);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -10,8 +10,10 @@
 use crate::bounds::MAX_WALL_MS;
 use crate::caller::Caller;
 use crate::cancels::{CancelKey, StoredCancel};
+use crate::desired::Address;
 use crate::job::{Job, Outcome, Submission};
 use crate::run_progress::RunProgress;
+use crate::terms::Terms;
 use crate::unit::{Unit, UnitKey};
 use crate::wait::Waits;
 
@@ -40,7 +42,7 @@
 const CANCEL_PREFIX: &str = "c/";
 
 /// Key prefix of cancels of names that stand for a job of another caller, or that another caller has cancelled, too. Builds
-/// before landing 15, which know no callers, ignore them.
+/// before landing 16, which know no callers, ignore them.
 const APART_PREFIX: &str = "n/";
 
 /// A record for the store; an empty value deletes the key.
@@ -54,15 +56,21 @@
 struct Submitted {
     sub: Submission,
     accepted_ms: u64,
+    /// Terms at the acceptance; builds before landing 18 write none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    terms: Option<Value>,
 }
 
 #[derive(Serialize, Deserialize)]
 struct Cancelled {
     /// When the cancel arrived, in milliseconds since 1970.
     at_ms: u64,
-    /// Who sent it; builds before landing 15 write none.
+    /// Who sent it; builds before landing 16 write none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     caller: Option<Caller>,
+    /// Address of the queue that it was sent to; builds before landing 18 write none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    address: Option<Address>,
 }
 
 #[derive(Default, Serialize, Deserialize)]
@@ -73,6 +81,9 @@
     started: bool,
     /// Units that differ from a newly created one.
     units: Vec<(UnitKey, Unit)>,
+    /// Terms that have changed since the acceptance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    terms: Option<Value>,
     /// Fields of a later build.
     #[serde(flatten)]
     unknown: UnknownFields,
@@ -84,7 +95,8 @@
 ///
 /// Returns an error if the submission can't be serialized.
 pub fn submission(job: &Job) -> Result<Record> {
-    let value = Submitted { sub: job.sub.clone(), accepted_ms: job.accepted_ms };
+    let terms = job.sub.terms.as_ref().map(serde_json::to_value).transpose()?;
+    let value = Submitted { sub: job.sub.clone(), accepted_ms: job.accepted_ms, terms };
     Ok(Record { key: format!("{SUBMISSION_PREFIX}{}", job.sub.job), value: serde_json::to_vec(&value)? })
 }
 
@@ -108,11 +120,13 @@
         stored != default
     };
     let units = job.units.iter().filter(|(_, unit)| changed(unit));
+    let newer_terms = job.sub.terms.as_ref().filter(|_| job.has_newer_terms);
     let value = Progress {
         outcome: job.outcome,
         ended_ms: job.ended_ms,
         started: job.started,
         units: units.map(|(key, unit)| (*key, unit.clone())).collect(),
+        terms: newer_terms.map(serde_json::to_value).transpose()?,
         unknown: job.unknown.clone(),
     };
     Ok(Record { key: format!("{PROGRESS_PREFIX}{}", job.sub.job), value: serde_json::to_vec(&value)? })
@@ -122,18 +136,21 @@
     match caller {
         _ if !is_apart => format!("{CANCEL_PREFIX}{job}"),
         // The length keeps apart what contains the separator.
-        Some(Caller { queue, account }) => format!("{APART_PREFIX}{job}/{}/{queue}/{account}", queue.len()),
+        Some(Caller { queue, account, .. }) => {
+            format!("{APART_PREFIX}{job}/{}/{queue}/{account}", queue.len())
+        }
         None => format!("{APART_PREFIX}{job}"),
     }
 }
 
-/// Encodes the cancel of an unknown job; `is_apart` for a record that builds without callers ignore.
+/// Encodes the cancel of an unknown job.
 ///
 /// # Errors
 ///
 /// Returns an error if the cancel can't be serialized.
-pub fn cancel(key: &CancelKey, at_ms: u64, is_apart: bool) -> Result<Record> {
-    let value = serde_json::to_vec(&Cancelled { at_ms, caller: key.1.clone() })?;
+pub fn cancel(key: &CancelKey, stored: &StoredCancel) -> Result<Record> {
+    let StoredCancel { at_ms, address, is_apart } = stored.clone();
+    let value = serde_json::to_vec(&Cancelled { at_ms, caller: key.1.clone(), address })?;
     Ok(Record { key: cancel_record_key(key, is_apart), value })
 }
 
@@ -156,14 +173,15 @@
             (None, None) => continue,
         };
         match serde_json::from_slice::<Cancelled>(value) {
-            Ok(Cancelled { at_ms, caller }) => {
-                let cancel = StoredCancel { at_ms: at_ms.min(wall), is_apart };
+            Ok(Cancelled { at_ms, caller, address }) => {
+                let cancel = StoredCancel { at_ms: at_ms.min(wall), address, is_apart };
                 cancels.insert((name.to_owned(), caller), cancel);
             }
             Err(e) => {
                 unreadable.push(format!("{key}: {e}"));
                 if !is_apart {
-                    cancels.insert((name.to_owned(), None), StoredCancel { at_ms: wall, is_apart });
+                    let cancel = StoredCancel { at_ms: wall, address: None, is_apart };
+                    cancels.insert((name.to_owned(), None), cancel);
                 }
             }
         }
@@ -175,7 +193,20 @@
 /// read.
 pub fn read_caller<'a>(mut records: impl Iterator<Item = (&'a str, &'a [u8])>, job: &str) -> Option<Caller> {
     let (_, value) = records.find(|(key, _)| key.strip_prefix(SUBMISSION_PREFIX) == Some(job))?;
-    Some(serde_json::from_slice::<Submitted>(value).ok()?.sub.caller())
+    let Submitted { sub, terms, .. } = serde_json::from_slice(value).ok()?;
+    Some(Submission { terms: read_terms(terms).ok().flatten(), ..sub }.caller())
+}
+
+/// Decodes the terms of a job.
+///
+/// # Errors
+///
+/// Returns a message if they can't be read; the rest of the record is used.
+fn read_terms(stored: Option<Value>) -> std::result::Result<Option<Terms>, String> {
+    let Some(stored) = stored else { return Ok(None) };
+    let mut terms: Terms = serde_json::from_value(stored).map_err(|e| format!("terms: {e}"))?;
+    terms.clamp();
+    Ok(Some(terms))
 }
 
 /// Returns the records that delete a job from the store.
@@ -194,6 +225,10 @@
             Ok(mut read) => {
                 let finding = read.sub.clamp();
                 unreadable.extend(finding.map(|finding| format!("{key}: {finding}, cut to its bounds")));
+                match read_terms(read.terms) {
+                    Ok(terms) => read.sub.terms = terms,
+                    Err(finding) => unreadable.push(format!("{key}: {finding}")),
+                }
                 jobs.insert(name.to_owned(), new_job(read.sub, read.accepted_ms.min(MAX_WALL_MS)));
             }
             Err(e) => unreadable.push(format!("{key}: {e}")),
@@ -211,6 +246,11 @@
                 job.ended_ms = read.ended_ms.min(MAX_WALL_MS);
                 job.started = read.started;
                 job.unknown = read.unknown;
+                match read_terms(read.terms) {
+                    Ok(Some(terms)) => (job.sub.terms, job.has_newer_terms) = (Some(terms), true),
+                    Ok(None) => (),
+                    Err(finding) => unreadable.push(format!("{key}: {finding}")),
+                }
                 let (own, others): (Vec<_>, Vec<_>) =
                     read.units.into_iter().partition(|(key, _)| job.may_have(*key));
                 job.units = own.into_iter().collect();
@@ -243,6 +283,8 @@
         ended_in: 0,
         accepted_in: 0,
         preempted_others: false,
+        has_newer_terms: false,
+        in_force: None,
         unknown: UnknownFields::new(),
     }
 }
--- a/crates/fleet/src/value.rs
+++ b/crates/fleet/src/value.rs
@@ -201,9 +201,9 @@
 }
 
 impl Planner {
-    /// Returns what the stops of a job's runs have in common; `None` if its queue was removed.
+    /// Returns what the stops of a job's runs have in common; `None` if the terms of its queue are unknown.
     pub fn job_progress<'a>(&'a self, now: u64, job: &'a Job) -> Option<JobProgress<'a>> {
-        let queue = self.desired.queue(&job.sub.queue)?;
+        let queue = job.queue()?;
         let mut progress = JobProgress {
             job,
             queue,
--- a/crates/fleet/src/victims.rs
+++ b/crates/fleet/src/victims.rs
@@ -69,7 +69,7 @@
     let mut victims = Vec::new();
     for name in &planner.live {
         let Some(job) = planner.jobs.get(name) else { continue };
-        let priority = planner.desired.queue(&job.sub.queue).map_or(u32::MAX, |queue| queue.priority);
+        let priority = job.queue().map_or(u32::MAX, |queue| queue.priority);
         let is_covered = covered.contains(name.as_str());
         let holds_resources =
             |unit: &Unit| unit.state == UnitState::Placed || unit.state == UnitState::Ending;
@@ -99,7 +99,7 @@
         // The step limits how many of its subtasks may be down, so none is preempted.
         return None;
     }
-    // A run that is being stopped already costs nothing, nor does one whose queue was removed.
+    // A run that is being stopped already costs nothing, nor does one of which nothing is known.
     let progress = progress.filter(|_| unit.state == UnitState::Placed);
     let run = progress.and_then(|job| planner.stoppable_run(pass.now, pass.wall, job, key, unit));
     let judged = run.map(|run| (run, run.stop_cost()));
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -98,7 +98,7 @@
             let units = |at: UnitState| job.units.values().filter(|unit| unit.state == at).count();
             json!({
                 "job": job.sub.job,
-                "queue": job.sub.queue,
+                "queue": job.queue().map_or(&job.sub.queue, |queue| &queue.name),
                 "account": job.sub.account,
                 "state": state_name(job),
                 "age_ms": wall.saturating_sub(job.accepted_ms),
@@ -181,7 +181,7 @@
             let jobs = live().filter(|job| job.sub.account == name);
             let (mut urgent, mut used, mut waiting, mut running, mut longest_wait_ms) = (0, 0, 0, 0, None);
             for job in jobs.filter(|job| job.outcome.is_none()) {
-                let is_urgent = self.desired.queue(&job.sub.queue).is_some_and(|queue| queue.priority == 0);
+                let is_urgent = job.queue().is_some_and(|queue| queue.priority == 0);
                 urgent += if is_urgent { peak_accelerators(&job.sub) } else { 0 };
                 if job.started {
                     running += 1;
@@ -320,7 +320,7 @@
     /// Returns the target of a job by the measured work of its steps, since declared estimates may be far off and a slow
     /// worker takes longer than the work; a step without measured work counts with its declared estimate.
     pub(crate) fn measured_target_ms(&self, job: &Job) -> Option<u64> {
-        let queue = self.desired.queue(&job.sub.queue)?;
+        let queue = job.queue()?;
         let mut sub = job.sub.clone();
         for (number, step) in (0..).zip(&mut sub.steps) {
             let measured = job.units_of(0, number).map(|(_, unit)| unit.measured_work_ms).max();
@@ -331,7 +331,7 @@
 
     /// Returns the target of a job by the declared estimates of its steps.
     pub(crate) fn target_ms(&self, job: &Job) -> Option<u64> {
-        let queue = self.desired.queue(&job.sub.queue)?;
+        let queue = job.queue()?;
         Some(critical_path_ms(&job.sub) * queue.stretch_milli / 1_000 + queue.full_value_ms)
     }
 
@@ -368,6 +368,9 @@
         let columns = ["subtask", "run", "fails", "crashes", "ahead", "why"];
         let mut body = table(&columns, units);
         body["job"] = json!(name);
+        body["queue"] = json!(job.queue().map_or(&job.sub.queue, |queue| &queue.name));
+        body["submitted_to"] = json!(job.sub.queue);
+        body["queue_standing"] = json!(job.queue_standing().to_string());
         body["state"] = json!(state_name(job));
         body["age_ms"] = json!(wall.saturating_sub(job.accepted_ms));
         body["target_ms"] = json!(self.target_ms(job));
@@ -405,16 +408,15 @@
         if let Some(due) = job.due_ms(key.occurrence).filter(|due| *due > wall) {
             return format!("due in {} ms", due - wall);
         }
+        let Some(queue) = job.queue() else {
+            return "its queue is not in the desired state, and its terms are not known".to_owned();
+        };
         let (Some(step), Some(candidate)) = (job.sub.steps.get(key.step as usize), candidate) else {
-            return match self.desired.queue(&job.sub.queue) {
-                None => "its queue is not in the desired state".to_owned(),
-                Some(_) => "a step that it depends on is not done".to_owned(),
-            };
+            return "a step that it depends on is not done".to_owned();
         };
         let until_latest_start_ms = candidate.latest_start.saturating_sub(wall);
         let mut workers_by_category: BTreeMap<&str, usize> = BTreeMap::new();
-        let service = self.queue_of(&job.sub.job).map(|queue| queue.service.as_str());
-        for worker in self.workers.values().filter(|worker| Some(worker.info.service.as_str()) == service) {
+        for worker in self.workers.values().filter(|worker| worker.info.service == queue.service) {
             let availability = self.availability(worker, now);
             let category = match availability {
                 "usable" if step.label.as_deref().is_some_and(|label| !worker.has_label(label)) => {
@@ -426,6 +428,9 @@
             };
             *workers_by_category.entry(category).or_default() += 1;
         }
+        if workers_by_category.is_empty() {
+            return format!("waiting for {age_ms} ms, no worker of the service {} is known", queue.service);
+        }
         let counts: Vec<String> =
             workers_by_category.iter().map(|(category, count)| format!("{count} {category}")).collect();
         let reserve = if self.would_use_reserve(&Pass::new(self, now, wall), candidate, step) {
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -125,8 +125,8 @@
     let rows: [(&str, &[u8]); 2] =
         [("c/00000000000000a1", b"{"), ("c/00000000000000a2", b"{\"at_ms\":18446744073709551615,\"x\":[]}")];
     let (cancels, unreadable) = record::read_cancels(rows.into_iter(), 5_000);
-    let kept: Vec<_> = cancels.iter().map(|((_, caller), cancel)| (caller.clone(), *cancel)).collect();
-    let unknown = || (None, StoredCancel { at_ms: 5_000, is_apart: false });
+    let kept: Vec<_> = cancels.iter().map(|((_, caller), cancel)| (caller.clone(), cancel.clone())).collect();
+    let unknown = || (None, StoredCancel { at_ms: 5_000, address: None, is_apart: false });
     assert_eq!(kept, [unknown(), unknown()]);
     assert_eq!(unreadable.len(), 1);
     // Builds that don't know them read the jobs beside them.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use sorrelland_fleet::Resources;
 use sorrelland_fleet::approvals::PolicyReply;
 use sorrelland_fleet::assignments::{Assignments, Start};
-use sorrelland_fleet::desired::{Account, Desired, Queue, Service};
+use sorrelland_fleet::desired::{Account, Address, Desired, Queue, Service};
 use sorrelland_fleet::incarnation::WorkerId;
 use sorrelland_fleet::job::{Step, Submission};
 use sorrelland_fleet::planner::{Admission, Planner, Timing};
@@ -21,9 +21,14 @@
     remote_factor_milli: 3_000,
 };
 
+pub fn address(path_prefix: &str) -> Address {
+    Address { host: "shop.example".to_owned(), path_prefix: path_prefix.to_owned() }
+}
+
 pub fn queue(name: &str, priority: u32) -> Queue {
     Queue {
         name: name.to_owned(),
+        address: address(&format!("/{name}/")),
         service: "svc".to_owned(),
         priority,
         max_attempts: 2,
--- a/crates/fleet/tests/namesakes.rs
+++ b/crates/fleet/tests/namesakes.rs
@@ -21,7 +21,7 @@
         account: account.to_owned(),
         spec: spec.to_owned(),
         steps: vec![step(1, 1)],
-        schedule: None,
+        ..Submission::default()
     }
 }
 
