--- a/crates/fleet/tests/queues.rs
+++ b/crates/fleet/tests/queues.rs
@@ -299,14 +299,20 @@
 }
 
 /// Guards against the terms of an older desired state at a leader that learns of the newest one late.
-#[test]
-fn leader_with_an_older_desired_state_uses_the_stored_terms() {
+#[yare::parameterized(
+    without_the_queue = { vec![] },
+    with_other_terms = { vec![named(QUEUE, PREFIX)] },
+)]
+fn leader_with_an_older_desired_state_uses_the_stored_terms(older: Vec<Queue>) {
     let mut fleet = fleet_with_job(two_steps());
-    let newer = Queue { max_attempts: 9, ..named(QUEUE, PREFIX) };
-    publish(&mut fleet, 5, vec![newer]);
+    publish(&mut fleet, 5, vec![Queue { max_attempts: 9, ..named(QUEUE, PREFIX) }]);
     fleet.store();
-    take_over(&mut fleet, version(4, vec![]), |_, _| ());
+    take_over(&mut fleet, version(4, older), |_, _| ());
     assert_eq!(standing(&fleet), "unchanged");
+    fleet.store();
+    take_over(&mut fleet, version(6, vec![]), |_, _| ());
+    let log = fleet.planner.take_log();
+    assert!(log.iter().any(|line| line.contains(" standing=removed ") && line.contains(" max_attempts=9")));
     assert!(completes(&mut fleet));
 }
 
