Play landing 16 beside this build, and jobs that lose their queue there

The caller got 503 "it has not run" for a job that runs. "Not run" from a leader that tells queues by their names is now checked in the store, as its refusals are; the caller gets 504.

--- a/crates/control/src/callers.rs
+++ b/crates/control/src/callers.rs
@@ -393,7 +393,10 @@
 
 /// Returns whether a reply says that the caller has no job of the name.
 fn denies_job(reply: &Reply) -> bool {
-    matches!(reply, Reply::State(None) | Reply::Cancelled(false) | Reply::Refused { .. })
+    matches!(
+        reply,
+        Reply::State(None) | Reply::Cancelled(false) | Reply::Refused { .. } | Reply::NotRun { .. }
+    )
 }
 
 /// Returns the name of the job that a request is about, and its caller; `None` for a request that names none.
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -147,8 +147,8 @@
     #[serde(skip)]
     FromMemory(Box<PlannerReply>),
     /// What a leader of an earlier build replies of the job of a name. If it knows no callers, that is its state, or that it is
-    /// stored, and it may be another caller's. If it tells queues by their names, that is that the caller has no such job, and
-    /// it may have one. Never sent.
+    /// stored, and it may be another caller's. If it tells queues by their names, that is that the caller has no such job, or
+    /// that it has not run, and it may have one. Never sent.
     #[serde(skip)]
     ByName(Box<PlannerReply>),
 }
@@ -165,7 +165,9 @@
     /// Marks the replies of a leader that tells queues by their names, and says that the caller has no job of a name.
     pub(crate) fn by_queue_name(self) -> Self {
         match self {
-            Self::State(None) | Self::Cancelled(false) | Self::Refused { .. } => Self::ByName(Box::new(self)),
+            Self::State(None) | Self::Cancelled(false) | Self::Refused { .. } | Self::NotRun { .. } => {
+                Self::ByName(Box::new(self))
+            }
             reply => reply,
         }
     }
--- a/crates/control/tests/versions.rs
+++ b/crates/control/tests/versions.rs
@@ -286,7 +286,7 @@
         let frame = response_frame(&message);
         let received = Pin::new(&mut ClientCodec(version)).deserialize(&frame).unwrap();
         let as_read = match (expected_response(version, &name), name.as_str()) {
-            (PlanRpcResponse::Request(reply), "no_state" | "refused" | "not_cancelled")
+            (PlanRpcResponse::Request(reply), "no_state" | "refused" | "not_run" | "not_cancelled")
                 if version == Version::Fourth =>
             {
                 PlanRpcResponse::Request(PlannerReply::ByName(Box::new(reply)))
--- a/crates/sorrelland/tests/upgrades.rs
+++ b/crates/sorrelland/tests/upgrades/main.rs
@@ -1,7 +1,9 @@
 //! Builds of earlier landings beside the present one: entries and agents are replaced one after the other while callers
 //! go on, with real processes on loopback. `.ci/build-previous` builds the landings that `.ci/previous` names.
 
+#[path = "../common/mod.rs"]
 mod common;
+mod queues;
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -220,7 +222,9 @@
     landing_13_entries_first = { "landing-13", Order::EntriesFirst },
     landing_13_agents_first = { "landing-13", Order::AgentsFirst },
     landing_14_entries_first = { "landing-14", Order::EntriesFirst },
+    landing_16_entries_first = { "landing-16", Order::EntriesFirst },
     landing_14_agents_first = { "landing-14", Order::AgentsFirst },
+    landing_16_agents_first = { "landing-16", Order::AgentsFirst },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -240,7 +244,9 @@
     landing_13_entries_first = { "landing-13", Order::EntriesFirst },
     landing_13_agents_first = { "landing-13", Order::AgentsFirst },
     landing_14_entries_first = { "landing-14", Order::EntriesFirst },
+    landing_16_entries_first = { "landing-16", Order::EntriesFirst },
     landing_14_agents_first = { "landing-14", Order::AgentsFirst },
+    landing_16_agents_first = { "landing-16", Order::AgentsFirst },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -269,6 +275,7 @@
     landing_12 = { "landing-12" },
     landing_13 = { "landing-13" },
     landing_14 = { "landing-14" },
+    landing_16 = { "landing-16" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -350,6 +357,7 @@
     from_landing_12 = { "landing-12" },
     from_landing_13 = { "landing-13" },
     from_landing_14 = { "landing-14" },
+    from_landing_16 = { "landing-16" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -377,6 +385,7 @@
     to_landing_12 = { "landing-12" },
     to_landing_13 = { "landing-13" },
     to_landing_14 = { "landing-14" },
+    to_landing_16 = { "landing-16" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -403,12 +412,14 @@
     landing_12_entry = { "landing-12", false },
     landing_13_entry = { "landing-13", false },
     landing_14_entry = { "landing-14", false },
+    landing_16_entry = { "landing-16", false },
     landing_8_leader = { "landing-8", true },
     landing_9_leader = { "landing-9", true },
     landing_10_leader = { "landing-10", true },
     landing_12_leader = { "landing-12", true },
     landing_13_leader = { "landing-13", true },
     landing_14_leader = { "landing-14", true },
+    landing_16_leader = { "landing-16", true },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -456,6 +467,7 @@
     landing_12 = { "landing-12" },
     landing_13 = { "landing-13" },
     landing_14 = { "landing-14" },
+    landing_16 = { "landing-16" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -485,6 +497,7 @@
     landing_12 = { "landing-12", true },
     landing_13 = { "landing-13", true },
     landing_14 = { "landing-14", true },
+    landing_16 = { "landing-16", true },
     landing_8_stays = { "landing-8", false },
     landing_9_stays = { "landing-9", false },
     landing_10_stays = { "landing-10", false },
@@ -592,6 +605,7 @@
     landing_12 = { "landing-12" },
     landing_13 = { "landing-13" },
     landing_14 = { "landing-14" },
+    landing_16 = { "landing-16" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -696,6 +710,7 @@
     landing_12 = { "landing-12" },
     landing_13 = { "landing-13" },
     landing_14 = { "landing-14" },
+    landing_16 = { "landing-16" },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
@@ -728,9 +743,11 @@
     landing_12_cancel_first = { "landing-12", true },
     landing_13_cancel_first = { "landing-13", true },
     landing_14_cancel_first = { "landing-14", true },
+    landing_16_cancel_first = { "landing-16", true },
     landing_12_job_first = { "landing-12", false },
     landing_13_job_first = { "landing-13", false },
     landing_14_job_first = { "landing-14", false },
+    landing_16_job_first = { "landing-16", false },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 #[ignore = "needs builds of earlier landings; .ci/run builds them and runs it"]
