Change the callers' routes in the soak

No model or soak series changed a route under accepted jobs. In half of the seeds the operators of the soak now rename, swap, replace, move and remove the callers' routes beside the other faults (`routes-`), and after the last fault two of three routes are away for 9 s, in which the accepted jobs have to go on. Desired states are published one after the other, so that the newest record has the highest version.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,12 +14,14 @@
 use serde_json::{Value, json};
 use sorrelland_standin::clock::wall_ms;
 use sorrelland_web::Client;
+use tokio::sync::Mutex as AsyncMutex;
 
 use crate::faults::{Machine, Side};
 use crate::jobs::{Needs, WORKER_GPUS};
 use crate::lock;
 use crate::processes::Processes;
 use crate::proxy::Proxy;
+use crate::routes::{Routes, route};
 
 pub const HOST: &str = "shop.example";
 pub const KEY: &str = "key-1";
@@ -47,6 +49,10 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Attempts to publish a change of the routes, and time between two: longer than the store is away.
+const PUBLISH_ATTEMPTS: usize = 200;
+const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 static NEXT_NETWORK: AtomicU32 = AtomicU32::new(0);
 
 /// Returns the first three octets of a loopback network for one run, so that ports collide neither with other runs nor
@@ -121,8 +127,10 @@
     calls: Vec<Proxy>,
     checkins: Vec<Proxy>,
     lives: Mutex<Vec<Life>>,
-    /// Version of the next desired state.
-    version: AtomicU64,
+    /// Version of the next desired state. It is held while that is published, so that the newest record is the newest
+    /// version.
+    version: AsyncMutex<u64>,
+    routes: Mutex<Routes>,
 }
 
 impl Deployment {
@@ -154,7 +162,8 @@
             calls,
             checkins,
             lives: Mutex::default(),
-            version: AtomicU64::new(1),
+            version: AsyncMutex::new(1),
+            routes: Mutex::default(),
         };
         let listen = deployment.store_address();
         let args = ["platform-store", "--listen", &listen];
@@ -296,25 +305,31 @@
     /// Publishes the next version of the desired state, with additional keys and queues; returns whether the store
     /// acknowledged it.
     pub async fn publish_next(&self, keys: &[String], queues: &[String]) -> bool {
-        let version = self.version.fetch_add(1, Ordering::Relaxed);
-        let route = |prefix: &str, priority: u32| {
-            json!({"name": prefix.trim_matches('/'), "host": HOST, "path_prefix": prefix, "service": "svc",
-                "priority": priority, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0, "full_credit_ms": 1_000})
-        };
-        let mut routes = vec![route(PREFIXES[0], 1), route(PREFIXES[1], 0)];
-        routes.extend(queues.iter().map(|queue| route(queue, 1)));
-        let mut advised = route(ADVISED_PREFIX, 1);
-        advised["advice"] = json!({"decide_ms": 20, "each_ms": 2, "valid_ms": 3_000});
-        routes.push(advised);
+        let mut version = self.version.lock().await;
+        let mut routes = lock(&self.routes).to_wire();
+        routes.extend(queues.iter().map(|prefix| route(prefix.trim_matches('/'), prefix, 1)));
         let keys: Vec<&str> = keys.iter().map(String::as_str).chain([KEY]).collect();
         let desired = json!({
-            "version": version, "routes": routes, "services": [{"name": "svc"}],
+            "version": *version, "routes": routes, "services": [{"name": "svc"}],
             "tenants": [{"name": "museum", "api_keys": keys, "guaranteed": {"gpu": 4}},
                 {"name": "guest", "api_keys": [OTHER_KEY]}],
         });
+        *version += 1;
         publish(&self.store_address(), &desired).await
     }
 
+    /// Changes the callers' routes and publishes them, again until the store has acknowledged it; returns whether it has.
+    pub async fn publish_routes(&self, change: impl FnOnce(&mut Routes)) -> bool {
+        change(&mut lock(&self.routes));
+        for _ in 0..PUBLISH_ATTEMPTS {
+            if self.publish_next(&[], &[]).await {
+                return true;
+            }
+            tokio::time::sleep(PUBLISH_RETRY_DELAY).await;
+        }
+        false
+    }
+
     /// Sets the accelerators that a worker has; returns whether it answered.
     pub async fn set_accelerators(&self, worker: usize, accelerators: u64) -> bool {
         let url = format!("http://{}/v1/capacity", self.worker_address(worker));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -11,6 +11,7 @@
 use crate::checkins::Kind;
 use crate::jobs::WORKER_GPUS;
 use crate::proxy::Rules;
+use crate::routes::Change;
 
 /// Start of the faults, in milliseconds from the start of the run.
 const FIRST_MS: u64 = 3_000;
@@ -35,6 +36,9 @@
 /// Share of the seeds with a series of faults of the policy service.
 const POLICY_SHARE: f64 = 0.4;
 
+/// Share of the seeds with a series of changes of the callers' routes.
+const ROUTES_SHARE: f64 = 0.5;
+
 /// Share of late check-ins among the unexpected ones.
 const LATE_CHECKIN_SHARE: f64 = 0.3;
 
@@ -93,6 +97,8 @@
     Policy { faults: Value, restarts: bool, ms: u64 },
     /// Publishes desired states in a row.
     Publish { versions: u64 },
+    /// Changes the callers' routes.
+    Routes(Change),
     /// Leaves a worker with fewer accelerators for some time.
     Shrink { worker: usize, accelerators: u64, ms: u64 },
 }
@@ -118,6 +124,7 @@
             Self::Policy { restarts: true, .. } => "policy-restart".to_owned(),
             Self::Policy { restarts: false, .. } => "policy-fault".to_owned(),
             Self::Publish { .. } => "publish".to_owned(),
+            Self::Routes(change) => format!("routes-{}", change.name()),
             Self::Shrink { .. } => "shrink".to_owned(),
         }
         .to_lowercase()
@@ -164,11 +171,27 @@
     }
     plan.extend(silent_stops(seed, entries, length_ms));
     plan.extend(policy_faults(seed, length_ms));
+    plan.extend(route_changes(seed, length_ms));
     plan.retain(|(_, fault)| !without.iter().any(|name| fault.name().starts_with(name)));
     plan.sort_by_key(|(at_ms, _)| *at_ms);
     plan
 }
 
+/// Returns the changes of the callers' routes.
+fn route_changes(seed: u64, length_ms: u64) -> Plan {
+    let mut rng = StdRng::seed_from_u64(!seed.rotate_left(32));
+    let mut plan = Plan::new();
+    if !rng.random_bool(ROUTES_SHARE) {
+        return plan;
+    }
+    let mut at_ms = FIRST_MS;
+    while at_ms < length_ms {
+        plan.push((at_ms, Fault::Routes(Change::draw(&mut rng))));
+        at_ms += rng.random_range(1_000..5_000);
+    }
+    plan
+}
+
 /// Returns the faults of the policy service.
 fn policy_faults(seed: u64, length_ms: u64) -> Plan {
     let mut rng = StdRng::seed_from_u64(!seed.swap_bytes());
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod play;
 pub mod processes;
 pub mod proxy;
+pub mod routes;
 pub mod run;
 pub mod waits;
 
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -22,6 +22,7 @@
 use crate::jobs::WORKER_GPUS;
 use crate::lock;
 use crate::proxy::Rules;
+use crate::routes::Change;
 
 /// Longest time that a draining worker may take, after which it is killed.
 const DRAIN_GRACE: Duration = Duration::from_secs(12);
@@ -36,6 +37,13 @@
 /// Name of the policy service's process and among the impaired parts.
 const POLICY: &str = "policy";
 
+/// Name of the callers' routes among the parts with a fault.
+const ROUTES: &str = "routes";
+
+/// Time for which routes of accepted jobs are away after the last fault: less than the platform's bound for the end of jobs
+/// (`finish_s`), longer than a job may have nothing running.
+const ROUTES_AWAY: Duration = Duration::from_secs(9);
+
 /// Attempts to reach the policy service after its start.
 const POLICY_ATTEMPTS: usize = 100;
 
@@ -186,6 +194,7 @@
                 set(WORKER_GPUS).await;
                 played
             }
+            Fault::Routes(change) => self.change_routes(change).await,
             Fault::Publish { versions } => {
                 for version in 0..versions {
                     let extra =
@@ -204,6 +213,40 @@
         }
     }
 
+    /// Changes the callers' routes, for some time if the change doesn't last. It impairs nothing.
+    async fn change_routes(&self, change: Change) -> bool {
+        let busy = lock(&self.busy).entry(ROUTES.to_owned()).or_default().clone();
+        let Ok(_guard) = busy.try_lock() else { return false };
+        let mut published = self.deployment.publish_routes(|routes| routes.apply(change)).await;
+        if let Some(ms) = change.lasts_ms() {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            published &= self.deployment.publish_routes(|routes| routes.take_back(change)).await;
+        }
+        if !published {
+            lock(&self.failures).push("the store did not take the routes".to_owned());
+        }
+        published
+    }
+
+    /// Takes away the routes of some callers for a time that begins now, so that the jobs that they have go on without.
+    pub async fn remove_routes_of_accepted_jobs(&self) {
+        let removals = [1, 2].map(|route| Change::Remove { route, renames: true, ms: 0 });
+        self.log("event=routes_removed");
+        let removed = self.deployment.publish_routes(|routes| {
+            removals.into_iter().for_each(|change| routes.apply(change));
+        });
+        let mut published = removed.await;
+        tokio::time::sleep(ROUTES_AWAY).await;
+        let back = self.deployment.publish_routes(|routes| {
+            removals.into_iter().for_each(|change| routes.take_back(change));
+        });
+        published &= back.await;
+        self.log("event=routes_back");
+        if !published {
+            lock(&self.failures).push("the store did not take the routes".to_owned());
+        }
+    }
+
     /// Sets the faults of the policy service as soon as it answers.
     async fn set_policy_faults(&self, faults: &Value) {
         for _ in 0..POLICY_ATTEMPTS {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -107,6 +107,7 @@
     let changing = if has_silent_stops { CHANGING_CALLERS } else { 0 };
     let has_policy_faults = plan.iter().any(|(_, fault)| matches!(fault, Fault::Policy { .. }));
     let advised = if has_policy_faults { ADVISED_CALLERS } else { 0 };
+    let changes_routes = plan.iter().any(|(_, fault)| matches!(fault, Fault::Routes(_)));
     let calling = tokio::spawn(callers.clone().run(cfg.workers.max(2), changing, advised));
     let restarting = {
         let player = player.clone();
@@ -119,8 +120,13 @@
     let bound = completion_bound(&lock(&callers.ledger), cfg.workers);
     let mended_ms = wall_ms();
     player.log(&format!("event=mended bound_ms={}", bound.as_millis()));
+    let removing = async {
+        if changes_routes {
+            player.remove_routes_of_accepted_jobs().await;
+        }
+    };
     // The callers end when all their jobs have.
-    let in_time = tokio::time::timeout(bound, &mut calling).await;
+    let (in_time, ()) = tokio::join!(tokio::time::timeout(bound, &mut calling), removing);
     let took_ms = wall_ms() - mended_ms;
     running.send_replace(false);
     let (called, probed) = if let Ok(called) = in_time { called } else { calling.await };
--- a/crates/sorrelland/tests/soak.rs
+++ b/crates/sorrelland/tests/soak.rs
@@ -8,6 +8,7 @@
 /// Faults that the seeds below were chosen without.
 const SILENT: &str = "silent-";
 const POLICY: &str = "policy-";
+const ROUTES: &str = "routes-";
 
 async fn assert_promises_kept(seed: u64, without: &[&str]) {
     let cfg = Config {
@@ -26,25 +27,30 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_unexpected_checkins_keeps_promises() {
-    assert_promises_kept(57, &[SILENT, POLICY]).await;
+    assert_promises_kept(57, &[SILENT, POLICY, ROUTES]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_faults_of_processes_and_store_keeps_promises() {
-    assert_promises_kept(12, &[SILENT, POLICY]).await;
+    assert_promises_kept(12, &[SILENT, POLICY, ROUTES]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_crashing_subtasks_and_shrinking_workers_keeps_promises() {
-    assert_promises_kept(7_001, &[SILENT, POLICY]).await;
+    assert_promises_kept(7_001, &[SILENT, POLICY, ROUTES]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_stops_while_the_store_is_silent_keeps_promises() {
-    assert_promises_kept(48_108, &[POLICY]).await;
+    assert_promises_kept(48_108, &[POLICY, ROUTES]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn soak_with_a_failing_policy_service_keeps_promises() {
-    assert_promises_kept(56_017, &[SILENT]).await;
+    assert_promises_kept(56_017, &[SILENT, ROUTES]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_changing_routes_keeps_promises() {
+    assert_promises_kept(61_002, &[SILENT, POLICY]).await;
 }
