Play what a desired state may change beside routes under an accepted job

The postmortem asks which other sentences of the operator's API have no test: accounts, guarantees and services that go, `enforces_capacity`, `standby` and `limits` that change under runs, versions that jump.

--- a/crates/sorrelland/tests/queues.rs
+++ b/crates/sorrelland/tests/queues.rs
@@ -44,14 +44,23 @@
     json!([route("orders", PREFIX), route("proofs", OTHER_PREFIX)])
 }
 
-/// Publishes a desired state and waits until it is in force at all entries.
-async fn publish(platform: &Platform, version: u64, routes: &Value) {
+/// Returns a desired state with these routes.
+fn desired(version: u64, routes: &Value) -> Value {
     let tenants = json!([{"name": "museum", "api_keys": [KEY], "guaranteed": {"gpu": 4}},
         {"name": "guest", "api_keys": [OTHER_KEY]}]);
     let services = json!([{"name": "svc"}, {"name": "svc-2"}]);
-    let desired = json!({"version": version, "routes": routes, "services": services, "tenants": tenants});
-    platform.publish_desired(&desired).await;
-    let line = format!("event=desired_in_force version={version} ");
+    json!({"version": version, "routes": routes, "services": services, "tenants": tenants,
+        "limits": {"header_bytes": 16_384, "body_bytes": 262_144}})
+}
+
+async fn publish(platform: &Platform, version: u64, routes: &Value) {
+    publish_desired(platform, &desired(version, routes)).await;
+}
+
+/// Publishes a desired state and waits until it is in force at all entries.
+async fn publish_desired(platform: &Platform, desired: &Value) {
+    platform.publish_desired(desired).await;
+    let line = format!("event=desired_in_force version={} ", desired["version"]);
     eventually(BOUND, "the desired state is in force", async || {
         (1..=platform.entries()).all(|index| {
             let path = platform.env.dir().join(format!("entry-{index}.log"));
@@ -271,3 +280,34 @@
     let lines = platform.job_events(job);
     assert!(lines.iter().any(|(event, line)| event == "job_ended" && line.contains("outcome=Failed")));
 }
+
+/// Guards against a job that is lost as a desired state changes something beside its route.
+#[cases(
+    account_removed = { &[("tenants", json!([{"name": "guest", "api_keys": [OTHER_KEY]}]))], 3 },
+    guarantee_removed = { &[("tenants", json!([{"name": "museum", "api_keys": [KEY]}]))], 3 },
+    service_and_route_removed = {
+        &[("services", json!([{"name": "svc-2"}])), ("routes", json!([]))], 3
+    },
+    service_removed_alone = { &[("services", json!([]))], 3 },
+    capacity_enforced = { &[("services", json!([{"name": "svc", "enforces_capacity": true}]))], 3 },
+    service_on_standby = { &[("services", json!([{"name": "svc", "standby": true}]))], 3 },
+    limits_shrunk = { &[("limits", json!({"header_bytes": 1, "body_bytes": 1}))], 3 },
+    version_jumps = { &[], 9_007_199_254_740_991 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn accepted_job_outlives_a_change_beside_its_route(changes: &[(&str, Value)], version: u64) {
+    let mut platform = start(&routes_before()).await;
+    let (prefix, job) = JOBS[1];
+    assert_eq!(submit(&platform, prefix, job, &two_steps(), SPEC).await, 200);
+    await_state(&platform, prefix, job, "running").await;
+    publish_desired(&platform, &with(desired(version, &routes_before()), changes)).await;
+    replace_leader(&mut platform).await;
+    await_done(&platform, job).await;
+    publish(&platform, version + 7, &routes_before()).await;
+    await_state(&platform, prefix, job, "completed").await;
+    // An older version is none, though it is written last.
+    platform.publish_desired(&desired(2, &json!([]))).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    await_state(&platform, prefix, job, "completed").await;
+    platform.assert_run_once().await;
+}
