Ask the policy service first about steps that could start

Cause: the next request was for the step with the lowest job name, and steps without room are asked about again whenever their tickets run out, every 2.4 s. Once their calls take longer than that together, no higher name is ever asked about.

Why this works: steps with room, and those that a guarantee covers, come before the others; among them the one asked about longest ago. So the wait of a step with room is bounded by the request in progress and one request for each other step with room, whatever waits besides. Workers without the step's label are left out of requests.

--- a/crates/fleet/src/approvals.rs
+++ b/crates/fleet/src/approvals.rs
@@ -43,6 +43,15 @@
 /// A step of a job's occurrence: the job, the occurrence, and the number of the step.
 pub type StepKey = (String, u32, u32);
 
+/// A step that waits for an approval.
+#[derive(Clone, Copy, Debug)]
+struct PendingStep {
+    /// Position of its first unit in the order of placement.
+    rank: usize,
+    /// Whether a guarantee covers its job, so that others may be preempted for it.
+    guaranteed: bool,
+}
+
 /// Approvals and refusals of the policy service, and the pending requests.
 #[derive(Clone, Debug, Default)]
 pub struct Approvals {
@@ -53,9 +62,9 @@
     requested_at: BTreeMap<StepKey, u64>,
     /// When the service last replied for a step.
     answered_at: BTreeMap<StepKey, u64>,
-    /// Steps without a valid ticket.
-    pending: BTreeSet<StepKey>,
-    /// A step whose approved workers have no room; asked about once no other request is pending.
+    /// Steps without a valid ticket, as of the last pass.
+    pending: BTreeMap<StepKey, PendingStep>,
+    /// A step whose approved workers have no room, though others have.
     pending_further: Option<StepKey>,
     /// Step of the last request about further workers, until its reply.
     further_requested: Option<StepKey>,
@@ -83,17 +92,20 @@
         self.by_step.get(step)?.get(incarnation).map(|(ticket, _)| ticket.clone())
     }
 
-    /// Requests approvals for a step, unless a request was sent within `REQUEST_RETRY_DELAY_MS`.
-    pub fn request(&mut self, step: StepKey, now: u64) {
-        if self.requested_at.get(&step).is_none_or(|at| now >= at + REQUEST_RETRY_DELAY_MS) {
-            self.pending.insert(step);
-        }
+    /// Returns whether a request may be sent for a step: none was within `REQUEST_RETRY_DELAY_MS`.
+    fn is_due(&self, step: &StepKey, now: u64) -> bool {
+        self.requested_at.get(step).is_none_or(|at| now >= at + REQUEST_RETRY_DELAY_MS)
+    }
+
+    /// Returns when the service was last asked about a step, or last answered; `None` if it never was.
+    fn asked_at(&self, step: &StepKey) -> Option<u64> {
+        self.requested_at.get(step).max(self.answered_at.get(step)).copied()
     }
 
     /// Returns whether a request about further workers may be sent for a step.
     fn is_further_due(&self, step: &StepKey, now: u64) -> bool {
         let is_over = |at: Option<&u64>, ms: u64| at.is_none_or(|at| now >= at + ms);
-        !self.pending.contains(step)
+        !self.pending.contains_key(step)
             && is_over(self.requested_at.get(step), REQUEST_RETRY_DELAY_MS)
             && is_over(self.answered_at.get(step), FURTHER_REQUEST_DELAY_MS)
     }
@@ -118,7 +130,7 @@
         self.refused.retain(|step, _| step.0 != job);
         self.requested_at.retain(|step, _| step.0 != job);
         self.answered_at.retain(|step, _| step.0 != job);
-        self.pending.retain(|step| step.0 != job);
+        self.pending.retain(|step, _| step.0 != job);
         self.pending_further.take_if(|step| step.0 == job);
         self.further_requested.take_if(|step| step.0 == job);
     }
@@ -132,7 +144,7 @@
 
     /// Requests approvals of further workers for a step whose units wait since the approved workers have no room, if others
     /// have: for the step that was answered longest ago.
-    pub(crate) fn request_further_approvals(&mut self, now: u64, candidates: &[Candidate]) {
+    fn request_further_approvals(&mut self, now: u64, candidates: &[Candidate]) {
         self.approvals.pending_further = None;
         if now < self.approvals.further_allowed_at {
             return;
@@ -148,7 +160,7 @@
         let mut due: Vec<StepKey> =
             steps.into_iter().filter(|step| self.approvals.is_further_due(step, now)).collect();
         due.sort_by_key(|step| self.approvals.answered_at.get(step).copied());
-        let found = due.into_iter().find(|step| !self.further_workers(step, now).is_empty());
+        let found = due.into_iter().find(|step| !self.workers_with_room(step, now).is_empty());
         if found.is_none() {
             // Every search looks at all workers.
             self.approvals.further_allowed_at = now + FURTHER_REQUEST_DELAY_MS;
@@ -173,42 +185,91 @@
             }
     }
 
+    /// Requests approvals for the candidates' steps that need one and have none that is valid, or no room where they have one.
+    pub(crate) fn request_approvals(&mut self, now: u64, candidates: &[Candidate]) {
+        self.approvals.pending.clear();
+        for (rank, candidate) in candidates.iter().enumerate() {
+            if !self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval) {
+                continue;
+            }
+            let step = step_key(candidate);
+            if self.approvals.is_due(&step, now) && self.approvals.approved_workers(&step, now).is_empty() {
+                let pending = PendingStep { rank, guaranteed: candidate.guaranteed };
+                self.approvals.pending.entry(step).or_insert(pending);
+            }
+        }
+        self.request_further_approvals(now, candidates);
+    }
+
     /// Returns the next request to the policy service: a step and the worker incarnations to ask about, those with the most
     /// free resources first, without those decided before.
+    ///
+    /// The service handles one request after the other. Steps that could start with an approval come first, or that others
+    /// may be preempted for; of these the one that was asked about longest ago, so that none waits for repeated requests.
     pub fn next_approval_request(&mut self, now: u64) -> Option<(StepKey, Vec<String>)> {
-        while let Some(step) = self.approvals.pending.pop_first() {
+        while let Some((step, is_further)) = self.next_step_to_approve(now) {
+            let workers = match is_further {
+                true => self.workers_with_room(&step, now),
+                false => self.undecided_workers(&step, now, |_| true),
+            };
+            let workers = freest(workers);
+            match is_further {
+                true => self.approvals.pending_further = None,
+                false => _ = self.approvals.pending.remove(&step),
+            }
             self.approvals.requested_at.insert(step.clone(), now);
-            let workers = self.undecided_workers(&step, now, |_| true);
-            if !workers.is_empty() {
-                return Some((step, freest(workers)));
+            if workers.is_empty() {
+                continue;
             }
+            if is_further {
+                self.approvals.further_requested = Some(step.clone());
+                self.approvals.further_allowed_at = now + REQUEST_RETRY_DELAY_MS;
+            }
+            return Some((step, workers));
         }
-        let step = self.approvals.pending_further.take()?;
-        let workers = self.further_workers(&step, now);
-        if workers.is_empty() {
-            return None;
-        }
-        let workers = freest(workers);
-        self.approvals.requested_at.insert(step.clone(), now);
-        self.approvals.further_requested = Some(step.clone());
-        self.approvals.further_allowed_at = now + REQUEST_RETRY_DELAY_MS;
-        Some((step, workers))
+        None
+    }
+
+    /// Returns the step to ask about next, and whether only further workers have to be asked about.
+    fn next_step_to_approve(&self, now: u64) -> Option<(StepKey, bool)> {
+        let approvals = &self.approvals;
+        let order = |step: &StepKey, pending: &PendingStep| (approvals.asked_at(step), pending.rank);
+        let can_start = |step: &StepKey, pending: &PendingStep| {
+            pending.guaranteed || !self.workers_with_room(step, now).is_empty()
+        };
+        let mut steps: Vec<(&StepKey, &PendingStep)> = approvals.pending.iter().collect();
+        steps.sort_by_key(|(step, pending)| order(step, pending));
+        let startable = steps.iter().find(|(step, pending)| can_start(step, pending)).map(|(step, _)| *step);
+        let further = approvals.pending_further.as_ref();
+        let next = match (startable, further) {
+            (Some(step), Some(further)) if approvals.asked_at(further) < approvals.asked_at(step) => {
+                (further, true)
+            }
+            (Some(step), _) => (step, false),
+            (None, Some(further)) => (further, true),
+            (None, None) => (steps.first()?.0, false),
+        };
+        Some((next.0.clone(), next.1))
     }
 
-    /// Returns the workers out of those that `may_use` names on which no decision holds for a step.
-    fn undecided_workers(&self, step: &StepKey, now: u64, may_use: impl Fn(&Worker) -> bool) -> Vec<&Worker> {
-        let Some(queue) = self.queue_of(&step.0) else { return Vec::new() };
+    /// Returns the workers out of those that `may_use` names that may run a step and on which no decision holds.
+    fn undecided_workers(&self, key: &StepKey, now: u64, may_use: impl Fn(&Worker) -> bool) -> Vec<&Worker> {
+        let Some(job) = self.jobs.get(&key.0) else { return Vec::new() };
+        let (Some(queue), Some(step)) = (job.queue(), job.sub.steps.get(key.2 as usize)) else {
+            return Vec::new();
+        };
         let is_undecided = |worker: &&Worker| {
             worker.info.service == queue.service
                 && !worker.info.draining
+                && step.label.as_deref().is_none_or(|label| worker.has_label(label))
                 && may_use(worker)
-                && !self.approvals.is_decided(step, &worker.info.incarnation, now)
+                && !self.approvals.is_decided(key, &worker.info.incarnation, now)
         };
         self.workers.values().filter(is_undecided).collect()
     }
 
     /// Returns those of them on which a subtask of the step has room now.
-    fn further_workers(&self, key: &StepKey, now: u64) -> Vec<&Worker> {
+    fn workers_with_room(&self, key: &StepKey, now: u64) -> Vec<&Worker> {
         let job = self.jobs.get(&key.0);
         let Some(step) = job.and_then(|job| job.sub.steps.get(key.2 as usize)) else { return Vec::new() };
         let reserved = step.reserved();
@@ -216,7 +277,6 @@
             worker.free().can_fit(&reserved)
                 && pool::is_usable(worker, now)
                 && !self.evacuated.contains(&worker.info.domain)
-                && step.label.as_deref().is_none_or(|label| worker.has_label(label))
         })
     }
 
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -146,23 +146,6 @@
         ));
     }
 
-    /// Requests approvals for the steps that need one and have none that is valid, or no room where they have one.
-    fn request_approvals(&mut self, now: u64, candidates: &[Candidate]) {
-        for candidate in candidates {
-            if self.queue_of(&candidate.job).is_some_and(|queue| queue.needs_approval) {
-                let step = (candidate.job.clone(), candidate.key.occurrence, candidate.key.step);
-                let has_ticket = self
-                    .workers
-                    .keys()
-                    .any(|incarnation| self.approvals.valid_ticket(&step, incarnation, now).is_some());
-                if !has_ticket {
-                    self.approvals.request(step, now);
-                }
-            }
-        }
-        self.request_further_approvals(now, candidates);
-    }
-
     /// Returns the waiting units whose dependencies are done and whose occurrence is due, in order of placement.
     pub fn candidates(&self, now: u64, wall: u64) -> Vec<Candidate> {
         let mut candidates = self.unranked_candidates(now, wall);
--- a/crates/fleet/tests/approvals.rs
+++ b/crates/fleet/tests/approvals.rs
@@ -4,10 +4,13 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use common::{Fleet, reply, step};
 use sorrelland_fleet::approvals::{PolicyReply, StepKey};
+use sorrelland_fleet::desired::{Desired, Queue};
 use sorrelland_fleet::incarnation::{self, WorkerId};
+use sorrelland_fleet::job::{JobState, Step};
 
 const JOB: &str = "00000000000000a1";
 
@@ -214,3 +217,103 @@
     assert_eq!(asked.iter().filter(|worker| WorkerId::of(worker).as_str() == "w0").count(), 1, "{asked:?}");
     assert!(asked.contains(&"w0@9".to_owned()), "{asked:?}");
 }
+
+/// A policy service that handles one request at a time and admits every worker that it is asked about.
+struct Service {
+    call_ms: u64,
+    valid_ms: u64,
+    /// The request in progress, and when it ends.
+    current: Option<(Request, u64)>,
+}
+
+impl Service {
+    /// Advances the fleet and the service; returns the steps that the planner has asked about in this time.
+    fn run(&mut self, fleet: &mut Fleet, ms: u64) -> Vec<StepKey> {
+        let mut asked = Vec::new();
+        for _ in 0..ms / PASS_MS {
+            run(fleet, PASS_MS);
+            if let Some(((key, workers), _)) = self.current.take_if(|(_, until)| fleet.now >= *until) {
+                let admitted: Vec<_> =
+                    workers.iter().map(|worker| (worker.clone(), "t".to_owned())).collect();
+                fleet.planner.record_approvals(fleet.now, &key, &workers, &reply(&admitted, self.valid_ms));
+            }
+            if self.current.is_none()
+                && let Some(request) = fleet.planner.next_approval_request(fleet.now)
+            {
+                asked.push(request.0.clone());
+                self.current = Some((request, fleet.now + self.call_ms));
+            }
+        }
+        asked
+    }
+}
+
+/// A fleet of six workers, two of them with the label `b` and full, with jobs that wait for room there.
+fn fleet_with_waiting_steps(service: &mut Service, waiting: usize) -> Fleet {
+    let mut fleet = Fleet::new(6);
+    for report in &mut fleet.reports[4..] {
+        report.worker.as_mut().unwrap().labels.push("b".to_owned());
+    }
+    let lasting = |count| Step { label: Some("b".to_owned()), long_running: true, ..step(count, 8) };
+    fleet.submit("0000000000000000", "advised", vec![lasting(2)]);
+    service.run(&mut fleet, 5_000);
+    for number in 0..waiting {
+        fleet.submit(&format!("1{number:015x}"), "advised", vec![lasting(1)]);
+    }
+    service.run(&mut fleet, 10_000);
+    fleet
+}
+
+/// Guards against a step that never starts on idle workers, since the service is asked again and again about others that
+/// have no room and lower names.
+#[yare::parameterized(
+    short_calls = { 200, 3_000 },
+    long_calls = { 1_000, 3_000 },
+    short_tickets = { 400, 1_000 },
+)]
+fn step_with_room_is_approved_before_those_without(call_ms: u64, valid_ms: u64) {
+    let mut service = Service { call_ms, valid_ms, current: None };
+    let mut fleet = fleet_with_waiting_steps(&mut service, 40);
+    let wanted = ["f000000000000001", "f000000000000002"];
+    for job in wanted {
+        fleet.submit(job, "advised", vec![step(2, 1)]);
+    }
+    // The request in progress, one for each of the jobs, and a pass after each.
+    let asked = service.run(&mut fleet, 3 * (call_ms + 2 * PASS_MS));
+    for job in wanted {
+        assert!(asked.iter().any(|(asked, ..)| asked == job), "{asked:?}");
+        assert_eq!(fleet.planner.state(job), Some(JobState::Running), "{job}");
+    }
+}
+
+/// Guards against a step with room that waits for others with room, which are asked about again and again and can't start:
+/// all are served in turn, whatever their names.
+#[test]
+fn steps_with_room_are_asked_about_in_turn() {
+    let mut service = Service { call_ms: 500, valid_ms: 0, current: None };
+    let mut fleet = Fleet::new(4);
+    let jobs: Vec<String> = (0..8).map(|number| format!("{number:016x}")).collect();
+    for job in &jobs {
+        fleet.submit(job, "advised", vec![step(1, 1)]);
+    }
+    let asked = service.run(&mut fleet, 16 * 600);
+    for job in &jobs {
+        let count = asked.iter().filter(|(asked, ..)| asked == job).count();
+        assert!((1..=3).contains(&count), "{job} is asked about {count} times: {asked:?}");
+    }
+}
+
+/// Guards against a guaranteed job that gets no approval in time, since no worker has room for it before others are stopped.
+#[test]
+fn guaranteed_step_without_room_is_approved_first() {
+    let mut service = Service { call_ms: 300, valid_ms: 3_000, current: None };
+    let mut fleet = fleet_with_waiting_steps(&mut service, 40);
+    let urgent = Queue { needs_approval: true, ..common::queue("urgent", 0) };
+    let mut queues = common::desired().queues;
+    queues.retain(|queue| queue.name != "urgent");
+    queues.push(urgent);
+    fleet.planner.set_desired(Arc::new(Desired { version: 2, queues, ..common::desired() }));
+    fleet.submit(JOB, "urgent", vec![Step { label: Some("b".to_owned()), ..step(1, 8) }]);
+    let asked = service.run(&mut fleet, 2 * (300 + PASS_MS));
+    assert!(asked.iter().any(|(job, ..)| job == JOB), "{asked:?}");
+}
