Suspect no run of a crash that was placed after its worker fell silent

Cause: a crash counts for all runs that the planner had on the worker, up to the report that another incarnation has taken its place. The agent tells since when the worker didn't answer, but that was compared with other losses only.

Why this works: what was placed after the worker stopped answering, and never reported as running, can't have brought it down. A run that crashes its worker at its start was placed before. A late report makes the loss look later, which suspects more, not less.

Measured: `run_placed_on_a_lost_worker_is_no_suspect` failed before (3 crashes counted for a job that was never started), its control passes before and after; `--test crashes` 12 of 12.

--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -206,12 +206,19 @@
         silent_ms: Option<u64>,
         lost: &[(Task, u64)],
     ) {
+        let lost_at = silent_ms.map(|silent_ms| now.saturating_sub(silent_ms));
+        let (lost, late): (Vec<_>, Vec<_>) =
+            lost.iter().partition(|(task, _)| !self.was_placed_on_lost_worker(task, incarnation, lost_at));
+        if !late.is_empty() {
+            let count = late.len();
+            self.log_line(format!("event=runs_not_suspected worker={incarnation} runs={count}"));
+        }
         let runs: Vec<LostRun> =
             lost.iter().filter_map(|(task, run)| self.lost_run(now, task, *run)).collect();
         let listed = self.workers.get(incarnation).into_iter().flat_map(|worker| worker.running.keys());
-        let jobs: BTreeSet<&str> = lost.iter().chain(listed).map(|(task, _)| task.job.as_str()).collect();
+        let jobs: BTreeSet<&str> =
+            lost.into_iter().chain(listed).map(|(task, _)| task.job.as_str()).collect();
         let one_job = jobs.len() == 1;
-        let lost_at = silent_ms.map(|silent_ms| now.saturating_sub(silent_ms));
         let incarnation = incarnation.to_owned();
         let crashed = CrashedWorker { known_at: now, lost_at, incarnation, runs, one_job };
         let recent = &mut self.crashes.recent;
@@ -243,6 +250,15 @@
         }
     }
 
+    /// Returns whether a subtask was placed on a worker that had stopped answering by then, so that it can't have caused the
+    /// loss. What was reported as running there is no such subtask.
+    fn was_placed_on_lost_worker(&self, task: &Task, incarnation: &str, lost_at: Option<u64>) -> bool {
+        let unit = self.unit_of(task).and_then(|(key, _)| self.jobs.get(&task.job)?.units.get(&key));
+        let (Some(unit), Some(lost_at)) = (unit, lost_at) else { return false };
+        let was_seen = unit.members.iter().any(|member| member.worker == incarnation && member.seen);
+        !was_seen && unit.placed_at.is_some_and(|placed_at| placed_at > lost_at)
+    }
+
     fn lost_run(&self, now: u64, task: &Task, run: u64) -> Option<LostRun> {
         let (key, _) = self.unit_of(task)?;
         let job = self.jobs.get(&task.job)?;
--- a/crates/fleet/tests/crashes.rs
+++ b/crates/fleet/tests/crashes.rs
@@ -243,3 +243,35 @@
     }
     play.assert_given_up();
 }
+
+/// Lets the only worker stop answering, submits a job that is placed there, and replaces the worker; returns the crashes that
+/// the job counts. The worker falls silent `silent_before_ms` before the job comes, or after it has started if negative.
+fn crashes_of_job(silent_before_ms: i64, rounds: usize) -> u64 {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("late", "plain", vec![Step { estimate_ms: 60_000, ..step(1, 1) }]);
+    for round in 0..rounds {
+        let assignments = fleet.advance(STEP_MS);
+        assert_eq!(assignments[0].starts.len(), 1, "it is placed in round {round}");
+        if silent_before_ms < 0 {
+            fleet.mark_running(&assignments);
+            fleet.advance(STEP_MS);
+        }
+        fleet.advance(1_000);
+        let report = &mut fleet.reports[0];
+        report.running.clear();
+        report.worker.as_mut().unwrap().incarnation = format!("w0-{round}");
+        report.silent_before_ms = Some((1_000 + STEP_MS).saturating_add_signed(silent_before_ms));
+        fleet.advance(0);
+    }
+    let view = fleet.planner.view(&sorrelland_fleet::view::Query::Jobs, fleet.now, fleet.now);
+    view["rows"][0]["crashes"].as_u64().unwrap()
+}
+
+/// Guards against a job that has to run apart from others, since it was placed on workers that had crashed before.
+#[yare::parameterized(
+    placed_after_the_loss = { 500, 0 },
+    placed_before_the_loss = { -500, 3 },
+)]
+fn run_placed_on_a_lost_worker_is_no_suspect(silent_before_ms: i64, crashes: u64) {
+    assert_eq!(crashes_of_job(silent_before_ms, 3), crashes);
+}
